Serve a request end to end over separate processes

Cause: nothing existed; the first step is a thin whole path that later work replaces part by part. Ruled out: a single-process prototype, since the split into processes decides the interfaces. Conclusion: the interfaces hold end to end; parts can now be built side by side.

--- /dev/null
+++ b/src/cmd/devstore.rs
@@ -0,0 +1,48 @@
+//! `devstore`: stand-in for the platform's store.
+
+use std::net::SocketAddr;
+
+use lexopt::prelude::*;
+
+use super::{block_on, fail, usage, CmdResult, Exit};
+use crate::prelude::*;
+use crate::store::mem::MemStore;
+use crate::store::server::{self, StandIn};
+
+/// Usage text.
+pub const USAGE: &str = "\
+Runs a stand-in for the platform's store, for tests and trials. Nothing is kept when it ends.
+
+Usage: dragonflyquay devstore [--listen IP:PORT]
+
+  --listen IP:PORT  address (default 127.0.0.1:7500); the first output line names the one taken
+
+Faults are set with PUT /v1/faults, counters are read with GET /v1/stats.
+
+Exit codes: 0 stopped, 1 failed, 2 usage.
+";
+
+/// Runs the command.
+pub fn run(mut args: lexopt::Parser) -> CmdResult {
+    let mut listen = SocketAddr::from(([127, 0, 0, 1], 7500));
+    while let Some(arg) = args.next().map_err(usage)? {
+        match arg {
+            Long("help") | Short('h') => {
+                print!("{USAGE}");
+                return Ok(());
+            }
+            Long("listen") => listen = args.value().and_then(|v| v.parse()).map_err(usage)?,
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    block_on(2, async {
+        let standin = Arc::new(StandIn::new(Arc::new(MemStore::default())));
+        let server = match server::start(listen, standin) {
+            Ok(s) => s,
+            Err(e) => return fail(Exit::Failed, format!("{listen}: {e}")),
+        };
+        println!("listening {}", server.local_addr());
+        let _ = tokio::signal::ctrl_c().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,119 @@
+//! Subcommands, one file each.
+
+pub mod check;
+pub mod commit;
+pub mod devbackend;
+pub mod devstore;
+pub mod node;
+
+use std::fmt;
+use std::path::Path;
+
+use error_stack::Report;
+
+use crate::findings::Findings;
+use crate::version::manifest::{self, Manifest, MAX_MANIFEST_BYTES};
+use crate::version::validate::validate;
+
+/// Exit codes of all subcommands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Success.
+    Ok = 0,
+    /// Any other failure.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// The input was refused; the findings say why.
+    Refused = 3,
+    /// Another commit or plan came first.
+    Conflict = 4,
+    /// The outcome is unknown; the same command run again finds it.
+    Unknown = 5,
+    /// A service that the command needs cannot be reached.
+    Unavailable = 6,
+}
+
+/// A failed command: its exit code and what to print.
+#[derive(Debug)]
+pub struct CmdError {
+    /// Exit code.
+    pub exit: Exit,
+    /// What went wrong, where, and what to do.
+    pub message: String,
+}
+
+impl fmt::Display for CmdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for CmdError {}
+
+/// Result of a subcommand.
+pub type CmdResult<T = ()> = Result<T, Report<CmdError>>;
+
+/// A failure with this exit code and message.
+pub fn fail<T, M>(exit: Exit, message: M) -> CmdResult<T>
+where
+    M: Into<String>,
+{
+    Err(Report::new(CmdError {
+        exit,
+        message: message.into(),
+    }))
+}
+
+/// Maps an error of the argument parser.
+pub fn usage(e: lexopt::Error) -> Report<CmdError> {
+    Report::new(CmdError {
+        exit: Exit::Usage,
+        message: format!("{e}; see --help"),
+    })
+}
+
+/// Reports the findings of an input file.
+pub fn refused<T>(path: &Path, f: &Findings) -> CmdResult<T> {
+    let lines: Vec<_> = f
+        .to_string()
+        .lines()
+        .map(|l| format!("{}: {l}", path.display()))
+        .collect();
+    fail(Exit::Refused, lines.join("\n"))
+}
+
+/// Reads and checks a manifest file.
+///
+/// # Errors
+///
+/// [`Exit::Failed`] when the file cannot be read, [`Exit::Refused`] with all findings.
+pub fn read_manifest(path: &Path) -> CmdResult<Manifest> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(t) if t.len() <= MAX_MANIFEST_BYTES => t,
+        Ok(_) => {
+            return fail(
+                Exit::Refused,
+                format!("{}: larger than {MAX_MANIFEST_BYTES} bytes", path.display()),
+            )
+        }
+        Err(e) => return fail(Exit::Failed, format!("{}: {e}", path.display())),
+    };
+    let checked = manifest::parse(&text).and_then(|m| validate(&m).map(|()| m));
+    checked.or_else(|f| refused(path, &f))
+}
+
+/// Runs a future on a runtime with this number of threads.
+pub fn block_on<F, T>(threads: usize, f: F) -> CmdResult<T>
+where
+    F: std::future::Future<Output = CmdResult<T>>,
+{
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads.max(1))
+        .enable_all()
+        .build();
+    match rt {
+        Ok(rt) => rt.block_on(f),
+        Err(e) => fail(Exit::Failed, format!("cannot start the runtime: {e}")),
+    }
+}
--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,54 @@
+//! `node`: the process on a backend server VM.
+
+use std::path::PathBuf;
+
+use lexopt::prelude::*;
+
+use super::{block_on, fail, refused, usage, CmdError, CmdResult, Exit};
+use crate::prelude::*;
+use crate::process::node;
+use crate::store::http::HttpStore;
+use crate::{logging, settings};
+
+/// Usage text.
+pub const USAGE: &str = "\
+Runs the node of a backend server VM until it is told to stop.
+
+Usage: dragonflyquay node SETTINGS.toml
+
+Exit codes: 0 stopped, 1 failed, 2 usage, 3 settings refused.
+";
+
+/// Runs the command.
+pub fn run(mut args: lexopt::Parser) -> CmdResult {
+    let mut path = None;
+    while let Some(arg) = args.next().map_err(usage)? {
+        match arg {
+            Long("help") | Short('h') => {
+                print!("{USAGE}");
+                return Ok(());
+            }
+            Value(v) if path.is_none() => path = Some(PathBuf::from(v)),
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    let Some(path) = path else {
+        return fail(Exit::Usage, "SETTINGS.toml is missing; see --help");
+    };
+    let s = settings::read(&path).or_else(|f| refused(&path, &f))?;
+    logging::init(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Info))
+        .or_else(|e| fail(Exit::Failed, e))?;
+    let store = Arc::new(HttpStore::new(
+        s.store.address,
+        Duration::from_millis(s.store.timeout_ms),
+    ));
+    block_on(s.node.threads, async {
+        node::run(s, store).await.map_err(|e| {
+            let message = format!("{e:?}");
+            e.change_context(CmdError {
+                exit: Exit::Failed,
+                message,
+            })
+        })
+    })
+}
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,6 @@
+//! State that lives as long as a connection.
+
+pub mod frame;
+pub mod listen;
+pub mod peer;
+pub mod upstream;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,54 @@
+//! Command-line entry point: dispatches to the subcommands and maps errors to exit codes.
+
+use std::process::ExitCode;
+
+use dragonflyquay::cmd::{self, CmdResult, Exit};
+
+const USAGE: &str = "\
+Configuration distribution and request routing for a service mesh.
+
+Usage: dragonflyquay COMMAND [ARGS]
+
+Commands:
+  node        run the node of a backend server VM
+  check       report every finding in a manifest
+  commit      store a manifest and make it the next version
+  devstore    run a stand-in for the platform's store
+  devbackend  run a sample backend server
+
+Each command explains itself with --help.
+";
+
+fn dispatch() -> CmdResult {
+    let mut args = lexopt::Parser::from_env();
+    match args.next().map_err(cmd::usage)? {
+        Some(lexopt::Arg::Value(name)) => match name.to_str() {
+            Some("node") => cmd::node::run(args),
+            Some("check") => cmd::check::run(args),
+            Some("commit") => cmd::commit::run(args),
+            Some("devstore") => cmd::devstore::run(args),
+            Some("devbackend") => cmd::devbackend::run(args),
+            _ => cmd::fail(Exit::Usage, format!("unknown command {name:?}; see --help")),
+        },
+        Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
+            print!("{USAGE}");
+            Ok(())
+        }
+        Some(lexopt::Arg::Long("version") | lexopt::Arg::Short('V')) => {
+            println!("dragonflyquay {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        _ => cmd::fail(Exit::Usage, "a command is needed; see --help"),
+    }
+}
+
+fn main() -> ExitCode {
+    match dispatch() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let e = e.current_context();
+            eprintln!("dragonflyquay: {e}");
+            ExitCode::from(e.exit as u8)
+        }
+    }
+}
--- /dev/null
+++ b/src/process/admin.rs
@@ -0,0 +1,167 @@
+//! Admin API: announcements of the backend server, status, health, readiness.
+
+use std::net::SocketAddr;
+
+use dropshot::{
+    endpoint, ApiDescription, ClientErrorStatusCode, ConfigDropshot, HttpError, HttpResponseOk,
+    HttpServer, RequestContext, ServerBuilder, TypedBody,
+};
+use http::Response;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::node::Process;
+use super::record::{Target, TargetState};
+use crate::prelude::*;
+
+/// What a backend server announces, about once a second.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that it runs.
+    pub service: String,
+    /// Address that takes requests.
+    pub address: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// State.
+    pub state: TargetState,
+    /// Distinguishes successive processes of the backend server.
+    pub incarnation: u64,
+    /// Version floor from the last answer, returned unchanged.
+    #[serde(default)]
+    pub floor: Option<String>,
+}
+
+/// Answer to an announcement.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct AnnounceAnswer {
+    /// Time after which the backend server counts as gone without another announcement, in milliseconds.
+    pub ttl_ms: u64,
+    /// Whether the backend server may stop: a planned stop has finished.
+    pub drained: bool,
+    /// Version floor to return with the next announcement.
+    pub floor: Option<String>,
+}
+
+/// State of a node.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct Status {
+    /// Node id.
+    pub node: String,
+    /// Availability zone.
+    pub az: String,
+    /// Number of the version in force, 0 without one.
+    pub version: u64,
+    /// Content hash of the version in force.
+    pub hash: String,
+    /// Known nodes.
+    pub nodes: usize,
+}
+
+type Ctx = RequestContext<Arc<Process>>;
+
+fn bad_request(message: &str) -> HttpError {
+    HttpError::for_client_error(None, ClientErrorStatusCode::BAD_REQUEST, message.to_owned())
+}
+
+/// Takes the announcement of the backend server beside this node.
+#[endpoint { method = POST, path = "/announce" }]
+async fn announce(
+    ctx: Ctx,
+    body: TypedBody<Announcement>,
+) -> Result<HttpResponseOk<AnnounceAnswer>, HttpError> {
+    let a = body.into_inner();
+    let address: SocketAddr = a
+        .address
+        .parse()
+        .map_err(|_| bad_request("address: expected IP:PORT"))?;
+    let target = Target {
+        service: a.service.into(),
+        state: a.state,
+        slots: a.slots,
+        age_ms: 0,
+    };
+    ctx.context().announced(address, target);
+    Ok(HttpResponseOk(AnnounceAnswer {
+        ttl_ms: 5000,
+        drained: false,
+        floor: None,
+    }))
+}
+
+/// Returns the state of the node.
+#[endpoint { method = GET, path = "/status" }]
+async fn status(ctx: Ctx) -> Result<HttpResponseOk<Status>, HttpError> {
+    let p = ctx.context();
+    let version = p.version();
+    Ok(HttpResponseOk(Status {
+        node: p.settings.node.id.to_string(),
+        az: p.settings.node.az.to_string(),
+        version: version.number,
+        hash: version.hash.to_string(),
+        nodes: p.records.load().len(),
+    }))
+}
+
+/// Returns the metrics in the Prometheus text format.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(ctx: Ctx) -> Result<Response<dropshot::Body>, HttpError> {
+    Response::builder()
+        .header("content-type", "text/plain; version=0.0.4")
+        .body(ctx.context().metrics.render().into())
+        .map_err(|e| HttpError::for_internal_error(e.to_string()))
+}
+
+/// Answers while the process runs.
+#[endpoint { method = GET, path = "/health" }]
+async fn health(_ctx: Ctx) -> Result<HttpResponseOk<String>, HttpError> {
+    Ok(HttpResponseOk("ok".into()))
+}
+
+/// Answers with success once a version is in force.
+#[endpoint { method = GET, path = "/ready" }]
+async fn ready(ctx: Ctx) -> Result<HttpResponseOk<String>, HttpError> {
+    match ctx.context().config.load().as_ref() {
+        Some(_) => Ok(HttpResponseOk("ready".into())),
+        None => Err(HttpError::for_unavail(
+            None,
+            "no configuration version yet".into(),
+        )),
+    }
+}
+
+/// Describes the admin API.
+///
+/// # Errors
+///
+/// A text that names the endpoint that could not be registered.
+pub fn api() -> Result<ApiDescription<Arc<Process>>, String> {
+    let mut api = ApiDescription::new();
+    api.register(announce).map_err(|e| e.to_string())?;
+    api.register(status).map_err(|e| e.to_string())?;
+    api.register(metrics).map_err(|e| e.to_string())?;
+    api.register(health).map_err(|e| e.to_string())?;
+    api.register(ready).map_err(|e| e.to_string())?;
+    Ok(api)
+}
+
+/// Starts the admin API.
+///
+/// # Errors
+///
+/// A text that says why the server could not start.
+pub fn start(
+    address: SocketAddr,
+    process: Arc<Process>,
+) -> Result<HttpServer<Arc<Process>>, String> {
+    ServerBuilder::new(api()?, process, crate::logging::dropshot_log())
+        .config(ConfigDropshot {
+            bind_address: address,
+            ..Default::default()
+        })
+        .start()
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/process/clock.rs
@@ -0,0 +1,30 @@
+//! Time since the start of the process.
+
+use std::time::Instant;
+
+use crate::prelude::*;
+
+/// Source of time for the tasks that drive the state machines.
+pub trait Clock: Send + Sync {
+    /// Monotonic time since the start of the process.
+    fn now(&self) -> Now;
+}
+
+/// The machine's monotonic clock.
+pub struct ProcessClock {
+    start: Instant,
+}
+
+impl Default for ProcessClock {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock for ProcessClock {
+    fn now(&self) -> Now {
+        self.start.elapsed()
+    }
+}
--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,123 @@
+//! Prometheus metrics of a node.
+
+use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+
+use crate::request::reason::Reason;
+
+/// Counters and gauges of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by rank and outcome.
+    pub requests: IntCounterVec,
+    /// Refused or failed requests by reason.
+    pub refusals: IntCounterVec,
+    /// Retries by reason.
+    pub retries: IntCounterVec,
+    /// Waiting requests by rank.
+    pub queued: IntGaugeVec,
+    /// Bytes on links between nodes, by direction and kind of message.
+    pub control_bytes: IntCounterVec,
+    /// Inputs from peers that were rejected, by kind.
+    pub rejected: IntCounterVec,
+    /// Calls to the store, by kind and result.
+    pub store_calls: IntCounterVec,
+    /// Watches that wait at the store now.
+    pub store_waiting: IntGauge,
+    /// Number of the version in force.
+    pub version: IntGauge,
+}
+
+fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    register(r, IntCounterVec::new(Opts::new(name, help), labels))
+}
+
+fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    register(r, IntGaugeVec::new(Opts::new(name, help), labels))
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+    register(r, IntGauge::new(name, help))
+}
+
+/// Registers a metric. Names are constants of this file, so a failure is a programming error found by any test.
+fn register<M>(r: &Registry, made: prometheus::Result<M>) -> M
+where
+    M: prometheus::core::Collector + Clone + 'static,
+{
+    let metric = made.expect("valid metric name");
+    r.register(Box::new(metric.clone()))
+        .expect("unique metric name");
+    metric
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let r = Registry::new();
+        Self {
+            requests: counters(
+                &r,
+                "dq_requests_total",
+                "Requests by rank and outcome",
+                &["rank", "outcome"],
+            ),
+            refusals: counters(
+                &r,
+                "dq_refusals_total",
+                "Refused or failed requests by reason",
+                &["reason"],
+            ),
+            retries: counters(&r, "dq_retries_total", "Retries by reason", &["reason"]),
+            queued: gauges(
+                &r,
+                "dq_queued_requests",
+                "Waiting requests by rank",
+                &["rank"],
+            ),
+            control_bytes: counters(
+                &r,
+                "dq_control_bytes_total",
+                "Bytes on links between nodes",
+                &["direction", "kind"],
+            ),
+            rejected: counters(
+                &r,
+                "dq_rejected_inputs_total",
+                "Rejected inputs from peers",
+                &["kind"],
+            ),
+            store_calls: counters(
+                &r,
+                "dq_store_calls_total",
+                "Calls to the store",
+                &["kind", "result"],
+            ),
+            store_waiting: gauge(
+                &r,
+                "dq_store_waiting_watches",
+                "Watches that wait at the store",
+            ),
+            version: gauge(&r, "dq_version_number", "Number of the version in force"),
+            registry: r,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a refused or failed request.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: Reason) {
+        self.retries.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        // Writing into a vector cannot fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,9 @@
+//! State that lives as long as the process.
+
+pub mod admin;
+pub mod clock;
+pub mod control;
+pub mod metrics;
+pub mod node;
+pub mod notices;
+pub mod record;
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! State that lives as long as a request.
+
+pub mod admit;
+pub mod body;
+pub mod context;
+pub mod entry;
+pub mod reason;
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,129 @@
+//! The platform's key-value store: compare-and-swap, leases and watches.
+
+pub mod http;
+pub mod mem;
+pub mod server;
+
+use std::fmt;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// Largest value that the store accepts, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Revision of the whole store; it grows with each write. 0 stands for "absent" in a comparison.
+pub type Revision = u64;
+/// Id of a lease.
+pub type LeaseId = u64;
+
+/// One key with its value.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub struct Entry {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of the last write to this key.
+    pub revision: Revision,
+}
+
+/// Result of a `list` call.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub struct Listing {
+    /// Entries in the order of their keys.
+    pub entries: Vec<Entry>,
+    /// Revision of the store at the time of the call.
+    pub revision: Revision,
+}
+
+/// A change of one key seen by a watch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub struct Event {
+    /// Key.
+    pub key: String,
+    /// New value, or `None` after a deletion.
+    pub value: Option<Vec<u8>>,
+    /// Revision of the change.
+    pub revision: Revision,
+}
+
+/// Result of a `watch` call.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub struct Changes {
+    /// Changes after the stated revision; empty when the wait ran out.
+    pub events: Vec<Event>,
+    /// Revision from which to watch next.
+    pub revision: Revision,
+}
+
+/// Result of a compare-and-swap.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub enum Swap {
+    /// The write took effect at this revision.
+    Done(Revision),
+    /// The key is at another revision; its present entry, if any.
+    Conflict(Option<Entry>),
+}
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
+pub enum StoreError {
+    /// The call did not reach the store, or was refused before it took effect.
+    Unavailable(String),
+    /// No answer came; a write may have taken effect and has to be looked up.
+    Unknown(String),
+    /// The request is invalid, for example a value above [`MAX_VALUE_BYTES`].
+    Invalid(String),
+    /// The lease does not exist or has expired.
+    NoLease,
+    /// The watch starts before the oldest revision that the store still knows; list again.
+    Compacted,
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unavailable(m) => write!(f, "store unavailable: {m}"),
+            Self::Unknown(m) => write!(f, "store gave no answer, outcome unknown: {m}"),
+            Self::Invalid(m) => write!(f, "store refused the request: {m}"),
+            Self::NoLease => f.write_str("lease expired"),
+            Self::Compacted => f.write_str("watch revision compacted"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// The platform's key-value store.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Reads one key.
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError>;
+    /// Reads all keys that begin with `prefix`.
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError>;
+    /// Writes `value`, or deletes the key for `None`, if the key is at revision `expect` (0: absent).
+    /// A key written with a lease is deleted when the lease ends.
+    async fn swap(
+        &self,
+        key: &str,
+        expect: Revision,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError>;
+    /// Creates a lease that ends after `ttl` unless it is kept alive.
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
+    /// Extends a lease by its time to live.
+    async fn keep(&self, lease: LeaseId) -> Result<(), StoreError>;
+    /// Ends a lease and deletes its keys.
+    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError>;
+    /// Waits up to `wait` for changes after revision `from` to keys that begin with `prefix`.
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError>;
+}
--- /dev/null
+++ b/src/version/snapshot.rs
@@ -0,0 +1,112 @@
+//! An immutable configuration version, ready for routing.
+
+use super::manifest::{Manifest, Resource, Route};
+use super::validate::validate;
+use crate::digest::Digest;
+use crate::findings::Findings;
+use crate::prelude::*;
+
+/// Names a version: its number and the hash of its content.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct VersionRef {
+    /// Number; grows by one with each accepted commit.
+    pub number: VersionNumber,
+    /// Hash of the canonical content.
+    pub hash: Digest,
+}
+
+/// A version, validated as a whole.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// Number and content hash.
+    pub version: VersionRef,
+    /// The manifest.
+    pub manifest: Manifest,
+    /// Canonical content, as hashed and distributed.
+    pub content: Vec<u8>,
+    by_method: HashMap<SmolStr, Vec<usize>>,
+    resources: HashMap<SmolStr, usize>,
+}
+
+/// Canonical form of a manifest: JSON with the fields in the order of their declaration.
+pub fn canonical(m: &Manifest) -> Vec<u8> {
+    serde_json::to_vec(m).unwrap_or_default()
+}
+
+impl Snapshot {
+    /// Decodes and validates content.
+    ///
+    /// # Errors
+    ///
+    /// Findings when the content does not match its hash, cannot be decoded or is not coherent.
+    pub fn decode(version: VersionRef, content: Vec<u8>) -> Result<Self, Findings> {
+        let mut f = Findings::default();
+        if Digest::of(&content) != version.hash {
+            f.add(
+                "content",
+                "content does not match its hash",
+                "fetch it again",
+            );
+            return Err(f);
+        }
+        let manifest: Manifest = serde_json::from_slice(&content).map_err(|e| {
+            f.add("content", e.to_string(), "commit a valid manifest");
+            f
+        })?;
+        validate(&manifest)?;
+        let mut by_method: HashMap<SmolStr, Vec<usize>> = HashMap::default();
+        for (i, r) in manifest.route.iter().enumerate() {
+            by_method.entry(r.method.clone()).or_default().push(i);
+        }
+        let resources = manifest
+            .resource
+            .iter()
+            .enumerate()
+            .map(|(i, r)| (r.name().clone(), i))
+            .collect();
+        Ok(Self {
+            version,
+            manifest,
+            content,
+            by_method,
+            resources,
+        })
+    }
+
+    /// Finds the route of a request: the longest matching path, one with a host before one without.
+    pub fn route(&self, method: &str, host: &str, path: &str) -> Option<&Route> {
+        let candidates = self.by_method.get(method)?;
+        candidates
+            .iter()
+            .map(|i| &self.manifest.route[*i])
+            .filter(|r| r.host.as_ref().is_none_or(|h| h == host) && path_matches(&r.path, path))
+            .max_by_key(|r| (r.host.is_some(), r.path.len(), !r.path.ends_with("/*")))
+    }
+
+    /// Finds a resource by name.
+    pub fn resource(&self, name: &str) -> Option<&Resource> {
+        self.resources
+            .get(name)
+            .map(|i| &self.manifest.resource[*i])
+    }
+}
+
+fn path_matches(pattern: &str, path: &str) -> bool {
+    match pattern.strip_suffix("/*") {
+        Some(prefix) => path
+            .strip_prefix(prefix)
+            .is_some_and(|rest| rest.starts_with('/')),
+        None => pattern == path,
+    }
+}
