Add deltas between contents and the version selection

Cause: dissemination needs a compact form of a change and one place that decides which version a node may adopt. Ruled out: a delta over manifest items, because it would need its own canonical order and could not prove the result byte for byte; deflate with the base as dictionary, because its window covers only 32 KiB of the base. Conclusion: an equal number with another hash than the one run before the restart is a fork too.

--- a/src/version/publish.rs
+++ b/src/version/publish.rs
@@ -1,9 +1,8 @@
 //! Commit protocol: stores content, then moves the head by compare-and-swap.
 
-use std::io::{Read, Write};
-
 use serde::{Deserialize, Serialize};
 
+use super::pack::{deflate, inflate, MAX_CONTENT_BYTES};
 use super::snapshot::{Snapshot, VersionRef};
 use crate::digest::Digest;
 use crate::prelude::*;
@@ -12,9 +11,6 @@
 /// Size of one stored chunk, in bytes; well below the store's limit for a value.
 pub const CHUNK_BYTES: usize = MAX_VALUE_BYTES / 2;
 
-/// Largest decompressed content, in bytes.
-const MAX_CONTENT_BYTES: u64 = 64 << 20;
-
 /// The value of the store's `head` key.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
@@ -72,31 +68,6 @@
     }
 }
 
-/// Compresses content with deflate.
-pub fn compress(data: &[u8]) -> Vec<u8> {
-    let mut enc = flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::default());
-    // Writing into a vector cannot fail.
-    let _ = enc.write_all(data);
-    enc.finish().unwrap_or_default()
-}
-
-/// Undoes [`compress`]; refuses output above 64 MiB.
-///
-/// # Errors
-///
-/// [`StoreError::Invalid`] when the data is damaged or too large.
-pub fn decompress(data: &[u8]) -> Result<Vec<u8>, StoreError> {
-    let mut out = Vec::new();
-    flate2::read::DeflateDecoder::new(data)
-        .take(MAX_CONTENT_BYTES + 1)
-        .read_to_end(&mut out)
-        .map_err(|e| StoreError::Invalid(e.to_string()))?;
-    match out.len() as u64 {
-        n if n > MAX_CONTENT_BYTES => Err(StoreError::Invalid("content is too large".into())),
-        _ => Ok(out),
-    }
-}
-
 /// Id of a commit; the same command run again makes the same id.
 pub fn commit_id(site: &str, base: VersionRef, hash: &Digest) -> Digest {
     Digest::of_parts(&[
@@ -146,7 +117,9 @@
                 .value,
         );
     }
-    Snapshot::decode(head.version, decompress(&data)?)
+    let content =
+        inflate(&data, MAX_CONTENT_BYTES).map_err(|e| StoreError::Invalid(e.to_string()))?;
+    Snapshot::decode(head.version, head.parent, content)
         .map_err(|f| StoreError::Invalid(f.to_string()))
 }
 
@@ -163,7 +136,7 @@
 ) -> Result<Outcome, StoreError> {
     let keys = Keys::new(site);
     let hash = Digest::of(content);
-    let packed = compress(content);
+    let packed = deflate(content);
     let mut chunks = 0;
     for part in packed.chunks(CHUNK_BYTES) {
         store
--- a/src/version/snapshot.rs
+++ b/src/version/snapshot.rs
@@ -31,6 +31,8 @@
 pub struct Snapshot {
     /// Number and content hash.
     pub version: VersionRef,
+    /// Content hash of the version before; all zeros for version 1.
+    pub parent: Digest,
     /// The manifest.
     pub manifest: Manifest,
     /// Canonical content, as hashed and distributed.
@@ -50,7 +52,7 @@
     /// # Errors
     ///
     /// Findings when the content does not match its hash, cannot be decoded or is not coherent.
-    pub fn decode(version: VersionRef, content: Vec<u8>) -> Result<Self, Findings> {
+    pub fn decode(version: VersionRef, parent: Digest, content: Vec<u8>) -> Result<Self, Findings> {
         let mut f = Findings::default();
         if Digest::of(&content) != version.hash {
             f.add(
@@ -77,6 +79,7 @@
             .collect();
         Ok(Self {
             version,
+            parent,
             manifest,
             content,
             by_method,
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,191 @@
+//! Deltas and version selection.
+
+mod random;
+
+use std::time::Duration;
+
+use dragonflyquay::digest::Digest;
+use dragonflyquay::version::adopt::*;
+use dragonflyquay::version::delta::{Delta, DeltaError, MAX_DELTA_BYTES};
+use dragonflyquay::version::snapshot::VersionRef;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use random::run;
+
+fn version(number: u64, salt: u8) -> VersionRef {
+    VersionRef {
+        number,
+        hash: Digest::of(&[number as u8, salt]),
+    }
+}
+
+/// A base and a result that shares parts with it.
+fn contents() -> impl Strategy<Value = (Vec<u8>, Vec<u8>)> {
+    let edit = (any::<u16>(), 0usize..400, vec(any::<u8>(), 0..300));
+    (vec(any::<u8>(), 0..4000), vec(edit, 0..6)).prop_map(|(base, edits)| {
+        let mut result = base.clone();
+        for (at, len, new) in edits {
+            let at = at as usize % (result.len() + 1);
+            let end = (at + len).min(result.len());
+            result.splice(at..end, new);
+        }
+        (base, result)
+    })
+}
+
+/// Guards against a delta that makes anything but the stated result, in memory or after its wire form.
+#[test]
+fn delta_makes_exactly_the_result() {
+    run(300, &contents(), |(base, result)| {
+        let d = Delta::new(&base, &result).unwrap();
+        let again = Delta::from_bytes(&d.to_bytes()).unwrap();
+        prop_assert_eq!(again.apply(&base), Ok(result.clone()));
+        let mut cbor = Vec::new();
+        ciborium::into_writer(&d, &mut cbor).unwrap();
+        let again: Delta = ciborium::from_reader(cbor.as_slice()).unwrap();
+        prop_assert_eq!(&again, &d);
+        if base != result {
+            prop_assert_eq!(d.apply(&result), Err(DeltaError::WrongBase));
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a damaged delta that is applied, or that makes the decoder panic.
+#[test]
+fn damaged_delta_is_rejected() {
+    let input = (contents(), any::<u16>(), 1u8.., vec(any::<u8>(), 0..300));
+    run(300, &input, |((base, result), at, flip, noise)| {
+        let mut wire = Delta::new(&base, &result).unwrap().to_bytes();
+        let i = at as usize % wire.len();
+        wire[i] ^= flip;
+        // Trailing bits of the last deflate block may change without effect, so only another result is a fault.
+        if let Ok(got) = Delta::from_bytes(&wire).and_then(|d| d.apply(&base)) {
+            prop_assert_eq!(&got, &result);
+        }
+        wire.truncate(64);
+        wire.extend(&noise);
+        if let Ok(got) = Delta::from_bytes(&wire).and_then(|d| d.apply(&base)) {
+            prop_assert_eq!(&got, &result);
+        }
+        let _ = Delta::from_bytes(&noise);
+        Ok(())
+    });
+}
+
+/// Guards against a delta that is larger than the whole content would be, or without a bound.
+#[test]
+fn delta_is_bounded() {
+    let mut seed = 1u64;
+    let mut noise = || {
+        seed ^= seed << 13;
+        seed ^= seed >> 7;
+        seed ^= seed << 17;
+        seed as u8
+    };
+    let large: Vec<u8> = (0..2 * MAX_DELTA_BYTES).map(|_| noise()).collect();
+    assert_eq!(Delta::new(b"base", &large), None);
+    let mut changed = large.clone();
+    changed[1000] ^= 1;
+    let d = Delta::new(&large, &changed).unwrap();
+    assert!(d.to_bytes().len() < 200, "{}", d.to_bytes().len());
+    let oversized = vec![0; MAX_DELTA_BYTES + 1];
+    assert_eq!(Delta::from_bytes(&oversized), Err(DeltaError::TooLarge));
+}
+
+fn known(number: u64) -> FloorEvent {
+    FloorEvent::Peer(Some(version(number, 0)))
+}
+
+/// Guards against a held version that goes back, is replaced by a fork, or lies below a floor known before adoption.
+#[test]
+fn version_never_goes_back() {
+    let offer = (0u64..12, 0u8..3, 0u64..400);
+    let steps = vec((offer, 0u8..5), 1..60);
+    run(500, &(0usize..3, steps), |(contacts, steps)| {
+        let mut s = Selection::new(AdoptSettings::default(), contacts, Duration::ZERO);
+        let mut now = Duration::ZERO;
+        for ((number, salt, pause), kind) in steps {
+            now += Duration::from_millis(pause);
+            let (v, before, floor) = (version(number, salt), s.held(), s.floor());
+            match kind {
+                0 => drop(s.learn(FloorEvent::Peer((salt > 0).then_some(v)))),
+                1 => drop(s.learn(FloorEvent::Backend((salt > 0).then_some(v)))),
+                2 => drop(s.compare_head(v, now)),
+                _ => {
+                    let waiting = s.is_waiting(now);
+                    let verdict = s.adopt(v, Digest::default(), now);
+                    prop_assert_eq!(s.held() != before, verdict == Verdict::Adopt);
+                    prop_assert!(!waiting || verdict != Verdict::Adopt);
+                    prop_assert!(verdict != Verdict::Adopt || v.number >= floor);
+                }
+            }
+            prop_assert!(s.held() == before || s.held().number > before.number);
+            prop_assert!(s.floor() >= floor);
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a restarted node that adopts before its floor is known, or below it.
+#[test]
+fn first_adoption_waits_for_the_floor() {
+    let settings = AdoptSettings::default();
+    let at = Duration::from_millis;
+    let mut s = Selection::new(settings, 2, at(0));
+    assert_eq!(s.judge(version(4, 0), at(1)), Verdict::Wait(at(2000)));
+    s.learn(known(5));
+    s.learn(FloorEvent::Peer(None));
+    s.learn(FloorEvent::Store(None));
+    assert_eq!(s.judge(version(5, 0), at(1)), Verdict::Wait(at(2000)));
+    s.learn(FloorEvent::Backend(None));
+    assert_eq!(s.judge(version(4, 0), at(1)), Verdict::BelowFloor);
+    assert_eq!(s.judge(version(5, 1), at(1)), Verdict::Fork);
+    assert_eq!(
+        s.adopt(version(5, 0), Digest::default(), at(1)),
+        Verdict::Adopt
+    );
+    let mut late = Selection::new(settings, 1, at(0));
+    assert_eq!(
+        late.adopt(version(3, 0), Digest::default(), at(2000)),
+        Verdict::Adopt
+    );
+    assert!(!late.learn(known(4)), "a late floor must be reported");
+    assert_eq!(late.held().number, 3);
+}
+
+/// Guards against a fork that goes unnoticed, and against a restored store that is not repaired.
+#[test]
+fn head_is_compared() {
+    let mut s = Selection::new(AdoptSettings::default(), 0, Duration::ZERO);
+    let now = Duration::from_secs(3);
+    s.adopt(version(6, 0), version(5, 0).hash, now);
+    s.adopt(version(7, 0), version(6, 0).hash, now);
+    let cases = [
+        (version(7, 0), HeadAction::Current, 0),
+        (version(8, 0), HeadAction::Follow(Verdict::Adopt), 0),
+        (version(5, 0), HeadAction::Republish { forked: false }, 0),
+        (version(0, 0), HeadAction::Republish { forked: false }, 0),
+        (version(6, 1), HeadAction::Republish { forked: true }, 1),
+        (version(7, 1), HeadAction::Fork, 2),
+        (version(7, 1), HeadAction::Fork, 2),
+    ];
+    for (head, action, forks) in cases {
+        assert_eq!(s.compare_head(head, now), action, "{head:?}");
+        assert_eq!(s.forks().0, forks, "{head:?}");
+    }
+}
+
+/// Guards against a damaged token, or one of another site, that raises the floor.
+#[test]
+fn damaged_token_is_ignored() {
+    let v = version(9, 0);
+    let token = floor_token("trust", v);
+    assert_eq!(read_token("trust", &token), Some(v));
+    assert_eq!(read_token("leiloes", &token), None);
+    assert_eq!(read_token("trust", &token.replacen('9', "99", 1)), None);
+    run(300, &".{0,120}", |text| {
+        prop_assert_eq!(read_token("trust", &text), None);
+        Ok(())
+    });
+}
