Drive membership, dissemination and watching by state machines

Cause: the control code sent all records to the seeds every 500 ms and let every node watch the store, without suspicion, authentication, limits or deltas. Ruled out: one shared event enum for the three state machines, since each would then see the events of the others; one frame type derived by serde, whose field names triple the size of a record; the version number in the record at once on a large site, because 8,100 nodes with a change every 6 s would exceed the 14 KB/s of a node many times. Change: frames as CBOR arrays with bounds, HMAC handshake, accept limit with retry-after, PeerTransport trait; table of records with suspicion, cut zones and bucket hashes; choice of links; dissemination on top of the version selection; leased watchers and rendezvous lists; one control task that drives them; injected faults; status fields.

--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -10,8 +10,11 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use super::faults::FaultList;
 use super::node::Process;
 use super::record::{Target, TargetState};
+use super::view::Members;
+use crate::connection::frame::Mark;
 use crate::prelude::*;
 
 /// What a backend server announces, about once a second.
@@ -57,8 +60,46 @@
     pub version: u64,
     /// Content hash of the version in force.
     pub hash: String,
-    /// Known nodes.
+    /// Greatest version number heard of.
+    pub heard: u64,
+    /// Versions that this node is behind.
+    pub lag: u64,
+    /// Lowest version number that may be adopted.
+    pub floor: u64,
+    /// Versions rejected because another one with the same number is held.
+    pub forks: u64,
+    /// Known nodes that have not ended.
     pub nodes: usize,
+    /// Known nodes by state.
+    pub members: MemberCounts,
+    /// Links that this node opened.
+    pub links_opened: usize,
+    /// Links that other nodes opened.
+    pub links_accepted: usize,
+    /// Whether this node watches the store's head.
+    pub watcher: bool,
+}
+
+/// Number of nodes by state.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+pub struct MemberCounts {
+    /// Answering.
+    pub alive: usize,
+    /// Without an answer to some node.
+    pub suspect: usize,
+    /// In a zone that is cut off.
+    pub unreachable: usize,
+    /// Ended.
+    pub dead: usize,
+}
+
+fn member_counts(members: &Members) -> MemberCounts {
+    MemberCounts {
+        alive: members.count(Mark::Alive),
+        suspect: members.count(Mark::Suspect),
+        unreachable: members.count(Mark::Unreachable),
+        dead: members.count(Mark::Dead) + members.count(Mark::Expired),
+    }
 }
 
 type Ctx = RequestContext<Arc<Process>>;
@@ -84,11 +125,13 @@
         slots: a.slots,
         age_ms: 0,
     };
-    ctx.context().announced(address, target);
+    let p = ctx.context();
+    p.announced(address, target);
+    p.returned_floor(a.floor.as_deref());
     Ok(HttpResponseOk(AnnounceAnswer {
         ttl_ms: 5000,
         drained: false,
-        floor: None,
+        floor: p.floor_token(),
     }))
 }
 
@@ -97,12 +140,22 @@
 async fn status(ctx: Ctx) -> Result<HttpResponseOk<Status>, HttpError> {
     let p = ctx.context();
     let version = p.version();
+    let status = p.view.status.load();
+    let heard = status.heard.number.max(version.number);
     Ok(HttpResponseOk(Status {
         node: p.settings.node.id.to_string(),
         az: p.settings.node.az.to_string(),
         version: version.number,
         hash: version.hash.to_string(),
+        heard,
+        lag: heard - version.number,
+        floor: status.floor,
+        forks: status.forks,
         nodes: p.records.load().len(),
+        members: member_counts(&p.view.members.load()),
+        links_opened: status.opened,
+        links_accepted: status.accepted,
+        watcher: status.watcher,
     }))
 }
 
@@ -115,6 +168,23 @@
         .map_err(|e| HttpError::for_internal_error(e.to_string()))
 }
 
+/// Replaces the injected faults.
+#[endpoint { method = PUT, path = "/faults" }]
+async fn put_faults(
+    ctx: Ctx,
+    body: TypedBody<FaultList>,
+) -> Result<HttpResponseOk<FaultList>, HttpError> {
+    let list = body.into_inner();
+    match ctx.context().faults.set(list.clone()) {
+        true => Ok(HttpResponseOk(list)),
+        false => Err(HttpError::for_client_error(
+            None,
+            ClientErrorStatusCode::FORBIDDEN,
+            "faults are not enabled in the settings".into(),
+        )),
+    }
+}
+
 /// Answers while the process runs.
 #[endpoint { method = GET, path = "/health" }]
 async fn health(_ctx: Ctx) -> Result<HttpResponseOk<String>, HttpError> {
@@ -143,6 +213,7 @@
     api.register(announce).map_err(|e| e.to_string())?;
     api.register(status).map_err(|e| e.to_string())?;
     api.register(metrics).map_err(|e| e.to_string())?;
+    api.register(put_faults).map_err(|e| e.to_string())?;
     api.register(health).map_err(|e| e.to_string())?;
     api.register(ready).map_err(|e| e.to_string())?;
     Ok(api)
--- /dev/null
+++ b/src/process/content.rs
@@ -0,0 +1,54 @@
+//! Content of versions as it is sent between nodes: whole or as a delta.
+
+use super::links::LinkId;
+use crate::connection::frame::Form;
+use crate::digest::Digest;
+use crate::prelude::*;
+use crate::version::delta::Delta;
+use crate::version::pack::{deflate, inflate, MAX_CONTENT_BYTES};
+use crate::version::snapshot::{Snapshot, VersionRef};
+
+/// Content that has not been checked.
+#[derive(Debug)]
+pub struct Candidate {
+    /// Link that it came from.
+    pub from: LinkId,
+    /// Version that it claims to be.
+    pub version: VersionRef,
+    pub(super) parent: Digest,
+    pub(super) form: Form,
+    pub(super) data: Vec<u8>,
+    pub(super) base: Option<Arc<Snapshot>>,
+}
+
+impl Candidate {
+    /// Unpacks, checks and validates the content.
+    ///
+    /// # Errors
+    ///
+    /// The kind of fault, as the label of a counter.
+    pub fn check(&self) -> Result<Snapshot, &'static str> {
+        let content = match (self.form, &self.base) {
+            (Form::Whole, _) => {
+                inflate(&self.data, MAX_CONTENT_BYTES).map_err(|_| "content-damaged")?
+            }
+            (Form::Delta, Some(base)) => Delta::from_bytes(&self.data)
+                .and_then(|d| d.apply(&base.content))
+                .map_err(|e| e.as_str())?,
+            (Form::Delta, None) => return Err("delta-wrong-base"),
+        };
+        if Digest::of(&content) != self.version.hash {
+            return Err("content-hash");
+        }
+        Snapshot::decode(self.version, self.parent, content).map_err(|_| "content-invalid")
+    }
+}
+
+/// Packs content for a peer that holds `base`: a delta when it is smaller.
+pub(super) fn pack(base: Option<&Snapshot>, s: &Snapshot) -> (Form, Vec<u8>) {
+    let whole = deflate(&s.content);
+    match base.and_then(|b| Delta::new(&b.content, &s.content)) {
+        Some(d) if d.to_bytes().len() < whole.len() => (Form::Delta, d.to_bytes()),
+        _ => (Form::Whole, whole),
+    }
+}
--- /dev/null
+++ b/src/process/faults.rs
@@ -0,0 +1,120 @@
+//! Injected faults of a node, for tests: blocked availability zones and a blocked store.
+//!
+//! They have an effect only with `[faults] enabled = true` in the settings.
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::store::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+
+/// Faults to inject.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultList {
+    /// Availability zones to and from which nothing passes.
+    pub zones: Vec<String>,
+    /// Whether every store call fails.
+    pub store: bool,
+}
+
+/// Faults in force.
+#[derive(Debug, Default)]
+pub struct Faults {
+    enabled: bool,
+    list: ArcSwap<FaultList>,
+}
+
+impl Faults {
+    /// Starts without faults.
+    pub fn new(enabled: bool) -> Self {
+        Self {
+            enabled,
+            list: ArcSwap::default(),
+        }
+    }
+
+    /// Replaces the faults. Returns `false` when the settings do not allow them.
+    pub fn set(&self, list: FaultList) -> bool {
+        if self.enabled {
+            self.list.store(Arc::new(list));
+        }
+        self.enabled
+    }
+
+    /// Whether an availability zone is blocked.
+    pub fn blocks_zone(&self, az: &str) -> bool {
+        self.enabled && self.list.load().zones.iter().any(|z| z == az)
+    }
+
+    /// Whether the store is blocked.
+    pub fn blocks_store(&self) -> bool {
+        self.enabled && self.list.load().store
+    }
+}
+
+/// Store whose calls fail while it is blocked.
+pub struct BlockableStore {
+    store: Arc<dyn Store>,
+    faults: Arc<Faults>,
+}
+
+impl BlockableStore {
+    /// Wraps a store.
+    pub fn new(store: Arc<dyn Store>, faults: Arc<Faults>) -> Self {
+        Self { store, faults }
+    }
+
+    fn open(&self) -> Result<&dyn Store, StoreError> {
+        match self.faults.blocks_store() {
+            true => Err(StoreError::Unavailable("injected fault".into())),
+            false => Ok(self.store.as_ref()),
+        }
+    }
+}
+
+#[async_trait]
+impl Store for BlockableStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        self.open()?.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.open()?.list(prefix).await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expect: Revision,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        self.open()?.swap(key, expect, value, lease).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.open()?.grant(ttl).await
+    }
+
+    async fn keep(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.open()?.keep(lease).await
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.open()?.revoke(lease).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let found = self.open()?.watch(prefix, from, wait).await;
+        // A watch that was open when the block began ends without its answer.
+        self.open().and(found)
+    }
+}
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -9,16 +9,21 @@
 use tokio::net::TcpListener;
 
 use super::clock::{Clock, ProcessClock};
+use super::faults::{BlockableStore, Faults};
 use super::metrics::Metrics;
-use super::notices::Notices;
+use super::notices::{Notice, Notices};
 use super::record::{Addresses, Record, Target, TargetState};
+use super::view::{Post, View};
 use super::{admin, control};
+use crate::connection::handshake::{Identity, Key};
 use crate::connection::listen;
+use crate::connection::peer::WsTransport;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
 use crate::prelude::*;
 use crate::request::{admit, entry};
 use crate::settings::Settings;
 use crate::store::Store;
+use crate::version::adopt::{floor_token, read_token};
 use crate::version::snapshot::{Snapshot, VersionRef};
 
 /// The node could not start.
@@ -51,6 +56,10 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// What the control task knows, and messages to it.
+    pub view: View,
+    /// Injected faults.
+    pub faults: Arc<Faults>,
     own: Mutex<(Record, Option<SocketAddr>)>,
 }
 
@@ -64,10 +73,11 @@
     }
 
     /// Puts a version in force if it is newer than the present one.
-    pub fn adopt(&self, snapshot: Snapshot) {
+    pub fn adopt(&self, snapshot: Arc<Snapshot>) {
         if snapshot.version.number > self.version().number {
             let v = snapshot.version;
-            self.config.store(Some(Arc::new(snapshot)));
+            self.config.store(Some(snapshot));
+            self.metrics.version.set(v.number as i64);
             self.change_own(|r, _| r.version = v);
             spdlog::info!("event=version_adopted", kv: { number = v.number, hash = v.hash.to_string() });
         }
@@ -98,36 +108,71 @@
     {
         let mut own = self.own.lock().unwrap_or_else(|e| e.into_inner());
         let (record, address) = &mut *own;
-        let before = record.clone();
         change(record, address);
-        if *record != before {
-            record.sequence += 1;
-            self.merge(vec![record.clone()]);
+        drop(own);
+        self.view.wake();
+    }
+
+    /// Own record; incarnation and sequence are those of the last change that the control task made.
+    pub fn own_record(&self) -> Record {
+        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        own.0.clone()
+    }
+
+    /// Incarnation of this process.
+    pub fn own_incarnation(&self) -> Incarnation {
+        self.own_record().incarnation
+    }
+
+    /// Takes a higher incarnation, because another process has used this one.
+    pub fn set_incarnation(&self, n: Incarnation) {
+        self.change_own(|r, _| r.incarnation = n);
+    }
+
+    /// Notes in the own record whether this node watches the store's head.
+    pub fn set_watcher(&self, watcher: bool) {
+        self.change_own(|r, _| r.watcher = watcher);
+    }
+
+    /// Merges notices that were made here and sends the changes to all linked peers at once.
+    pub fn tell(&self, list: Vec<Notice>) {
+        let changed = self.notices.merge(list);
+        if !changed.is_empty() {
+            self.view.post(Post::Notices(changed));
         }
     }
 
-    /// Adds records that replace older ones of the same node.
-    pub fn merge(&self, list: Vec<Record>) {
-        self.records.rcu(|old| {
-            let mut map = BTreeMap::clone(old);
-            for r in &list {
-                match map.get(&r.node) {
-                    Some(held) if held.order() >= r.order() => {}
-                    _ => {
-                        map.insert(r.node.clone(), r.clone());
-                    }
-                }
-            }
-            map
-        });
+    /// Takes the floor token that the backend server returned.
+    pub fn returned_floor(&self, token: Option<&str>) {
+        let site = &self.settings.node.site;
+        self.view
+            .post(Post::Token(token.and_then(|t| read_token(site, t))));
     }
 
-    /// All known records.
-    pub fn all_records(&self) -> Vec<Record> {
-        self.records.load().values().cloned().collect()
+    /// Floor token for the backend server.
+    pub fn floor_token(&self) -> Option<String> {
+        let v = self.version();
+        (v.number > 0).then(|| floor_token(&self.settings.node.site, v))
     }
 }
 
+fn identity(settings: &Settings, record: &Record) -> Result<Identity, Report<NodeError>> {
+    let key = match &settings.peers.key_file {
+        Some(path) => Some(Key::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
+        None => {
+            spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
+            None
+        }
+    };
+    Ok(Identity {
+        site: settings.node.site.clone(),
+        node: record.node.clone(),
+        incarnation: record.incarnation,
+        az: record.az.clone(),
+        key,
+    })
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
     TcpListener::bind(address)
         .await
@@ -162,9 +207,15 @@
         region: settings.node.region.clone(),
         addresses,
         version: VersionRef::default(),
+        watcher: false,
         target: None,
     };
-    let seeds = settings.peers.seeds.clone();
+    let identity = identity(&settings, &record)?;
+    let faults = Arc::new(Faults::new(settings.faults.enabled));
+    let store: Arc<dyn Store> = match settings.faults.enabled {
+        true => Arc::new(BlockableStore::new(store, faults.clone())),
+        false => store,
+    };
     let limits = settings.limits.clone();
     let admin_address = settings.listen.admin;
     let p = Arc::new(Process {
@@ -176,6 +227,8 @@
         notices: Notices::default(),
         clock: Arc::new(ProcessClock::default()),
         metrics: Metrics::default(),
+        view: View::default(),
+        faults,
         own: Mutex::new((record, None)),
     });
     let admin =
@@ -188,11 +241,8 @@
         peer = addresses.peer.to_string(),
         admin = addresses.admin.to_string()
     });
-    tokio::spawn(control::follow_store(p.clone()));
-    tokio::spawn(control::accept_links(p.clone(), peer));
-    for seed in seeds {
-        tokio::spawn(control::exchange(p.clone(), seed));
-    }
+    let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
+    tokio::spawn(control::run(p.clone(), identity, transport));
     let q = p.clone();
     tokio::spawn(listen::serve(relay, limits.clone(), move |req, _| {
         admit::serve(q.clone(), req)
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -67,6 +67,8 @@
     pub addresses: Addresses,
     /// Version in force.
     pub version: VersionRef,
+    /// Whether the node holds a lease on the store's head.
+    pub watcher: bool,
     /// The backend server, once it has announced itself.
     pub target: Option<Target>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,6 +24,16 @@
     pub limits: LimitSettings,
     /// Choice of policies.
     pub policy: PolicySettings,
+    /// Injection of faults by tests.
+    pub faults: FaultSettings,
+}
+
+/// Injection of faults by tests.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultSettings {
+    /// Whether the admin API takes `PUT /faults`.
+    pub enabled: bool,
 }
 
 /// Identity of the node.
--- a/src/version/publish.rs
+++ b/src/version/publish.rs
@@ -62,6 +62,21 @@
         format!("{}content/{hash}/{i}", self.base)
     }
 
+    /// Prefix of the leases of a zone's watchers.
+    pub fn watchers(&self, az: &str) -> String {
+        format!("{}watch/{az}/", self.base)
+    }
+
+    /// Key of the lease of one watcher.
+    pub fn watcher(&self, az: &str, slot: usize) -> String {
+        format!("{}{slot}", self.watchers(az))
+    }
+
+    /// Key of the addresses of first contacts in a zone.
+    pub fn rendezvous(&self, az: &str) -> String {
+        format!("{}rendezvous/{az}", self.base)
+    }
+
     /// Key of the [`Head`] that a version number had, written before the next head.
     pub fn accepted(&self, number: VersionNumber) -> String {
         format!("{}accepted/{number}", self.base)
--- /dev/null
+++ b/tests/sim/mod.rs
@@ -0,0 +1,681 @@
+//! Scheduler for the state machines of the control plane: simulated time, links with faults, crashes, pauses,
+//! partitions and a store.
+#![allow(dead_code, unreachable_pub)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dragonflyquay::connection::frame::{Frame, Mark};
+use dragonflyquay::connection::handshake::Remote;
+use dragonflyquay::connection::peer::LinkError;
+use dragonflyquay::digest::Digest;
+use dragonflyquay::process::links::LinkId;
+use dragonflyquay::process::membership::{self, Membership};
+use dragonflyquay::process::record::{Addresses, Record};
+use dragonflyquay::process::spread::{self, Spread};
+use dragonflyquay::process::watch::{self, Call, Reply, Watch, LEASE_TTL, WATCHERS, WATCH_WAIT};
+use dragonflyquay::version::adopt::{AdoptSettings, FloorEvent, HeadAction};
+use dragonflyquay::version::manifest::{Manifest, Service};
+use dragonflyquay::version::snapshot::{canonical, Snapshot, VersionRef};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const TICK: u64 = 100;
+
+/// Something that goes wrong, at a node or zone given by number.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    Crash {
+        node: usize,
+        down: u64,
+    },
+    Pause {
+        node: usize,
+        time: u64,
+    },
+    Cut {
+        zone: usize,
+        time: u64,
+    },
+    StoreDown {
+        time: u64,
+    },
+    /// The store returns to an older state.
+    Rollback,
+    Commit,
+    Lossy {
+        percent: u32,
+        time: u64,
+    },
+}
+
+enum Event {
+    Tick(usize, u64),
+    Frame(usize, usize, Vec<u8>),
+    Down(usize, usize),
+    Dialed(usize, u64, SocketAddr, bool),
+    Store(usize, u64, Call, u64),
+    Restart(usize),
+    Fault(Fault),
+}
+
+struct Conn {
+    ends: [(usize, u64, LinkId); 2],
+    open: bool,
+}
+
+struct Proc {
+    membership: Membership,
+    spread: Spread,
+    watch: Watch,
+    rng: StdRng,
+    links: BTreeMap<LinkId, (usize, usize)>,
+    born: u64,
+}
+
+struct Node {
+    proc: Option<Proc>,
+    generation: u64,
+    paused: u64,
+    /// Version that the node's backend server remembers.
+    token: VersionRef,
+}
+
+#[derive(Default)]
+struct SimStore {
+    down_until: u64,
+    head: usize,
+    revision: u64,
+    slots: BTreeMap<(usize, usize), (u64, u64)>,
+    next_lease: u64,
+    lists: Vec<SocketAddr>,
+}
+
+/// A site of `zones` times `size` nodes.
+pub struct Sim {
+    pub now: u64,
+    pub sent_bytes: u64,
+    pub store_calls: u64,
+    zones: usize,
+    nodes: Vec<Node>,
+    conns: Vec<Conn>,
+    heap: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    rng: StdRng,
+    store: SimStore,
+    versions: Vec<Arc<Snapshot>>,
+    cuts: BTreeMap<usize, u64>,
+    lossy: (u32, u64),
+    seeds: Vec<SocketAddr>,
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(node: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 10_000 + node as u16).into()
+}
+
+fn version(number: u64, parent: Digest) -> Arc<Snapshot> {
+    let names = (0..number).map(|i| Service {
+        name: format!("service-{i}").into(),
+    });
+    let manifest = Manifest {
+        site: "sim".into(),
+        service: names.collect(),
+        ..Manifest::default()
+    };
+    let content = canonical(&manifest);
+    let hash = Digest::of(&content);
+    Arc::new(Snapshot::decode(VersionRef { number, hash }, parent, content).unwrap())
+}
+
+impl Sim {
+    pub fn new(zones: usize, size: usize, seed: u64) -> Self {
+        let mut sim = Self {
+            now: 0,
+            sent_bytes: 0,
+            store_calls: 0,
+            zones,
+            nodes: Vec::new(),
+            conns: Vec::new(),
+            heap: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            order: 0,
+            rng: StdRng::seed_from_u64(seed),
+            store: SimStore::default(),
+            versions: Vec::new(),
+            cuts: BTreeMap::new(),
+            lossy: (0, 0),
+            seeds: vec![address(0), address(1)],
+        };
+        for n in 0..zones * size {
+            sim.nodes.push(Node {
+                proc: None,
+                generation: 0,
+                paused: 0,
+                token: VersionRef::default(),
+            });
+            sim.start(n);
+        }
+        sim
+    }
+
+    fn push(&mut self, delay: u64, e: Event) {
+        self.order += 1;
+        let key = (self.now + delay, self.order);
+        self.heap.push(Reverse(key));
+        self.events.insert(key, e);
+    }
+
+    fn zone(&self, node: usize) -> usize {
+        node % self.zones
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        let (a, b) = (self.zone(a), self.zone(b));
+        let cut = |z| self.cuts.get(&z).is_some_and(|t| *t > self.now);
+        a != b && (cut(a) || cut(b))
+    }
+
+    fn start(&mut self, n: usize) {
+        let az = format!("z{}", self.zone(n));
+        let node = &mut self.nodes[n];
+        node.generation += 1;
+        let mut rng = StdRng::seed_from_u64(self.rng.random());
+        let a = address(n);
+        let own = Record {
+            node: format!("n{n}").into(),
+            incarnation: node.generation,
+            sequence: 0,
+            az: az.into(),
+            region: "sim".into(),
+            addresses: Addresses {
+                caller: a,
+                relay: a,
+                peer: a,
+                admin: a,
+            },
+            version: VersionRef::default(),
+            watcher: false,
+            target: None,
+        };
+        let now = at(self.now);
+        let mut spread = Spread::new(AdoptSettings::default(), 2, now, &mut rng);
+        spread.learn(FloorEvent::Backend(
+            Some(node.token).filter(|v| v.number > 0),
+        ));
+        node.proc = Some(Proc {
+            membership: Membership::new(now, own, self.seeds.clone(), &mut rng),
+            spread,
+            watch: Watch::new(now, true, &mut rng),
+            rng,
+            links: BTreeMap::new(),
+            born: self.now,
+        });
+        let generation = node.generation;
+        let delay = self.rng.random_range(0..TICK);
+        self.push(delay, Event::Tick(n, generation));
+    }
+
+    pub fn inject(&mut self, delay: u64, fault: Fault) {
+        self.push(delay, Event::Fault(fault));
+    }
+
+    /// Runs until `ms` of simulated time have passed.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(Reverse(key)) = self.heap.peek().copied() {
+            if key.0 > end {
+                break;
+            }
+            self.heap.pop();
+            self.now = key.0;
+            if let Some(e) = self.events.remove(&key) {
+                self.event(e);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Delay until a paused node goes on.
+    fn pause_left(&self, n: usize) -> u64 {
+        self.nodes[n].paused.saturating_sub(self.now)
+    }
+
+    fn event(&mut self, e: Event) {
+        let node = match &e {
+            Event::Tick(n, _) | Event::Dialed(n, ..) | Event::Store(n, ..) => Some(*n),
+            Event::Frame(c, end, _) | Event::Down(c, end) => Some(self.conns[*c].ends[*end].0),
+            _ => None,
+        };
+        if let Some(wait) = node.map(|n| self.pause_left(n)).filter(|w| *w > 0) {
+            return self.push(wait, e);
+        }
+        match e {
+            Event::Tick(n, generation) => self.tick(n, generation),
+            Event::Frame(c, end, data) => self.deliver(c, end, &data),
+            Event::Down(c, end) => {
+                let (n, generation, link) = self.conns[c].ends[end];
+                self.with(n, generation, |p, now| {
+                    p.links.remove(&link);
+                    let out = p.membership.link_down(link);
+                    (out, p.spread.link_down(now, link))
+                });
+            }
+            Event::Dialed(n, generation, to, refused) => self.dialed(n, generation, to, refused),
+            Event::Store(n, generation, call, until) => self.store(n, generation, call, until),
+            Event::Restart(n) => self.start(n),
+            Event::Fault(f) => self.fault(f),
+        }
+    }
+
+    /// Runs a state machine step of a node and carries out its actions.
+    fn with<F>(&mut self, n: usize, generation: u64, step: F)
+    where
+        F: FnOnce(&mut Proc, Duration) -> (Vec<membership::Action>, Vec<spread::Action>),
+    {
+        let now = at(self.now);
+        if self.nodes[n].generation != generation {
+            return;
+        }
+        let Some(p) = self.nodes[n].proc.as_mut() else {
+            return;
+        };
+        let (members, versions) = step(p, now);
+        self.apply(n, generation, members, versions);
+        self.refresh_own(n);
+    }
+
+    fn apply(
+        &mut self,
+        n: usize,
+        generation: u64,
+        members: Vec<membership::Action>,
+        versions: Vec<spread::Action>,
+    ) {
+        let now = at(self.now);
+        for a in members {
+            match a {
+                membership::Action::Send(link, f) => self.send(n, link, &f),
+                membership::Action::Dial(to) => {
+                    let reachable = self.reachable(n, to);
+                    let delay = if reachable { 20 } else { 2000 };
+                    let gone = self.nodes[to.port() as usize - 10_000].proc.is_none();
+                    let delay = if gone { 5 } else { delay };
+                    self.push(delay, Event::Dialed(n, generation, to, gone));
+                }
+                membership::Action::Close(link) => {
+                    self.close(n, link);
+                    let p = self.nodes[n].proc.as_mut().unwrap();
+                    let out = p.spread.link_down(now, link);
+                    self.apply(n, generation, vec![], out);
+                }
+                membership::Action::Former(v) => {
+                    let p = self.nodes[n].proc.as_mut().unwrap();
+                    p.spread.learn(FloorEvent::Peer(Some(v)));
+                }
+                membership::Action::Renumbered(_) => {}
+            }
+        }
+        for a in versions {
+            match a {
+                spread::Action::Send(link, f) => self.send(n, link, &f),
+                spread::Action::Check(c) => {
+                    let result = c.check();
+                    let p = self.nodes[n].proc.as_mut().unwrap();
+                    let out = p.spread.checked(now, &c, result);
+                    self.apply(n, generation, vec![], out);
+                }
+                spread::Action::Adopt(s) => {
+                    let node = &mut self.nodes[n];
+                    // A restarted node may take up its former version again.
+                    assert!(
+                        s.version == node.token || s.version.number > node.token.number,
+                        "n{n} went from {:?} back to {:?}",
+                        node.token,
+                        s.version
+                    );
+                    node.token = s.version;
+                }
+                spread::Action::Reject(kind) => panic!("n{n} rejected {kind}"),
+            }
+        }
+    }
+
+    fn refresh_own(&mut self, n: usize) {
+        let token = self.nodes[n].token;
+        if let Some(p) = self.nodes[n].proc.as_mut() {
+            let mut own = p.membership.own().clone();
+            own.watcher = p.watch.is_watcher();
+            own.version = match p.spread.held().number {
+                0 => own.version,
+                _ => token,
+            };
+            p.membership.set_own(at(self.now), own);
+        }
+    }
+
+    fn tick(&mut self, n: usize, generation: u64) {
+        if self.nodes[n].generation != generation {
+            return;
+        }
+        self.push(TICK, Event::Tick(n, generation));
+        let mut calls = Vec::new();
+        self.with(n, generation, |p, now| {
+            let out = p.membership.tick(now, &mut p.rng);
+            let own = p.membership.own();
+            let links = p.membership.links().len();
+            let zone = || watch::scene(p.membership.table(), &own.node, &own.az);
+            calls = p.watch.tick(now, links, zone, &mut p.rng);
+            (out, p.spread.tick(now, &mut p.rng))
+        });
+        for call in calls {
+            let until = self.now + WATCH_WAIT.as_millis() as u64;
+            self.store_calls += 1;
+            self.push(5, Event::Store(n, generation, call, until));
+        }
+    }
+
+    fn send(&mut self, n: usize, link: LinkId, f: &Frame) {
+        let Some(p) = self.nodes[n].proc.as_mut() else {
+            return;
+        };
+        let Some((c, end)) = p.links.get(&link).copied() else {
+            return;
+        };
+        p.membership.sent(at(self.now), link);
+        let data = f.encode().unwrap();
+        self.sent_bytes += data.len() as u64;
+        let to = self.conns[c].ends[1 - end].0;
+        let lossy = match self.lossy {
+            (percent, until) if until > self.now => percent,
+            _ => 0,
+        };
+        if self.is_cut(n, to) || self.rng.random_range(0..100) < lossy {
+            return;
+        }
+        // Random delays reorder frames while faults last.
+        let twice = self.rng.random_range(0..100) < lossy;
+        for _ in 0..1 + u32::from(twice) {
+            let delay = if lossy > 0 {
+                self.rng.random_range(1..80)
+            } else {
+                2
+            };
+            self.push(delay, Event::Frame(c, 1 - end, data.clone()));
+        }
+    }
+
+    fn deliver(&mut self, c: usize, end: usize, data: &[u8]) {
+        let (n, generation, link) = self.conns[c].ends[end];
+        let f = Frame::decode(data).unwrap();
+        self.with(n, generation, |p, now| {
+            if !p.links.contains_key(&link) {
+                return (vec![], vec![]);
+            }
+            if let Frame::Floor(v) = &f {
+                p.spread
+                    .learn(FloorEvent::Peer(Some(*v).filter(|v| v.number > 0)));
+            }
+            if let Frame::Announce(v, _) | Frame::Held(v) | Frame::Ask(v, _) = &f {
+                p.membership.peer_holds(link, *v);
+            }
+            let out = p.membership.frame(now, link, f.clone());
+            (out, p.spread.frame(now, link, f))
+        });
+    }
+
+    fn close(&mut self, n: usize, link: LinkId) {
+        let Some(p) = self.nodes[n].proc.as_mut() else {
+            return;
+        };
+        if let Some((c, end)) = p.links.remove(&link) {
+            self.conns[c].open = false;
+            if !self.is_cut(n, self.conns[c].ends[1 - end].0) {
+                self.push(5, Event::Down(c, 1 - end));
+            }
+        }
+    }
+
+    fn reachable(&self, n: usize, to: SocketAddr) -> bool {
+        let to = to.port() as usize - 10_000;
+        self.nodes[to].proc.is_some() && self.pause_left(to) == 0 && !self.is_cut(n, to)
+    }
+
+    fn dialed(&mut self, n: usize, generation: u64, address: SocketAddr, refused: bool) {
+        let to = address.port() as usize - 10_000;
+        if self.nodes[n].generation != generation {
+            return;
+        }
+        if refused || !self.reachable(n, address) {
+            let e = LinkError::Failed("no answer".into());
+            return self.with(n, generation, |p, now| {
+                p.membership.dial_failed(now, address, &e, &mut p.rng);
+                (vec![], vec![])
+            });
+        }
+        let c = self.conns.len();
+        let link = c as LinkId + 1;
+        let other = self.nodes[to].generation;
+        self.conns.push(Conn {
+            ends: [(n, generation, link), (to, other, link)],
+            open: true,
+        });
+        let remote = |sim: &Self, n: usize| Remote {
+            node: format!("n{n}").into(),
+            incarnation: sim.nodes[n].generation,
+            az: format!("z{}", sim.zone(n)).into(),
+        };
+        let ends = [
+            (n, generation, Some(address), to, 0),
+            (to, other, None, n, 1),
+        ];
+        for (me, generation, dialed, peer, end) in ends {
+            let remote = remote(self, peer);
+            self.with(me, generation, |p, now| {
+                p.links.insert(link, (c, end));
+                let node = remote.node.clone();
+                let out = p.membership.link_up(now, link, remote, dialed);
+                let open = p.membership.links().contains_key(&link);
+                let more = open.then(|| p.spread.link_up(link, node)).flatten();
+                (out, more.into_iter().collect())
+            });
+        }
+    }
+
+    fn store(&mut self, n: usize, generation: u64, call: Call, until: u64) {
+        if self.nodes[n].generation != generation || self.nodes[n].proc.is_none() {
+            return;
+        }
+        let zone = self.zone(n);
+        if self.store.down_until > self.now || self.cuts.get(&zone).is_some_and(|t| *t > self.now) {
+            return self.with(n, generation, |p, now| {
+                p.watch.failed(now, &call, &mut p.rng);
+                (vec![], vec![])
+            });
+        }
+        let reply = match &call {
+            Call::Wait(from) if self.store.revision <= *from && until > self.now => {
+                return self.push(TICK, Event::Store(n, generation, call, until));
+            }
+            Call::Wait(from) => Reply::Wait(self.store.revision, self.store.revision != *from),
+            Call::Claim => Reply::Claim(self.claim(zone)),
+            Call::Keep(id) => Reply::Keep(self.keep(zone, *id)),
+            Call::Head => return self.read_head(n, generation),
+            Call::Republish => {
+                let held = self.nodes[n].token.number as usize;
+                if held > self.store.head {
+                    self.store.head = held;
+                    self.store.revision += 1;
+                }
+                Reply::Republish
+            }
+            Call::Rendezvous => {
+                let lists = self.store.lists.clone();
+                let p = self.nodes[n].proc.as_mut().unwrap();
+                p.membership.add_seeds(&lists);
+                Reply::Rendezvous
+            }
+            Call::Enlist => {
+                if !self.store.lists.contains(&address(n)) {
+                    self.store.lists.push(address(n));
+                }
+                Reply::Enlist
+            }
+        };
+        self.with(n, generation, |p, now| {
+            p.watch.done(now, reply, &mut p.rng);
+            (vec![], vec![])
+        });
+    }
+
+    fn claim(&mut self, zone: usize) -> Option<u64> {
+        let now = self.now;
+        let slots = &mut self.store.slots;
+        let free = |s: &usize| slots.get(&(zone, *s)).is_none_or(|(_, end)| *end <= now);
+        let slot = (0..WATCHERS).find(free)?;
+        self.store.next_lease += 1;
+        let end = now + LEASE_TTL.as_millis() as u64;
+        slots.insert((zone, slot), (self.store.next_lease, end));
+        Some(self.store.next_lease)
+    }
+
+    fn keep(&mut self, zone: usize, id: u64) -> bool {
+        let now = self.now;
+        let slots = self.store.slots.iter_mut();
+        let held = slots
+            .filter(|((z, _), (lease, end))| *z == zone && *lease == id && *end > now)
+            .map(|(_, slot)| slot)
+            .next();
+        match held {
+            Some(slot) => {
+                slot.1 = now + LEASE_TTL.as_millis() as u64;
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn read_head(&mut self, n: usize, generation: u64) {
+        let head = match self.store.head {
+            0 => None,
+            i => Some(self.versions[i - 1].clone()),
+        };
+        let revision = self.store.revision;
+        self.with(n, generation, |p, now| {
+            let v = head
+                .as_ref()
+                .map_or_else(VersionRef::default, |s| s.version);
+            let action = p.spread.compare_head(v, now);
+            let again = matches!(action, HeadAction::Republish { .. });
+            p.watch.done(now, Reply::Head(revision, again), &mut p.rng);
+            let newer = head.filter(|s| s.version.number > p.spread.held().number);
+            (
+                vec![],
+                newer.map_or_else(Vec::new, |s| p.spread.fetched(now, s)),
+            )
+        });
+    }
+
+    fn fault(&mut self, f: Fault) {
+        match f {
+            Fault::Crash { node, down } if self.nodes[node].proc.is_some() => {
+                let p = self.nodes[node].proc.take().unwrap();
+                self.nodes[node].generation += 1;
+                for (c, end) in p.links.into_values() {
+                    self.conns[c].open = false;
+                    if !self.is_cut(node, self.conns[c].ends[1 - end].0) {
+                        self.push(5, Event::Down(c, 1 - end));
+                    }
+                }
+                self.push(down, Event::Restart(node));
+            }
+            Fault::Pause { node, time } => self.nodes[node].paused = self.now + time,
+            Fault::Cut { zone, time } => drop(self.cuts.insert(zone, self.now + time)),
+            Fault::StoreDown { time } => self.store.down_until = self.now + time,
+            Fault::Lossy { percent, time } => self.lossy = (percent, self.now + time),
+            // A version that no node holds yet would be lost with the store.
+            Fault::Rollback if 2 * self.holders() > self.nodes.len() => {
+                self.store.head = self.store.head.saturating_sub(1);
+                self.store.revision += 1;
+            }
+            // Operators commit on the newest version only; the store may have to be brought up to date first.
+            Fault::Commit if self.store.head == self.versions.len() => {
+                let parent = self
+                    .versions
+                    .last()
+                    .map_or_else(Digest::default, |s| s.version.hash);
+                self.versions
+                    .push(version(self.versions.len() as u64 + 1, parent));
+                self.store.head += 1;
+                self.store.revision += 1;
+            }
+            Fault::Commit | Fault::Crash { .. } | Fault::Rollback => {}
+        }
+    }
+
+    fn holders(&self) -> usize {
+        self.held().iter().filter(|v| **v == self.newest()).count()
+    }
+
+    /// Number of the newest committed version.
+    pub fn newest(&self) -> u64 {
+        self.versions.len() as u64
+    }
+
+    /// Version numbers in force.
+    pub fn held(&self) -> Vec<u64> {
+        let procs = self.nodes.iter().filter_map(|n| n.proc.as_ref());
+        procs.map(|p| p.spread.held().number).collect()
+    }
+
+    /// Mark of every node as seen by one, if that one runs.
+    pub fn marks(&self, n: usize) -> BTreeMap<String, Mark> {
+        let p = self.nodes[n].proc.as_ref().unwrap();
+        let members = p.membership.table().members().iter();
+        members.map(|(id, m)| (id.to_string(), m.mark)).collect()
+    }
+
+    /// Nodes for which another one's record is not current, or missing.
+    pub fn disagreements(&self) -> Vec<String> {
+        let mut out = Vec::new();
+        for (i, a) in self.nodes.iter().enumerate() {
+            for (j, b) in self.nodes.iter().enumerate() {
+                let (Some(a), Some(b)) = (&a.proc, &b.proc) else {
+                    out.push(format!("n{i} or n{j} is down"));
+                    continue;
+                };
+                let seen = a.membership.table().entry(&b.membership.own().node);
+                let same = seen
+                    .as_ref()
+                    .is_some_and(|e| e.mark == Mark::Alive && e.record == *b.membership.own());
+                if !same {
+                    out.push(format!("n{i} sees n{j} as {seen:?}"));
+                }
+            }
+        }
+        out
+    }
+
+    /// Links of each node.
+    pub fn links(&self) -> Vec<usize> {
+        let procs = self.nodes.iter().filter_map(|n| n.proc.as_ref());
+        procs.map(|p| p.membership.links().len()).collect()
+    }
+
+    /// Number of watchers by zone.
+    pub fn watchers(&self) -> Vec<usize> {
+        let mut out = vec![0; self.zones];
+        for (n, node) in self.nodes.iter().enumerate() {
+            let watcher = node.proc.as_ref().is_some_and(|p| p.watch.is_watcher());
+            out[n % self.zones] += usize::from(watcher);
+        }
+        out
+    }
+}
