Give the request path its pipeline and call points

Cause: the simple entry code had no place for resources, retries, quarantine or at-most-once ownership. Ruled out: a trait object for each call point, since one implementation exists and merges stay smaller with functions.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 use async_trait::async_trait;
-use http::{Request, Response};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
@@ -11,6 +12,7 @@
 
 use crate::prelude::*;
 use crate::request::body::Body;
+use crate::request::reason::{Failure, Reason};
 
 /// Why no answer came.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,6 +21,18 @@
     NotSent(String),
     /// The request may have been run.
     Lost(String),
+    /// The answer has neither a length nor chunks, so its end could not be told from a broken connection.
+    BadAnswer(String),
+}
+
+impl From<SendError> for Failure {
+    fn from(e: SendError) -> Self {
+        match e {
+            SendError::NotSent(_) => Self::not_run(Reason::NotSent),
+            SendError::Lost(_) => Self::unknown(Reason::Lost),
+            SendError::BadAnswer(_) => Self::unknown(Reason::BadAnswer),
+        }
+    }
 }
 
 impl fmt::Display for SendError {
@@ -26,6 +40,7 @@
         match self {
             Self::NotSent(m) => write!(f, "not sent: {m}"),
             Self::Lost(m) => write!(f, "connection lost after sending: {m}"),
+            Self::BadAnswer(m) => write!(f, "invalid answer: {m}"),
         }
     }
 }
@@ -89,10 +104,38 @@
 #[async_trait]
 impl Upstream for HttpUpstream {
     async fn send(&self, req: Request<Body>) -> Result<Response<Body>, SendError> {
+        let head = req.method() == Method::HEAD;
         match self.client.request(req).await {
-            Ok(res) => Ok(res.map(|b| b.map_err(Into::into).boxed_unsync())),
-            Err(e) if e.is_connect() => Err(SendError::NotSent(e.to_string())),
-            Err(e) => Err(SendError::Lost(e.to_string())),
+            Ok(res) if head || framed(&res) => {
+                Ok(res.map(|b| b.map_err(Into::into).boxed_unsync()))
+            }
+            Ok(_) => Err(SendError::BadAnswer("no length and no chunks".into())),
+            Err(e) if never_sent(&e) => Err(SendError::NotSent(describe(&e))),
+            Err(e) => Err(SendError::Lost(describe(&e))),
         }
     }
 }
+
+/// Whether the end of an answer can be told from a broken connection.
+fn framed<B>(res: &Response<B>) -> bool {
+    let h = res.headers();
+    let bodiless = matches!(
+        res.status(),
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    bodiless || h.contains_key(CONTENT_LENGTH) || h.contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether no byte of the request left this process: the connection did not open, or a pooled one was closed
+/// before the request was handed to it, which the library reports as cancelled.
+fn never_sent(e: &hyper_util::client::legacy::Error) -> bool {
+    let cause = std::error::Error::source(e).and_then(|s| s.downcast_ref::<hyper::Error>());
+    e.is_connect() || cause.is_some_and(hyper::Error::is_canceled)
+}
+
+fn describe(e: &hyper_util::client::legacy::Error) -> String {
+    match std::error::Error::source(e) {
+        Some(cause) => format!("{e}: {cause}"),
+        None => e.to_string(),
+    }
+}
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -15,6 +15,7 @@
 use super::{admin, control};
 use crate::connection::listen;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
+use crate::key::SharedKey;
 use crate::prelude::*;
 use crate::request::{admit, entry};
 use crate::settings::Settings;
@@ -51,6 +52,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// The site's shared key, when the settings name one.
+    pub key: Option<SharedKey>,
     own: Mutex<(Record, Option<SocketAddr>)>,
 }
 
@@ -92,6 +95,12 @@
         own.1.filter(|_| ready)
     }
 
+    /// Whether an address is that of the backend server beside this node, which may speak for its callers.
+    pub fn is_local(&self, from: std::net::IpAddr) -> bool {
+        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        own.1.is_some_and(|a| a.ip() == from)
+    }
+
     fn change_own<F>(&self, change: F)
     where
         F: FnOnce(&mut Record, &mut Option<SocketAddr>),
@@ -141,6 +150,10 @@
 ///
 /// A listener could not be opened.
 pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
+    let key = match &settings.peers.key_file {
+        Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
+        None => None,
+    };
     let caller = bind(settings.listen.caller).await?;
     let relay = bind(settings.listen.relay).await?;
     let peer = bind(settings.listen.peer).await?;
@@ -176,6 +189,7 @@
         notices: Notices::default(),
         clock: Arc::new(ProcessClock::default()),
         metrics: Metrics::default(),
+        key,
         own: Mutex::new((record, None)),
     });
     let admin =
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -1,36 +1,126 @@
 //! Admitting node: gives a relayed request a slot of the backend server beside it.
 
-use http::{Request, Response, Uri};
+use http::uri::PathAndQuery;
+use http::{header, HeaderValue, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::body::Body;
-use super::context::Context;
-use super::reason::{Failure, Reason};
-use crate::connection::upstream::SendError;
+use super::body::{settle, Body, BodyLimits, Guarded, HeldBody};
+use super::context::{self, Context};
+use super::gate::{self, InFlight};
+use super::job::fingerprint;
+use super::reason::{Failure, Outcome, Reason, OUTCOME};
+use crate::digest::Digest;
 use crate::prelude::*;
 use crate::process::node::Process;
 
+/// A relayed request as the admitting node holds it.
+struct Work {
+    ctx: Context,
+    deadline: Now,
+    fingerprint: Digest,
+    parts: http::request::Parts,
+    body: HeldBody,
+}
+
 /// Serves one request relayed by another node.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>) -> Response<Body> {
-    run(&p, req).await.unwrap_or_else(|f| f.response())
+    let out = async {
+        let work = check(&p, req).await?;
+        gate::check_admit(&p, &work.ctx, &work.fingerprint)?;
+        forward(&p, work).await
+    };
+    out.await.unwrap_or_else(|f| f.response())
 }
 
-async fn run(p: &Process, req: Request<Incoming>) -> Result<Response<Body>, Failure> {
+/// Checks the proof of the shared key and reads the first part of the body.
+async fn check(p: &Process, req: Request<Incoming>) -> Result<Work, Failure> {
+    let start = p.clock.now();
     let ctx = Context::read(req.headers()).ok_or(Failure::not_run(Reason::BadRequest))?;
+    let (parts, body) = req.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    if let Some(key) = &p.key {
+        if !ctx.proven(key, &parts.method, path, &parts.headers) {
+            return Err(Failure::not_run(Reason::Unproven));
+        }
+    }
+    let limits = BodyLimits::new(&p.settings.limits);
+    let read = HeldBody::read(body.map_err(Into::into).boxed_unsync(), limits);
+    let body = tokio::time::timeout(ctx.remaining, read)
+        .await
+        .unwrap_or(Err(Reason::SlowCaller))
+        .map_err(Failure::not_run)?;
+    let host: String = context::header(&parts.headers, &header::HOST).unwrap_or_default();
+    let root = PathAndQuery::from_static("/");
+    let path = parts.uri.path_and_query().unwrap_or(&root);
+    Ok(Work {
+        deadline: start + ctx.remaining,
+        fingerprint: fingerprint(&parts.method, &host, path, &body.prefix),
+        ctx,
+        parts,
+        body,
+    })
+}
+
+/// Sends the request to the backend server and returns its answer.
+async fn forward(p: &Arc<Process>, work: Work) -> Result<Response<Body>, Failure> {
     let backend = p.backend().ok_or(Failure::not_run(Reason::NotReady))?;
-    let (mut parts, body) = req.into_parts();
-    parts.uri = Uri::builder()
+    let mut flight = InFlight::begin(p, work.fingerprint)?;
+    let left = work.deadline.saturating_sub(p.clock.now());
+    let sent = tokio::time::timeout(left, send(p, &work, backend, left)).await;
+    let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
+    flight.ended(p, sent.as_ref().map(|_| ()).map_err(|f| *f));
+    let mut res = sent?;
+    res.headers_mut()
+        .insert(OUTCOME, HeaderValue::from_static(Outcome::Done.as_str()));
+    let left = work.deadline.saturating_sub(p.clock.now());
+    Ok(res.map(|b| Guarded::new(b, left, ()).boxed_unsync()))
+}
+
+async fn send(
+    p: &Process,
+    work: &Work,
+    backend: std::net::SocketAddr,
+    left: Duration,
+) -> Result<Response<Body>, Failure> {
+    let req = backend_request(work, backend, left)?;
+    let mut res = p.upstream.send(req).await?;
+    let declined = res.status() == StatusCode::SERVICE_UNAVAILABLE
+        && res
+            .headers()
+            .get(context::NOT_RUN)
+            .is_some_and(|v| v == "true");
+    if declined {
+        return Err(Failure::not_run(Reason::Declined));
+    }
+    context::strip_hop(res.headers_mut());
+    context::strip_internal(res.headers_mut());
+    settle(res, left).await
+}
+
+/// The request as the backend server gets it. Its depth is that of the calls that the backend server makes for it,
+/// so that copying the `dq-` headers to those calls is enough.
+fn backend_request(
+    work: &Work,
+    backend: std::net::SocketAddr,
+    left: Duration,
+) -> Result<Request<Body>, Failure> {
+    let uri = Uri::builder()
         .scheme("http")
         .authority(backend.to_string())
-        .path_and_query(parts.uri.path_and_query().map_or("/", |p| p.as_str()))
+        .path_and_query(work.parts.uri.path_and_query().map_or("/", |p| p.as_str()))
         .build()
         .map_err(|_| Failure::not_run(Reason::BadRequest))?;
-    let req = Request::from_parts(parts, body.map_err(Into::into).boxed_unsync());
-    match tokio::time::timeout(ctx.remaining, p.upstream.send(req)).await {
-        Ok(Ok(res)) => Ok(res),
-        Ok(Err(SendError::NotSent(_))) => Err(Failure::not_run(Reason::NotSent)),
-        Ok(Err(SendError::Lost(_))) => Err(Failure::unknown(Reason::Lost)),
-        Err(_) => Err(Failure::unknown(Reason::Deadline)),
-    }
+    let mut req = Request::new(work.body.body());
+    *req.method_mut() = work.parts.method.clone();
+    *req.uri_mut() = uri;
+    *req.headers_mut() = work.parts.headers.clone();
+    context::strip(req.headers_mut());
+    let ctx = Context {
+        remaining: left,
+        depth: work.ctx.depth.saturating_add(1),
+        ..work.ctx.clone()
+    };
+    ctx.write(req.headers_mut());
+    Ok(req)
 }
--- a/src/request/context.rs
+++ b/src/request/context.rs
@@ -1,7 +1,8 @@
 //! What travels with a request from node to node.
 
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{header, HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::key::SharedKey;
 use crate::prelude::*;
 
 /// Id of the request, for logs.
@@ -19,6 +20,60 @@
 /// Identity of the caller.
 pub const CALLER: HeaderName = HeaderName::from_static("dq-caller");
 
+/// Proof that the request comes from a node that holds the shared key.
+pub const PROOF: HeaderName = HeaderName::from_static("dq-proof");
+/// Set to `true` by a backend server, with status 503, to prove that it did not start the request.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("dq-not-run");
+/// Work at the target, running and waiting, in percent of its slots, as the admitting node counts it.
+pub const LOAD: HeaderName = HeaderName::from_static("dq-load-percent");
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1) or are written anew for each hop.
+const HOP_BY_HOP: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// Removes hop-by-hop headers and those that a `connection` header names.
+pub fn strip_hop(h: &mut HeaderMap) {
+    let named: Vec<HeaderName> = h
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        h.remove(name);
+    }
+}
+
+/// Removes internal headers, which only nodes may set.
+pub fn strip_internal(h: &mut HeaderMap) {
+    let internal: Vec<HeaderName> = h
+        .keys()
+        .filter(|k| k.as_str().starts_with("dq-"))
+        .cloned()
+        .collect();
+    for name in internal {
+        h.remove(name);
+    }
+}
+
+/// Prepares the headers of a request for forwarding. The length is written anew with the body.
+pub fn strip(h: &mut HeaderMap) {
+    strip_hop(h);
+    strip_internal(h);
+    h.remove(header::CONTENT_LENGTH);
+}
+
 /// What travels with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Context {
@@ -75,4 +130,32 @@
             caller: header(h, &CALLER)?,
         })
     }
+
+    fn parts<'a>(&'a self, method: &'a Method, path: &'a str, ms: &'a [u8]) -> [&'a [u8]; 4] {
+        let id = self.id.as_bytes();
+        [method.as_str().as_bytes(), path.as_bytes(), id, ms]
+    }
+
+    /// Adds the proof of the shared key over method, path with query, request id and deadline.
+    pub fn prove(&self, key: &SharedKey, method: &Method, path: &str, h: &mut HeaderMap) {
+        let ms = self.remaining.as_millis().to_string();
+        let mac = key.sign(&self.parts(method, path, ms.as_bytes()));
+        let hex: String = mac.iter().map(|b| format!("{b:02x}")).collect();
+        if let Ok(v) = HeaderValue::try_from(hex) {
+            h.insert(PROOF, v);
+        }
+    }
+
+    /// Checks the proof of the shared key.
+    pub fn proven(&self, key: &SharedKey, method: &Method, path: &str, h: &HeaderMap) -> bool {
+        let ms = self.remaining.as_millis().to_string();
+        let proof = h.get(PROOF).and_then(|v| v.to_str().ok()).and_then(unhex);
+        proof.is_some_and(|mac| key.verify(&self.parts(method, path, ms.as_bytes()), &mac))
+    }
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<_>> = text.chars().map(|c| c.to_digit(16)).collect();
+    let digits = digits.filter(|d| d.len().is_multiple_of(2))?;
+    Some(digits.chunks(2).map(|d| (d[0] * 16 + d[1]) as u8).collect())
 }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -1,28 +1,28 @@
-//! Entry node: matches the route, chooses a target and relays the request.
+//! Entry node: matches the route, chooses a target, relays the request and decides about retries.
 
 use std::net::{IpAddr, SocketAddr};
 
-use http::{Request, Response, Uri};
-use http_body_util::BodyExt;
+use http::{Request, Response};
 use hyper::body::Incoming;
 use rand::RngExt;
 
-use super::body::Body;
-use super::context::{self, Context};
+use super::body::{settle, Body, Guarded};
+use super::context;
+use super::gate::{self, Way};
+use super::job::Job;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
-use crate::connection::upstream::SendError;
 use crate::prelude::*;
 use crate::process::node::Process;
-use crate::process::record::TargetState;
-use crate::version::manifest::Route;
-use crate::version::snapshot::Snapshot;
+use crate::process::record::{Target, TargetState};
+
+/// Time beyond the deadline in which the admitting node can still report that it never ran the request.
+const REPORT_GRACE: Duration = Duration::from_millis(20);
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let config = p.config.load_full();
-    let out = match config {
-        Some(snapshot) => relay(&p, &snapshot, req, from).await,
-        None => Err(Failure::not_run(Reason::NoVersion)),
+    let out = match Job::accept(&p, req, from).await {
+        Ok(job) => answer(&p, job).await,
+        Err(f) => Err(f),
     };
     out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
@@ -30,36 +30,54 @@
     })
 }
 
-async fn relay(
-    p: &Process,
-    snapshot: &Snapshot,
-    req: Request<Incoming>,
-    from: IpAddr,
-) -> Result<Response<Body>, Failure> {
-    let host = context::header::<String>(req.headers(), &http::header::HOST).unwrap_or_default();
-    let route = snapshot
-        .route(req.method().as_str(), &host, req.uri().path())
-        .ok_or(Failure::not_run(Reason::NoRoute))?;
-    let target = choose(p, &route.service).ok_or(Failure::not_run(Reason::NoTarget))?;
-    let ctx = make_context(snapshot, route, &req, from);
-    let req = readdress(req, target, &ctx)?;
-    let sent = tokio::time::timeout(ctx.remaining, p.upstream.send(req)).await;
-    match sent {
-        Ok(Ok(mut res)) => {
-            let done = http::HeaderValue::from_static(Outcome::Done.as_str());
-            res.headers_mut().entry(OUTCOME).or_insert(done);
-            Ok(res)
-        }
-        Ok(Err(SendError::NotSent(_))) => Err(Failure::not_run(Reason::NotSent)),
-        Ok(Err(SendError::Lost(_))) => Err(Failure::unknown(Reason::Lost)),
-        Err(_) => Err(Failure::unknown(Reason::Deadline)),
+async fn answer(p: &Arc<Process>, job: Job) -> Result<Response<Body>, Failure> {
+    gate::check_entry(p, &job)?;
+    let deadline = job.deadline;
+    let mut res = match gate::pass_to_owner(p, job).await? {
+        Way::Run(mut job) => run(p, &mut job).await?,
+        Way::Answered(res) => res,
+    };
+    context::strip_internal(res.headers_mut());
+    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
+    res.headers_mut().insert(OUTCOME, done);
+    let left = deadline.saturating_sub(p.clock.now());
+    Ok(res.map(|b| http_body_util::BodyExt::boxed_unsync(Guarded::new(b, left, ()))))
+}
+
+/// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
+///
+/// # Errors
+///
+/// The request has no answer; the failure says whether it may have run.
+pub async fn run(p: &Arc<Process>, job: &mut Job) -> Result<Response<Body>, Failure> {
+    let target = choose(p, &job.route.service).ok_or(Failure::not_run(Reason::NoTarget))?;
+    attempt(p, job, target).await
+}
+
+async fn attempt(p: &Process, job: &Job, target: SocketAddr) -> Result<Response<Body>, Failure> {
+    let left = job.deadline.saturating_sub(p.clock.now());
+    if left.is_zero() {
+        return Err(Failure::not_run(Reason::Deadline));
     }
+    let send = async {
+        let mut res = p.upstream.send(job.relay_request(p, target)?).await?;
+        if let Some(f) = Failure::read(res.headers()) {
+            return Err(f);
+        }
+        context::strip_hop(res.headers_mut());
+        settle(res, left).await
+    };
+    let sent = tokio::time::timeout(left + REPORT_GRACE, send).await;
+    let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
+    sent.map_err(|f| match job.body.fault() {
+        Some(reason) => Failure { reason, ..f },
+        None => f,
+    })
 }
 
 fn choose(p: &Process, service: &str) -> Option<SocketAddr> {
     let records = p.records.load();
-    let usable =
-        |t: &crate::process::record::Target| t.service == service && t.state == TargetState::Ready;
+    let usable = |t: &Target| t.service == service && t.state == TargetState::Ready;
     let found: Vec<_> = records
         .values()
         .filter(|r| r.target.as_ref().is_some_and(usable))
@@ -70,46 +88,3 @@
         n => Some(found[rand::rng().random_range(0..n)]),
     }
 }
-
-fn make_context(
-    snapshot: &Snapshot,
-    route: &Route,
-    req: &Request<Incoming>,
-    from: IpAddr,
-) -> Context {
-    let h = req.headers();
-    let limit = u64::from(route.deadline_ms);
-    let asked: Option<u64> = context::header(h, &context::DEADLINE);
-    Context {
-        id: context::header(h, &context::REQUEST_ID)
-            .unwrap_or_else(|| uuid::Uuid::now_v7().to_string().into()),
-        remaining: Duration::from_millis(asked.unwrap_or(limit).min(limit)),
-        rank: route.rank.clone(),
-        retries: context::header(h, &context::RETRIES)
-            .unwrap_or(route.retries)
-            .min(route.retries),
-        depth: context::header(h, &context::DEPTH).unwrap_or(0),
-        version: snapshot.version.number,
-        caller: context::header(h, &context::CALLER).unwrap_or_else(|| from.to_string().into()),
-    }
-}
-
-fn readdress(
-    req: Request<Incoming>,
-    to: SocketAddr,
-    ctx: &Context,
-) -> Result<Request<Body>, Failure> {
-    let (mut parts, body) = req.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    parts.uri = Uri::builder()
-        .scheme("http")
-        .authority(to.to_string())
-        .path_and_query(path)
-        .build()
-        .map_err(|_| Failure::not_run(Reason::BadRequest))?;
-    ctx.write(&mut parts.headers);
-    Ok(Request::from_parts(
-        parts,
-        body.map_err(Into::into).boxed_unsync(),
-    ))
-}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,4 +4,6 @@
 pub mod body;
 pub mod context;
 pub mod entry;
+pub mod gate;
+pub mod job;
 pub mod reason;
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -5,12 +5,17 @@
 use http::{HeaderName, Response, StatusCode};
 
 use super::body::{full, Body};
+use super::context;
+use crate::prelude::*;
 
 /// Header that carries the [`Outcome`] of a request.
 pub const OUTCOME: HeaderName = HeaderName::from_static("dq-outcome");
 /// Header that carries the [`Reason`] of a refusal.
 pub const REASON: HeaderName = HeaderName::from_static("dq-reason");
 
+/// Header that carries the time, in milliseconds, during which a target wants no more work of a rank.
+pub const BACK_OFF: HeaderName = HeaderName::from_static("dq-back-off-ms");
+
 /// What is known about the execution of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
@@ -23,6 +28,13 @@
 }
 
 impl Outcome {
+    /// Reads the value of the header.
+    pub fn parse(text: &str) -> Option<Self> {
+        [Self::Done, Self::NotRun, Self::Unknown]
+            .into_iter()
+            .find(|o| o.as_str() == text)
+    }
+
     /// Value of the header.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -54,9 +66,59 @@
     Lost,
     /// The request is malformed or exceeds a limit.
     BadRequest,
+    /// The request body is larger than the limit.
+    TooLarge,
+    /// The request did not arrive in time.
+    SlowCaller,
+    /// The caller already has as many requests in flight as a resource of the route allows.
+    CallerLimit,
+    /// The caller already fills its part of the queue.
+    CallerShare,
+    /// All usable targets asked to be left alone for a moment.
+    HeldOff,
+    /// The backend server proved that it did not start the request.
+    Declined,
+    /// The answer is malformed or broke off.
+    BadAnswer,
+    /// A relayed request lacks a valid proof of the shared key.
+    Unproven,
 }
 
 impl Reason {
+    /// Every reason, to read one from a header.
+    const ALL: [Self; 17] = [
+        Self::NoVersion,
+        Self::NoRoute,
+        Self::NoTarget,
+        Self::NotReady,
+        Self::QueueFull,
+        Self::Deadline,
+        Self::NotSent,
+        Self::Lost,
+        Self::BadRequest,
+        Self::TooLarge,
+        Self::SlowCaller,
+        Self::CallerLimit,
+        Self::CallerShare,
+        Self::HeldOff,
+        Self::Declined,
+        Self::BadAnswer,
+        Self::Unproven,
+    ];
+
+    /// Reads the value of the header.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|r| r.as_str() == text)
+    }
+
+    /// Whether the target refused because it has too much work.
+    pub fn is_overload(self) -> bool {
+        matches!(
+            self,
+            Self::QueueFull | Self::CallerShare | Self::HeldOff | Self::Deadline | Self::Declined
+        )
+    }
+
     /// Value of the header and of the metric label.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -69,6 +131,14 @@
             Self::NotSent => "not-sent",
             Self::Lost => "lost",
             Self::BadRequest => "bad-request",
+            Self::TooLarge => "too-large",
+            Self::SlowCaller => "slow-caller",
+            Self::CallerLimit => "caller-limit",
+            Self::CallerShare => "caller-share",
+            Self::HeldOff => "held-off",
+            Self::Declined => "declined",
+            Self::BadAnswer => "bad-answer",
+            Self::Unproven => "unproven",
         }
     }
 }
@@ -86,6 +156,8 @@
     pub outcome: Outcome,
     /// Why.
     pub reason: Reason,
+    /// Time during which the target wants no more work of this rank.
+    pub back_off: Duration,
 }
 
 impl Failure {
@@ -94,6 +166,7 @@
         Self {
             outcome: Outcome::NotRun,
             reason,
+            back_off: Duration::ZERO,
         }
     }
 
@@ -102,6 +175,7 @@
         Self {
             outcome: Outcome::Unknown,
             reason,
+            back_off: Duration::ZERO,
         }
     }
 
@@ -110,11 +184,33 @@
         match (self.reason, self.outcome) {
             (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
             (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
+            (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+            (Reason::SlowCaller, _) => StatusCode::REQUEST_TIMEOUT,
+            (Reason::Unproven, _) => StatusCode::FORBIDDEN,
+            (Reason::BadAnswer, _) => StatusCode::BAD_GATEWAY,
             (_, Outcome::Unknown) | (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
+    /// Reads the answer of another node; `None` when it is the answer of a backend server.
+    ///
+    /// An answer without a valid outcome does not come from a node, so nothing is known about the request.
+    pub fn read(h: &http::HeaderMap) -> Option<Self> {
+        let outcome = context::header::<String>(h, &OUTCOME).and_then(|o| Outcome::parse(&o));
+        let reason = context::header::<String>(h, &REASON).and_then(|r| Reason::parse(&r));
+        let back_off = Duration::from_millis(context::header(h, &BACK_OFF).unwrap_or(0));
+        match (outcome, reason) {
+            (Some(Outcome::Done), None) => None,
+            (Some(outcome), Some(reason)) if outcome != Outcome::Done => Some(Self {
+                outcome,
+                reason,
+                back_off,
+            }),
+            _ => Some(Self::unknown(Reason::BadAnswer)),
+        }
+    }
+
     /// Answer for the caller.
     pub fn response(&self) -> Response<Body> {
         let mut res = Response::new(full(format!(
@@ -129,6 +225,10 @@
             http::HeaderValue::from_static(self.outcome.as_str()),
         );
         h.insert(REASON, http::HeaderValue::from_static(self.reason.as_str()));
+        if !self.back_off.is_zero() {
+            let ms = self.back_off.as_millis().min(u128::from(u32::MAX)) as u32;
+            h.insert(BACK_OFF, ms.into());
+        }
         res
     }
 }
