Balance, admit and retry by state machines

Cause: any ready target was chosen, nothing bounded the work at a backend server, and nothing was retried. Ruled out: a hold-off after early refusals for the deadline, since one short deadline would shed longer ones.

--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -8,15 +8,19 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::net::TcpListener;
 
+use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
 use super::metrics::Metrics;
 use super::notices::Notices;
 use super::record::{Addresses, Record, Target, TargetState};
+use super::routing::Routing;
+use super::slots::Slots;
 use super::{admin, control};
 use crate::connection::listen;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
 use crate::key::SharedKey;
 use crate::prelude::*;
+use crate::request::reason::Reason;
 use crate::request::{admit, entry};
 use crate::settings::Settings;
 use crate::store::Store;
@@ -52,6 +56,12 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// Choices of the entry node.
+    pub routing: Arc<Routing>,
+    /// Slots of the backend server beside this node.
+    pub slots: Arc<Slots>,
+    /// Requests in flight of each caller.
+    pub callers: Arc<Callers>,
     /// The site's shared key, when the settings name one.
     pub key: Option<SharedKey>,
     own: Mutex<(Record, Option<SocketAddr>)>,
@@ -78,6 +88,10 @@
 
     /// Takes an announcement of the backend server.
     pub fn announced(&self, address: SocketAddr, target: Target) {
+        self.slots.set_slots(target.slots);
+        if matches!(target.state, TargetState::Starting | TargetState::Gone) {
+            self.slots.refuse_all(Reason::NotReady);
+        }
         self.change_own(|r, a| {
             *a = Some(address);
             r.target = Some(target);
@@ -180,17 +194,26 @@
     let seeds = settings.peers.seeds.clone();
     let limits = settings.limits.clone();
     let admin_address = settings.listen.admin;
+    let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
+    let metrics = Metrics::default();
     let p = Arc::new(Process {
-        settings,
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
         store,
         notices: Notices::default(),
-        clock: Arc::new(ProcessClock::default()),
-        metrics: Metrics::default(),
+        routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
+        slots: Arc::new(Slots::new(
+            settings.policy.queue,
+            clock.clone(),
+            metrics.queued.clone(),
+        )),
+        clock,
+        callers: Arc::default(),
+        metrics,
         key,
         own: Mutex::new((record, None)),
+        settings,
     });
     let admin =
         admin::start(admin_address, p.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
--- /dev/null
+++ b/src/process/routing.rs
@@ -0,0 +1,186 @@
+//! Drives the balancer and the retry budget of the entry node.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+
+use rand::rngs::SmallRng;
+
+use super::balance::{Balance, Choice, End, Hint, TargetInfo};
+use super::budget::Bucket;
+use super::clock::Clock;
+use super::record::{Record, TargetState};
+use crate::prelude::*;
+use crate::request::reason::{Failure, Reason};
+use crate::request::retry::{self, Decision, Failed};
+use crate::settings::Settings;
+
+/// Records of all known nodes.
+pub type Records = Arc<BTreeMap<NodeId, Record>>;
+
+struct State {
+    balance: Balance,
+    bucket: Bucket,
+    rng: SmallRng,
+    records: Records,
+}
+
+/// Shared state of the entry node's choices.
+pub struct Routing {
+    state: Mutex<State>,
+    policy: crate::settings::RetryPolicy,
+    clock: Arc<dyn Clock>,
+}
+
+/// A request that was sent to a target; counts as cancelled when it is dropped without an end.
+pub struct Sent {
+    owner: Arc<Routing>,
+    node: NodeId,
+    rank: RankId,
+    start: Now,
+    end: Option<End>,
+}
+
+impl State {
+    /// Takes over the records that changed since the last call.
+    fn sync(&mut self, now: Now, records: &Records) {
+        if Arc::ptr_eq(&self.records, records) {
+            return;
+        }
+        let old = std::mem::replace(&mut self.records, records.clone());
+        for (node, r) in records.iter() {
+            let same = old.get(node).is_some_and(|o| o.order() == r.order());
+            match &r.target {
+                _ if same => {}
+                Some(t) => self.balance.set(
+                    now,
+                    node,
+                    TargetInfo {
+                        service: t.service.clone(),
+                        az: r.az.clone(),
+                        slots: t.slots,
+                        hint: match t.state {
+                            TargetState::Ready => Hint::Ready,
+                            TargetState::Draining => Hint::Leaving,
+                            TargetState::Starting | TargetState::Gone => Hint::Unready,
+                        },
+                        age: Duration::from_millis(t.age_ms),
+                        born: r.incarnation,
+                    },
+                ),
+                None => self.balance.remove(now, node),
+            }
+        }
+        for node in old.keys().filter(|n| !records.contains_key(*n)) {
+            self.balance.remove(now, node);
+        }
+    }
+}
+
+impl Routing {
+    /// State of a node with these settings. `seed` starts the random generator.
+    pub fn new(s: &Settings, clock: Arc<dyn Clock>, seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                balance: Balance::new(s.policy.balance, s.node.az.clone()),
+                bucket: Bucket::default(),
+                rng: rand::SeedableRng::seed_from_u64(seed),
+                records: Records::default(),
+            }),
+            policy: s.policy.retries,
+            clock,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// A new request arrived; it earns a part of a retry.
+    pub fn earn(&self) {
+        self.state().bucket.earn();
+    }
+
+    /// Chooses a target and names its node and relay address.
+    ///
+    /// # Errors
+    ///
+    /// No target is usable, or all of them want no work of this rank.
+    pub fn choose(
+        &self,
+        records: &Records,
+        service: &str,
+        rank: &str,
+        tried: &[NodeId],
+    ) -> Result<(NodeId, SocketAddr), Failure> {
+        let now = self.clock.now();
+        let mut s = self.state();
+        s.sync(now, records);
+        let State { balance, rng, .. } = &mut *s;
+        match balance.choose(now, service, rank, tried, rng) {
+            Choice::Target(node) => match records.get(&node) {
+                Some(r) => Ok((node, r.addresses.relay)),
+                None => Err(Failure::not_run(Reason::NoTarget)),
+            },
+            Choice::HeldOff(time) => Err(Failure {
+                back_off: time,
+                ..Failure::not_run(Reason::HeldOff)
+            }),
+            Choice::None => Err(Failure::not_run(Reason::NoTarget)),
+        }
+    }
+
+    /// Counts a request at a target from now on.
+    pub fn sent(self: &Arc<Self>, node: &NodeId, rank: &RankId) -> Sent {
+        self.state().balance.started(node);
+        Sent {
+            owner: self.clone(),
+            node: node.clone(),
+            rank: rank.clone(),
+            start: self.clock.now(),
+            end: None,
+        }
+    }
+
+    /// Decides about a failed attempt.
+    pub fn decide(&self, f: &Failed) -> Decision {
+        let mut s = self.state();
+        let State { bucket, rng, .. } = &mut *s;
+        retry::decide(self.policy, f, bucket, rng)
+    }
+}
+
+impl Sent {
+    /// The target answered.
+    pub fn answered(&mut self, load_percent: Option<u32>) {
+        let latency = self.owner.clock.now().saturating_sub(self.start);
+        self.end = Some(End::Answered {
+            latency,
+            load_percent,
+        });
+    }
+
+    /// The target answered with a server error, which counts against it.
+    pub fn broken(&mut self) {
+        self.end = Some(End::Failed);
+    }
+
+    /// The attempt failed.
+    pub fn failed(&mut self, f: &Failure) {
+        self.end = Some(match f.reason {
+            Reason::NotSent | Reason::NotReady | Reason::Lost | Reason::BadAnswer => End::Failed,
+            Reason::Deadline if f.outcome == crate::request::reason::Outcome::Unknown => {
+                End::Failed
+            }
+            _ => End::Refused(f.back_off),
+        });
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let now = self.owner.clock.now();
+        let end = self.end.unwrap_or(End::Cancelled);
+        let mut s = self.owner.state();
+        s.balance.ended(now, &self.node, &self.rank, end);
+    }
+}
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use super::body::{settle, Body, BodyLimits, Guarded, HeldBody};
+use super::body::{guard, settle, Body, BodyLimits, HeldBody};
 use super::context::{self, Context};
 use super::gate::{self, InFlight};
 use super::job::fingerprint;
@@ -62,8 +62,15 @@
     })
 }
 
-/// Sends the request to the backend server and returns its answer.
+/// Waits for a slot, sends the request to the backend server and returns its answer.
 async fn forward(p: &Arc<Process>, work: Work) -> Result<Response<Body>, Failure> {
+    p.backend().ok_or(Failure::not_run(Reason::NotReady))?;
+    let snapshot = p.config.load_full();
+    let (rank, caller) = (&work.ctx.rank, &work.ctx.caller);
+    let slot = p
+        .slots
+        .take(snapshot.as_deref(), rank, caller, work.deadline);
+    let mut slot = slot.await?;
     let backend = p.backend().ok_or(Failure::not_run(Reason::NotReady))?;
     let mut flight = InFlight::begin(p, work.fingerprint)?;
     let left = work.deadline.saturating_sub(p.clock.now());
@@ -71,10 +78,12 @@
     let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
     flight.ended(p, sent.as_ref().map(|_| ()).map_err(|f| *f));
     let mut res = sent?;
-    res.headers_mut()
-        .insert(OUTCOME, HeaderValue::from_static(Outcome::Done.as_str()));
+    slot.ran();
+    let h = res.headers_mut();
+    h.insert(OUTCOME, HeaderValue::from_static(Outcome::Done.as_str()));
+    h.insert(context::LOAD, p.slots.load_percent().into());
     let left = work.deadline.saturating_sub(p.clock.now());
-    Ok(res.map(|b| Guarded::new(b, left, ()).boxed_unsync()))
+    Ok(guard(res, left, (slot, flight)))
 }
 
 async fn send(
--- a/src/request/body.rs
+++ b/src/request/body.rs
@@ -265,6 +265,18 @@
     }
 }
 
+/// Limits the time of an answer that still streams and holds `guard` until it has ended or is given up.
+pub fn guard<G>(res: Response<Body>, time: Duration, guard: G) -> Response<Body>
+where
+    G: Send + Unpin + 'static,
+{
+    match res.body().size_hint().exact() {
+        // Such an answer is already in memory.
+        Some(n) if n <= HELD_ANSWER_BYTES => res,
+        _ => res.map(|b| Guarded::new(b, time, guard).boxed_unsync()),
+    }
+}
+
 /// Holds a short answer of known length until it is whole; longer and chunked ones stream.
 ///
 /// # Errors
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -4,35 +4,38 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use rand::RngExt;
 
-use super::body::{settle, Body, Guarded};
+use super::body::{guard, settle, Body};
 use super::context;
 use super::gate::{self, Way};
 use super::job::Job;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
+use super::retry::{Decision, Failed};
 use crate::prelude::*;
 use crate::process::node::Process;
-use crate::process::record::{Target, TargetState};
 
 /// Time beyond the deadline in which the admitting node can still report that it never ran the request.
 const REPORT_GRACE: Duration = Duration::from_millis(20);
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let out = match Job::accept(&p, req, from).await {
-        Ok(job) => answer(&p, job).await,
-        Err(f) => Err(f),
+    let (rank, out) = match Job::accept(&p, req, from).await {
+        Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
+        Err(f) => (RankId::default(), Err(f)),
     };
+    let outcome = out.as_ref().map_or_else(|f| f.outcome, |_| Outcome::Done);
+    let labels = [rank.as_str(), outcome.as_str()];
+    p.metrics.requests.with_label_values(&labels).inc();
     out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
     })
 }
 
-async fn answer(p: &Arc<Process>, job: Job) -> Result<Response<Body>, Failure> {
+async fn answer(p: &Arc<Process>, mut job: Job) -> Result<Response<Body>, Failure> {
     gate::check_entry(p, &job)?;
     let deadline = job.deadline;
+    let permits = std::mem::take(&mut job.permits);
     let mut res = match gate::pass_to_owner(p, job).await? {
         Way::Run(mut job) => run(p, &mut job).await?,
         Way::Answered(res) => res,
@@ -41,7 +44,7 @@
     let done = http::HeaderValue::from_static(Outcome::Done.as_str());
     res.headers_mut().insert(OUTCOME, done);
     let left = deadline.saturating_sub(p.clock.now());
-    Ok(res.map(|b| http_body_util::BodyExt::boxed_unsync(Guarded::new(b, left, ()))))
+    Ok(guard(res, left, permits))
 }
 
 /// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
@@ -50,41 +53,95 @@
 ///
 /// The request has no answer; the failure says whether it may have run.
 pub async fn run(p: &Arc<Process>, job: &mut Job) -> Result<Response<Body>, Failure> {
-    let target = choose(p, &job.route.service).ok_or(Failure::not_run(Reason::NoTarget))?;
-    attempt(p, job, target).await
+    p.routing.earn();
+    let mut tried: Vec<NodeId> = Vec::new();
+    let mut overloads = 0;
+    let mut may_have_run = false;
+    // One attempt of unknown result makes the result of the whole request unknown.
+    let report = |f: Failure, may_have_run| match may_have_run {
+        true => Failure {
+            outcome: Outcome::Unknown,
+            ..f
+        },
+        false => f,
+    };
+    loop {
+        let records = p.records.load_full();
+        let (service, rank) = (&job.route.service, &job.ctx.rank);
+        let (node, address) = p
+            .routing
+            .choose(&records, service, rank, &tried)
+            .map_err(|f| report(f, may_have_run))?;
+        let f = match attempt(p, job, &node, address).await {
+            Ok(res) => return Ok(res),
+            Err(f) => f,
+        };
+        may_have_run |= f.outcome != Outcome::NotRun;
+        overloads += u32::from(f.reason.is_overload());
+        tried.push(node);
+        match p.routing.decide(&failed(p, job, f, &tried, overloads)) {
+            Decision::Stop(_) => return Err(report(f, may_have_run)),
+            Decision::After(delay) => tokio::time::sleep(delay).await,
+        }
+        p.metrics.retried(f.reason);
+        job.ctx.retries = job.ctx.retries.saturating_sub(1);
+    }
+}
+
+fn failed(p: &Process, job: &Job, failure: Failure, tried: &[NodeId], overloads: u32) -> Failed {
+    let records = p.records.load_full();
+    let other = p
+        .routing
+        .choose(&records, &job.route.service, &job.ctx.rank, tried);
+    Failed {
+        failure,
+        idempotent: job.route.idempotent,
+        replayable: job.body.replayable(),
+        depth: job.ctx.depth,
+        retries: job.ctx.retries,
+        attempts: tried.len() as u32,
+        overloads,
+        other: other.is_ok_and(|(node, _)| !tried.contains(&node)),
+        left: job.deadline.saturating_sub(p.clock.now()),
+    }
 }
 
-async fn attempt(p: &Process, job: &Job, target: SocketAddr) -> Result<Response<Body>, Failure> {
+async fn attempt(
+    p: &Arc<Process>,
+    job: &Job,
+    node: &NodeId,
+    address: SocketAddr,
+) -> Result<Response<Body>, Failure> {
     let left = job.deadline.saturating_sub(p.clock.now());
     if left.is_zero() {
         return Err(Failure::not_run(Reason::Deadline));
     }
-    let send = async {
-        let mut res = p.upstream.send(job.relay_request(p, target)?).await?;
-        if let Some(f) = Failure::read(res.headers()) {
-            return Err(f);
-        }
-        context::strip_hop(res.headers_mut());
-        settle(res, left).await
-    };
-    let sent = tokio::time::timeout(left + REPORT_GRACE, send).await;
-    let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
-    sent.map_err(|f| match job.body.fault() {
-        Some(reason) => Failure { reason, ..f },
-        None => f,
-    })
+    let mut sent = p.routing.sent(node, &job.ctx.rank);
+    let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
+    let out = out.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
+    // A fault of the caller's own stream says nothing about the target.
+    if let (Err(f), Some(reason)) = (&out, job.body.fault()) {
+        return Err(Failure { reason, ..*f });
+    }
+    match &out {
+        Ok(res) if res.status().is_server_error() => sent.broken(),
+        Ok(res) => sent.answered(context::header(res.headers(), &context::LOAD)),
+        Err(f) => sent.failed(f),
+    }
+    let left = job.deadline.saturating_sub(p.clock.now());
+    out.map(|res| guard(res, left, sent))
 }
 
-fn choose(p: &Process, service: &str) -> Option<SocketAddr> {
-    let records = p.records.load();
-    let usable = |t: &Target| t.service == service && t.state == TargetState::Ready;
-    let found: Vec<_> = records
-        .values()
-        .filter(|r| r.target.as_ref().is_some_and(usable))
-        .map(|r| r.addresses.relay)
-        .collect();
-    match found.len() {
-        0 => None,
-        n => Some(found[rand::rng().random_range(0..n)]),
+async fn exchange(
+    p: &Process,
+    job: &Job,
+    address: SocketAddr,
+    left: Duration,
+) -> Result<Response<Body>, Failure> {
+    let mut res = p.upstream.send(job.relay_request(p, address)?).await?;
+    if let Some(f) = Failure::read(res.headers()) {
+        return Err(f);
     }
+    context::strip_hop(res.headers_mut());
+    settle(res, left).await
 }
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -12,6 +12,7 @@
 use super::reason::{Failure, Reason};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::callers::Permit;
 use crate::process::node::Process;
 use crate::settings::LimitSettings;
 use crate::version::manifest::{Resource, Route};
@@ -40,6 +41,8 @@
     pub headers: HeaderMap,
     /// Body, of which the first part has been read.
     pub body: HeldBody,
+    /// Permits of the route's `caller-limit` resources, held until the answer has ended.
+    pub permits: Vec<Permit>,
 }
 
 impl BodyLimits {
@@ -86,6 +89,7 @@
         let mut headers = parts.headers;
         context::strip(&mut headers);
         add_headers(&snapshot, &route, &mut headers);
+        let permits = take_permits(p, &snapshot, &route, &ctx.caller)?;
         Ok(Self {
             deadline: start + ctx.remaining,
             path: parts
@@ -100,6 +104,7 @@
             host,
             headers,
             body,
+            permits,
         })
     }
 
@@ -199,3 +204,19 @@
         }
     }
 }
+
+fn take_permits(
+    p: &Process,
+    snapshot: &Snapshot,
+    route: &Route,
+    caller: &CallerId,
+) -> Result<Vec<Permit>, Failure> {
+    let mut out = Vec::new();
+    for name in &route.resources {
+        if let Some(Resource::CallerLimit { name, concurrent }) = snapshot.resource(name) {
+            let permit = p.callers.acquire(name, caller, *concurrent);
+            out.push(permit.ok_or(Failure::not_run(Reason::CallerLimit))?);
+        }
+    }
+    Ok(out)
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -7,3 +7,4 @@
 pub mod gate;
 pub mod job;
 pub mod reason;
+pub mod retry;
