--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -1,115 +1,147 @@
-//! Entry node: matches the route, chooses a target and relays the request.
+//! Entry node: matches the route, chooses a target, relays the request and decides about retries.
 
 use std::net::{IpAddr, SocketAddr};
 
-use http::{Request, Response, Uri};
-use http_body_util::BodyExt;
+use http::{Request, Response};
 use hyper::body::Incoming;
-use rand::RngExt;
 
-use super::body::Body;
-use super::context::{self, Context};
+use super::body::{guard, settle, Body};
+use super::context;
+use super::gate::{self, Way};
+use super::job::Job;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
-use crate::connection::upstream::SendError;
+use super::retry::{Decision, Failed};
 use crate::prelude::*;
 use crate::process::node::Process;
-use crate::process::record::TargetState;
-use crate::version::manifest::Route;
-use crate::version::snapshot::Snapshot;
+
+/// Time beyond the deadline in which the admitting node can still report that it never ran the request.
+const REPORT_GRACE: Duration = Duration::from_millis(20);
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let config = p.config.load_full();
-    let out = match config {
-        Some(snapshot) => relay(&p, &snapshot, req, from).await,
-        None => Err(Failure::not_run(Reason::NoVersion)),
+    let (rank, out) = match Job::accept(&p, req, from).await {
+        Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
+        Err(f) => (RankId::default(), Err(f)),
     };
+    let outcome = out.as_ref().map_or_else(|f| f.outcome, |_| Outcome::Done);
+    let labels = [rank.as_str(), outcome.as_str()];
+    p.metrics.requests.with_label_values(&labels).inc();
     out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
     })
 }
 
-async fn relay(
-    p: &Process,
-    snapshot: &Snapshot,
-    req: Request<Incoming>,
-    from: IpAddr,
-) -> Result<Response<Body>, Failure> {
-    let host = context::header::<String>(req.headers(), &http::header::HOST).unwrap_or_default();
-    let route = snapshot
-        .route(req.method().as_str(), &host, req.uri().path())
-        .ok_or(Failure::not_run(Reason::NoRoute))?;
-    let target = choose(p, &route.service).ok_or(Failure::not_run(Reason::NoTarget))?;
-    let ctx = make_context(snapshot, route, &req, from);
-    let req = readdress(req, target, &ctx)?;
-    let sent = tokio::time::timeout(ctx.remaining, p.upstream.send(req)).await;
-    match sent {
-        Ok(Ok(mut res)) => {
-            let done = http::HeaderValue::from_static(Outcome::Done.as_str());
-            res.headers_mut().entry(OUTCOME).or_insert(done);
-            Ok(res)
+async fn answer(p: &Arc<Process>, mut job: Job) -> Result<Response<Body>, Failure> {
+    gate::check_entry(p, &job)?;
+    let deadline = job.deadline;
+    let permits = std::mem::take(&mut job.permits);
+    let mut res = match gate::pass_to_owner(p, job).await? {
+        Way::Run(mut job) => run(p, &mut job).await?,
+        Way::Answered(res) => res,
+    };
+    context::strip_internal(res.headers_mut());
+    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
+    res.headers_mut().insert(OUTCOME, done);
+    let left = deadline.saturating_sub(p.clock.now());
+    Ok(guard(res, left, permits))
+}
+
+/// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
+///
+/// # Errors
+///
+/// The request has no answer; the failure says whether it may have run.
+pub async fn run(p: &Arc<Process>, job: &mut Job) -> Result<Response<Body>, Failure> {
+    p.routing.earn();
+    let mut tried: Vec<NodeId> = Vec::new();
+    let mut overloads = 0;
+    let mut may_have_run = false;
+    // One attempt of unknown result makes the result of the whole request unknown.
+    let report = |f: Failure, may_have_run| match may_have_run {
+        true => Failure {
+            outcome: Outcome::Unknown,
+            ..f
+        },
+        false => f,
+    };
+    loop {
+        let records = p.records.load_full();
+        let (service, rank) = (&job.route.service, &job.ctx.rank);
+        let (node, address) = p
+            .routing
+            .choose(&records, service, rank, &tried)
+            .map_err(|f| report(f, may_have_run))?;
+        let f = match attempt(p, job, &node, address).await {
+            Ok(res) => return Ok(res),
+            Err(f) => f,
+        };
+        may_have_run |= f.outcome != Outcome::NotRun;
+        overloads += u32::from(f.reason.is_overload());
+        tried.push(node);
+        match p.routing.decide(&failed(p, job, f, &tried, overloads)) {
+            Decision::Stop(_) => return Err(report(f, may_have_run)),
+            Decision::After(delay) => tokio::time::sleep(delay).await,
         }
-        Ok(Err(SendError::NotSent(_))) => Err(Failure::not_run(Reason::NotSent)),
-        Ok(Err(SendError::Lost(_))) => Err(Failure::unknown(Reason::Lost)),
-        Err(_) => Err(Failure::unknown(Reason::Deadline)),
+        p.metrics.retried(f.reason);
+        job.ctx.retries = job.ctx.retries.saturating_sub(1);
     }
 }
 
-fn choose(p: &Process, service: &str) -> Option<SocketAddr> {
-    let records = p.records.load();
-    let usable =
-        |t: &crate::process::record::Target| t.service == service && t.state == TargetState::Ready;
-    let found: Vec<_> = records
-        .values()
-        .filter(|r| r.target.as_ref().is_some_and(usable))
-        .map(|r| r.addresses.relay)
-        .collect();
-    match found.len() {
-        0 => None,
-        n => Some(found[rand::rng().random_range(0..n)]),
+fn failed(p: &Process, job: &Job, failure: Failure, tried: &[NodeId], overloads: u32) -> Failed {
+    let records = p.records.load_full();
+    let other = p
+        .routing
+        .choose(&records, &job.route.service, &job.ctx.rank, tried);
+    Failed {
+        failure,
+        idempotent: job.route.idempotent,
+        replayable: job.body.replayable(),
+        depth: job.ctx.depth,
+        retries: job.ctx.retries,
+        attempts: tried.len() as u32,
+        overloads,
+        other: other.is_ok_and(|(node, _)| !tried.contains(&node)),
+        left: job.deadline.saturating_sub(p.clock.now()),
     }
 }
 
-fn make_context(
-    snapshot: &Snapshot,
-    route: &Route,
-    req: &Request<Incoming>,
-    from: IpAddr,
-) -> Context {
-    let h = req.headers();
-    let limit = u64::from(route.deadline_ms);
-    let asked: Option<u64> = context::header(h, &context::DEADLINE);
-    Context {
-        id: context::header(h, &context::REQUEST_ID)
-            .unwrap_or_else(|| uuid::Uuid::now_v7().to_string().into()),
-        remaining: Duration::from_millis(asked.unwrap_or(limit).min(limit)),
-        rank: route.rank.clone(),
-        retries: context::header(h, &context::RETRIES)
-            .unwrap_or(route.retries)
-            .min(route.retries),
-        depth: context::header(h, &context::DEPTH).unwrap_or(0),
-        version: snapshot.version.number,
-        caller: context::header(h, &context::CALLER).unwrap_or_else(|| from.to_string().into()),
+async fn attempt(
+    p: &Arc<Process>,
+    job: &Job,
+    node: &NodeId,
+    address: SocketAddr,
+) -> Result<Response<Body>, Failure> {
+    let left = job.deadline.saturating_sub(p.clock.now());
+    if left.is_zero() {
+        return Err(Failure::not_run(Reason::Deadline));
+    }
+    let mut sent = p.routing.sent(node, &job.ctx.rank);
+    let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
+    let out = out.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
+    // A fault of the caller's own stream says nothing about the target.
+    if let (Err(f), Some(reason)) = (&out, job.body.fault()) {
+        return Err(Failure { reason, ..*f });
+    }
+    match &out {
+        Ok(res) if res.status().is_server_error() => sent.broken(),
+        Ok(res) => sent.answered(context::header(res.headers(), &context::LOAD)),
+        Err(f) => sent.failed(f),
     }
+    let left = job.deadline.saturating_sub(p.clock.now());
+    out.map(|res| guard(res, left, sent))
 }
 
-fn readdress(
-    req: Request<Incoming>,
-    to: SocketAddr,
-    ctx: &Context,
-) -> Result<Request<Body>, Failure> {
-    let (mut parts, body) = req.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
-    parts.uri = Uri::builder()
-        .scheme("http")
-        .authority(to.to_string())
-        .path_and_query(path)
-        .build()
-        .map_err(|_| Failure::not_run(Reason::BadRequest))?;
-    ctx.write(&mut parts.headers);
-    Ok(Request::from_parts(
-        parts,
-        body.map_err(Into::into).boxed_unsync(),
-    ))
+async fn exchange(
+    p: &Process,
+    job: &Job,
+    address: SocketAddr,
+    left: Duration,
+) -> Result<Response<Body>, Failure> {
+    let mut res = p.upstream.send(job.relay_request(p, address)?).await?;
+    if let Some(f) = Failure::read(res.headers()) {
+        return Err(f);
+    }
+    context::strip_hop(res.headers_mut());
+    settle(res, left).await
 }
