Add the open-loop load generator

Measurements of goodput and latency under overload need arrivals that don't wait for answers; a closed loop hides queueing delay.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod commit;
 pub mod devbackend;
 pub mod devstore;
+pub mod load;
 pub mod node;
 
 use std::fmt;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod connection;
 pub mod digest;
 pub mod findings;
+pub mod load;
 pub mod logging;
 pub mod prelude;
 pub mod process;
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
   commit      store a manifest and make it the next version
   devstore    run a stand-in for the platform's store
   devbackend  run a sample backend server
+  load        send load to nodes and report the results
 
 Each command explains itself with --help.
 ";
@@ -28,6 +29,7 @@
             Some("commit") => cmd::commit::run(args),
             Some("devstore") => cmd::devstore::run(args),
             Some("devbackend") => cmd::devbackend::run(args),
+            Some("load") => cmd::load::run(args),
             _ => cmd::fail(Exit::Usage, format!("unknown command {name:?}; see --help")),
         },
         Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
