Let several nodes start in one process

The dev command runs ten nodes whose settings name each other's peer addresses, which are free ports known only once they are open. Reserving a port by opening and closing it was ruled out: another process may take it in between. The listeners are now opened first and handed to start, which returns the shared state and the addresses; run keeps its behaviour.

--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -6,6 +6,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dropshot::HttpServer;
 use tokio::net::TcpListener;
 
 use super::clock::{Clock, ProcessClock};
@@ -17,7 +18,7 @@
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
 use crate::prelude::*;
 use crate::request::{admit, entry};
-use crate::settings::Settings;
+use crate::settings::{ListenSettings, Settings};
 use crate::store::Store;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
@@ -135,15 +136,66 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
+/// Listeners of a node, opened before its settings are complete when several nodes start together.
+pub struct Listeners {
+    /// Requests of callers.
+    pub caller: TcpListener,
+    /// Requests relayed by other nodes.
+    pub relay: TcpListener,
+    /// Links of other nodes.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners.
+    ///
+    /// # Errors
+    ///
+    /// An address could not be listened on.
+    pub async fn open(s: &ListenSettings) -> Result<Self, Report<NodeError>> {
+        Ok(Self {
+            caller: bind(s.caller).await?,
+            relay: bind(s.relay).await?,
+            peer: bind(s.peer).await?,
+        })
+    }
+}
+
+/// A running node; its admin API stops when this is dropped.
+pub struct Running {
+    /// Shared state.
+    pub process: Arc<Process>,
+    /// Addresses taken.
+    pub addresses: Addresses,
+    _admin: HttpServer<Arc<Process>>,
+}
+
 /// Runs a node until the process is told to stop.
 ///
 /// # Errors
 ///
 /// A listener could not be opened.
 pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
-    let caller = bind(settings.listen.caller).await?;
-    let relay = bind(settings.listen.relay).await?;
-    let peer = bind(settings.listen.peer).await?;
+    let listeners = Listeners::open(&settings.listen).await?;
+    let _node = start(settings, store, listeners)?;
+    tokio::signal::ctrl_c().await.change_context(NodeError)
+}
+
+/// Starts a node on open listeners.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
+    let Listeners {
+        caller,
+        relay,
+        peer,
+    } = listeners;
     let local = |l: &TcpListener| l.local_addr().change_context(NodeError);
     let mut addresses = Addresses {
         caller: local(&caller)?,
@@ -201,5 +253,9 @@
     tokio::spawn(listen::serve(caller, limits, move |req, from| {
         entry::serve(q.clone(), req, from)
     }));
-    tokio::signal::ctrl_c().await.change_context(NodeError)
+    Ok(Running {
+        process: p,
+        addresses,
+        _admin: admin,
+    })
 }
