Add the dev command, a small whole site in one process

A newcomer needs one command that shows a version being committed and taking effect. dev runs the store stand-in, ten nodes in four zones and their sample backend servers, commits the embedded sample manifest, prints a request and a commit to try, and reports each later version once it is in force on all nodes.

--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -36,13 +36,19 @@
 /// Interval between announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Settings of a sample backend server.
 #[derive(Clone)]
-struct Args {
-    service: String,
-    node: SocketAddr,
-    listen: SocketAddr,
-    slots: u32,
-    work: Duration,
+pub struct Args {
+    /// Service that it runs.
+    pub service: String,
+    /// Admin address of its node.
+    pub node: SocketAddr,
+    /// Address that takes requests.
+    pub listen: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time that each request takes.
+    pub work: Duration,
 }
 
 fn parse(mut args: lexopt::Parser) -> CmdResult<Option<Args>> {
@@ -78,24 +84,33 @@
         return Ok(());
     };
     block_on(2, async {
-        let listener = match tokio::net::TcpListener::bind(a.listen).await {
-            Ok(l) => l,
-            Err(e) => return fail(Exit::Failed, format!("{}: {e}", a.listen)),
-        };
-        let address = listener.local_addr().unwrap_or(a.listen);
-        println!("listening {address}");
-        let work = a.work;
-        tokio::spawn(listen::serve(
-            listener,
-            LimitSettings::default(),
-            move |req, _| answer(req, work),
-        ));
-        tokio::spawn(announce(a, address));
+        println!("listening {}", start(a).await?);
         let _ = tokio::signal::ctrl_c().await;
         Ok(())
     })
 }
 
+/// Starts a sample backend server and returns its address.
+///
+/// # Errors
+///
+/// [`Exit::Failed`] when the address cannot be listened on.
+pub async fn start(a: Args) -> CmdResult<SocketAddr> {
+    let listener = match tokio::net::TcpListener::bind(a.listen).await {
+        Ok(l) => l,
+        Err(e) => return fail(Exit::Failed, format!("{}: {e}", a.listen)),
+    };
+    let address = listener.local_addr().unwrap_or(a.listen);
+    let work = a.work;
+    tokio::spawn(listen::serve(
+        listener,
+        LimitSettings::default(),
+        move |req, _| answer(req, work),
+    ));
+    tokio::spawn(announce(a, address));
+    Ok(address)
+}
+
 async fn answer(req: Request<Incoming>, work: Duration) -> Response<Body> {
     let line = format!("{} {}\n", req.method(), req.uri().path());
     let body = req.into_body().collect().await.map(|b| b.to_bytes());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod commit;
+pub mod dev;
 pub mod devbackend;
 pub mod devstore;
 pub mod load;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cmd;
 pub mod connection;
+pub mod devsite;
 pub mod digest;
 pub mod findings;
 pub mod load;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
   node        run the node of a backend server VM
   check       report every finding in a manifest
   commit      store a manifest and make it the next version
+  dev         run a small whole site in one process
   devstore    run a stand-in for the platform's store
   devbackend  run a sample backend server
   load        send load to nodes and report the results
@@ -27,6 +28,7 @@
             Some("node") => cmd::node::run(args),
             Some("check") => cmd::check::run(args),
             Some("commit") => cmd::commit::run(args),
+            Some("dev") => cmd::dev::run(args),
             Some("devstore") => cmd::devstore::run(args),
             Some("devbackend") => cmd::devbackend::run(args),
             Some("load") => cmd::load::run(args),
--- /dev/null
+++ b/tests/dev.rs
@@ -0,0 +1,47 @@
+//! The `dev` command.
+
+mod workdir;
+
+use workdir::{http, repo_file, Workdir};
+
+/// Guards against a first command of the README that does not run a request and a commit.
+#[test]
+fn runs_a_request_and_a_commit() {
+    let out = Workdir::new().run(&["dev", "--once"]);
+    assert!(out.status.success(), "{out:?}");
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert!(
+        text.contains("version 2 is in force on 10 of 10 nodes"),
+        "{text}"
+    );
+}
+
+/// Guards against printed commands that do not work when they are pasted.
+#[test]
+fn printed_commands_work() {
+    let dir = Workdir::new();
+    std::fs::create_dir(dir.path("examples")).unwrap();
+    let sample = std::fs::read_to_string(repo_file("examples/trust.toml")).unwrap();
+    dir.write("examples/trust.toml", &sample);
+    let dev = dir.start(&["dev"]);
+    let curl = dev.wait_line("curl -i http://");
+    let (address, path) = curl
+        .trim()
+        .trim_start_matches("curl -i http://")
+        .split_once('/')
+        .unwrap();
+    let answer = http(
+        address.parse().unwrap(),
+        "GET",
+        &format!("/{path}"),
+        &[],
+        "",
+    )
+    .unwrap();
+    assert_eq!((answer.status, answer.header("dq-outcome")), (200, "done"));
+    let commit = dev.wait_line(" --base ");
+    let args: Vec<_> = commit.split_whitespace().skip(1).collect();
+    let out = dir.run(&args);
+    assert!(out.status.success(), "{out:?}");
+    dev.wait_line("version 2 is in force on 10 of 10 nodes");
+}
