--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod check;
 pub mod commit;
+pub mod dev;
 pub mod devbackend;
 pub mod devstore;
+pub mod load;
 pub mod node;
 
 use std::fmt;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 
 pub mod cmd;
 pub mod connection;
+pub mod devsite;
 pub mod digest;
 pub mod findings;
 pub mod key;
+pub mod load;
 pub mod logging;
 pub mod prelude;
 pub mod process;
