--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,10 @@
 //! State that lives as long as the process.
 
 pub mod admin;
+pub mod admission;
+pub mod balance;
+pub mod budget;
+pub mod callers;
 pub mod clock;
 pub mod content;
 pub mod control;
@@ -14,6 +18,8 @@
 pub mod notices;
 pub mod reconnect;
 pub mod record;
+pub mod routing;
+pub mod slots;
 pub mod spread;
 pub mod table;
 pub mod view;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -6,22 +6,28 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dropshot::HttpServer;
 use tokio::net::TcpListener;
 
+use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
 use super::faults::{BlockableStore, Faults};
 use super::metrics::Metrics;
 use super::notices::{Notice, Notices};
 use super::record::{Addresses, Record, Target, TargetState};
+use super::routing::Routing;
+use super::slots::Slots;
 use super::view::{Post, View};
 use super::{admin, control};
-use crate::connection::handshake::{Identity, Key};
+use crate::connection::handshake::Identity;
 use crate::connection::listen;
 use crate::connection::peer::WsTransport;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
+use crate::key::SharedKey;
 use crate::prelude::*;
+use crate::request::reason::Reason;
 use crate::request::{admit, entry};
-use crate::settings::Settings;
+use crate::settings::{ListenSettings, Settings};
 use crate::store::Store;
 use crate::version::adopt::{floor_token, read_token};
 use crate::version::snapshot::{Snapshot, VersionRef};
@@ -56,6 +62,14 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// Choices of the entry node.
+    pub routing: Arc<Routing>,
+    /// Slots of the backend server beside this node.
+    pub slots: Arc<Slots>,
+    /// Requests in flight of each caller.
+    pub callers: Arc<Callers>,
+    /// The site's shared key, when the settings name one.
+    pub key: Option<SharedKey>,
     /// What the control task knows, and messages to it.
     pub view: View,
     /// Injected faults.
@@ -85,6 +99,10 @@
 
     /// Takes an announcement of the backend server.
     pub fn announced(&self, address: SocketAddr, target: Target) {
+        self.slots.set_slots(target.slots);
+        if matches!(target.state, TargetState::Starting | TargetState::Gone) {
+            self.slots.refuse_all(Reason::NotReady);
+        }
         self.change_own(|r, a| {
             *a = Some(address);
             r.target = Some(target);
@@ -102,6 +120,12 @@
         own.1.filter(|_| ready)
     }
 
+    /// Whether an address is that of the backend server beside this node, which may speak for its callers.
+    pub fn is_local(&self, from: std::net::IpAddr) -> bool {
+        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        own.1.is_some_and(|a| a.ip() == from)
+    }
+
     fn change_own<F>(&self, change: F)
     where
         F: FnOnce(&mut Record, &mut Option<SocketAddr>),
@@ -113,6 +137,13 @@
         self.view.wake();
     }
 
+    /// Whether an injected fault cuts this node off from another one.
+    pub fn is_cut_off(&self, node: &NodeId) -> bool {
+        let records = self.records.load();
+        let az = records.get(node).map(|r| &r.az);
+        az.is_some_and(|az| self.faults.blocks_zone(az))
+    }
+
     /// Own record; incarnation and sequence are those of the last change that the control task made.
     pub fn own_record(&self) -> Record {
         let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
@@ -156,21 +187,17 @@
     }
 }
 
-fn identity(settings: &Settings, record: &Record) -> Result<Identity, Report<NodeError>> {
-    let key = match &settings.peers.key_file {
-        Some(path) => Some(Key::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
-        None => {
-            spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
-            None
-        }
-    };
-    Ok(Identity {
+fn identity(settings: &Settings, record: &Record, key: Option<SharedKey>) -> Identity {
+    if key.is_none() {
+        spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
+    }
+    Identity {
         site: settings.node.site.clone(),
         node: record.node.clone(),
         incarnation: record.incarnation,
         az: record.az.clone(),
         key,
-    })
+    }
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
@@ -180,15 +207,70 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
+/// Listeners of a node, opened before its settings are complete when several nodes start together.
+pub struct Listeners {
+    /// Requests of callers.
+    pub caller: TcpListener,
+    /// Requests relayed by other nodes.
+    pub relay: TcpListener,
+    /// Links of other nodes.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners.
+    ///
+    /// # Errors
+    ///
+    /// An address could not be listened on.
+    pub async fn open(s: &ListenSettings) -> Result<Self, Report<NodeError>> {
+        Ok(Self {
+            caller: bind(s.caller).await?,
+            relay: bind(s.relay).await?,
+            peer: bind(s.peer).await?,
+        })
+    }
+}
+
+/// A running node; its admin API stops when this is dropped.
+pub struct Running {
+    /// Shared state.
+    pub process: Arc<Process>,
+    /// Addresses taken.
+    pub addresses: Addresses,
+    _admin: HttpServer<Arc<Process>>,
+}
+
 /// Runs a node until the process is told to stop.
 ///
 /// # Errors
 ///
 /// A listener could not be opened.
 pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
-    let caller = bind(settings.listen.caller).await?;
-    let relay = bind(settings.listen.relay).await?;
-    let peer = bind(settings.listen.peer).await?;
+    let listeners = Listeners::open(&settings.listen).await?;
+    let _node = start(settings, store, listeners)?;
+    tokio::signal::ctrl_c().await.change_context(NodeError)
+}
+
+/// Starts a node on open listeners.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
+    let key = match &settings.peers.key_file {
+        Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
+        None => None,
+    };
+    let Listeners {
+        caller,
+        relay,
+        peer,
+    } = listeners;
     let local = |l: &TcpListener| l.local_addr().change_context(NodeError);
     let mut addresses = Addresses {
         caller: local(&caller)?,
@@ -210,7 +292,7 @@
         watcher: false,
         target: None,
     };
-    let identity = identity(&settings, &record)?;
+    let identity = identity(&settings, &record, key.clone());
     let faults = Arc::new(Faults::new(settings.faults.enabled));
     let store: Arc<dyn Store> = match settings.faults.enabled {
         true => Arc::new(BlockableStore::new(store, faults.clone())),
@@ -218,18 +300,28 @@
     };
     let limits = settings.limits.clone();
     let admin_address = settings.listen.admin;
+    let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
+    let metrics = Metrics::default();
     let p = Arc::new(Process {
-        settings,
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
         store,
         notices: Notices::default(),
-        clock: Arc::new(ProcessClock::default()),
-        metrics: Metrics::default(),
+        routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
+        slots: Arc::new(Slots::new(
+            settings.policy.queue,
+            clock.clone(),
+            metrics.queued.clone(),
+        )),
+        clock,
+        callers: Arc::default(),
+        metrics,
+        key,
         view: View::default(),
         faults,
         own: Mutex::new((record, None)),
+        settings,
     });
     let admin =
         admin::start(admin_address, p.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
@@ -251,5 +343,9 @@
     tokio::spawn(listen::serve(caller, limits, move |req, from| {
         entry::serve(q.clone(), req, from)
     }));
-    tokio::signal::ctrl_c().await.change_context(NodeError)
+    Ok(Running {
+        process: p,
+        addresses,
+        _admin: admin,
+    })
 }
