Test the control plane over separate processes

Cause: the simulation leaves out sockets, tasks and real pauses. Found by the tests: a peer that had sent bad content was asked a second time when it announced the version again while the content was being checked; a version under check is no longer asked for. Change: SIGKILL and restart, SIGSTOP and SIGCONT of a watcher, store outage during dissemination, cut zone and heal, a stranger without the key, content that does not match its hash, a damaged frame. Conclusion: the control task carries the state machines' behaviour to real processes.

--- a/src/process/spread.rs
+++ b/src/process/spread.rs
@@ -61,6 +61,8 @@
     peers: BTreeMap<LinkId, Peer>,
     /// Version that is being fetched, and the peers to ask for it, in turn.
     wanted: Option<(VersionRef, VecDeque<LinkId>)>,
+    /// Version whose content is being checked; it is not asked for meanwhile.
+    checking: Option<VersionRef>,
     heard: VersionRef,
     bad: VecDeque<(NodeId, VersionRef)>,
     next_compare: Now,
@@ -76,6 +78,7 @@
             ready: None,
             peers: BTreeMap::new(),
             wanted: None,
+            checking: None,
             heard: VersionRef::default(),
             bad: VecDeque::new(),
             next_compare: now + jitter(COMPARE, rng),
@@ -205,7 +208,7 @@
             p.asked
                 .is_some_and(|(w, t)| w == v && t + ASK_TIMEOUT > now)
         };
-        if self.peers.values().any(waits) {
+        if self.checking == Some(v) || self.peers.values().any(waits) {
             return None;
         }
         let (peers, bad) = (&self.peers, &self.bad);
@@ -260,7 +263,10 @@
     ) -> Option<Candidate> {
         let peer = self.peers.get_mut(&id)?;
         match peer.asked {
-            Some((v, _)) if v == version => peer.asked = None,
+            Some((v, _)) if v == version => {
+                peer.asked = None;
+                self.checking = Some(version);
+            }
             _ => return None,
         }
         let base = match form {
@@ -288,6 +294,7 @@
         candidate: &Candidate,
         result: Result<Snapshot, &'static str>,
     ) -> Vec<Action> {
+        self.checking = None;
         match result {
             Ok(s) => self.fetched(now, Arc::new(s)),
             Err(kind) => {
--- /dev/null
+++ b/tests/partition.rs
@@ -0,0 +1,281 @@
+//! Control plane over separate processes: crashes, pauses, outages, partitions, strangers and bad content.
+
+mod workdir;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dragonflyquay::connection::frame::{Form, Frame};
+use dragonflyquay::connection::handshake::{self, Identity};
+use dragonflyquay::connection::peer::{LinkError, PeerTransport, RawLink, WsTransport};
+use dragonflyquay::digest::Digest;
+use dragonflyquay::key::SharedKey;
+use dragonflyquay::process::clock::ProcessClock;
+use dragonflyquay::version::snapshot::VersionRef;
+use workdir::{http, http_json, repo_file, wait_until, Ports, Running, Workdir};
+
+const KEY: &str = "0123456789abcdef0123456789abcdef";
+const FAULTS: &str = "[faults]\nenabled = true";
+
+struct Site {
+    dir: Workdir,
+    _store: Running,
+    store: SocketAddr,
+    nodes: Vec<(Running, Ports)>,
+    extra: String,
+}
+
+fn status(ports: &Ports) -> serde_json::Value {
+    let answer = http(ports.admin, "GET", "/status", &[], "");
+    let text = answer.map_or_else(String::new, |a| a.body);
+    serde_json::from_str(&text).unwrap_or_default()
+}
+
+fn metric(ports: &Ports, name: &str) -> f64 {
+    let text = http(ports.admin, "GET", "/metrics", &[], "").unwrap().body;
+    let lines = text.lines().filter(|l| l.starts_with(name));
+    lines
+        .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+impl Site {
+    /// Starts a node in each of the named zones.
+    fn new(zones: &[&str], extra: &str) -> Self {
+        let dir = Workdir::new();
+        let (running, store) = dir.start_store();
+        let mut site = Self {
+            dir,
+            _store: running,
+            store,
+            nodes: Vec::new(),
+            extra: extra.to_owned(),
+        };
+        for (i, az) in zones.iter().enumerate() {
+            let node = site.start(i, az);
+            site.nodes.push(node);
+        }
+        let n = zones.len();
+        wait_until("all nodes know each other", || {
+            site.all(|s| s["members"]["alive"] == n)
+        });
+        site
+    }
+
+    fn start(&self, i: usize, az: &str) -> (Running, Ports) {
+        let seeds: Vec<_> = self.nodes.iter().take(2).map(|(_, p)| p.peer).collect();
+        self.dir
+            .start_node(&format!("n{i}"), az, self.store, &seeds, &self.extra)
+    }
+
+    fn all<F>(&self, check: F) -> bool
+    where
+        F: Fn(&serde_json::Value) -> bool,
+    {
+        self.nodes.iter().all(|(_, p)| check(&status(p)))
+    }
+
+    /// Commits a manifest with one more service than the version before.
+    fn commit(&self, base: u64) {
+        let mut text = std::fs::read_to_string(repo_file("examples/trust.toml")).unwrap();
+        for i in 0..base {
+            text.push_str(&format!("\n[[service]]\nname = \"extra-{i}\"\n"));
+        }
+        let path = self.dir.write("manifest.toml", &text);
+        let (path, base) = (path.display().to_string(), base.to_string());
+        let store = self.store.to_string();
+        let args = ["commit", &path, "--base", &base, "--store", &store];
+        let out = self.dir.run(&args);
+        assert!(out.status.success(), "{out:?}");
+    }
+
+    fn watchers(&self) -> Vec<usize> {
+        let found = self.nodes.iter().enumerate();
+        found
+            .filter(|(_, (_, p))| status(p)["watcher"] == true)
+            .map(|(i, _)| i)
+            .collect()
+    }
+
+    fn faults(&self, i: usize, body: &str) {
+        let answer = http_json(self.nodes[i].1.admin, "PUT", "/faults", body).unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// Guards against a killed node that stays a member, and a restarted one that is not taken back or starts with an older
+/// version.
+#[test]
+fn killed_node_is_missed_and_taken_back() {
+    let mut site = Site::new(&["a", "a", "b", "b"], "");
+    site.commit(0);
+    wait_until("first version everywhere", || {
+        site.all(|s| s["version"] == 1)
+    });
+    let last = &mut site.nodes[3].0;
+    last.signal("KILL");
+    last.wait();
+    let dead = |p: &Ports| status(p)["members"]["dead"] == 1;
+    wait_until("death known", || {
+        site.nodes[..3].iter().all(|(_, p)| dead(p))
+    });
+    site.commit(1);
+    wait_until("second version at the living", || {
+        site.nodes[..3]
+            .iter()
+            .all(|(_, p)| status(p)["version"] == 2)
+    });
+    site.nodes[3] = site.start(3, "b");
+    wait_until("taken back with the newest version", || {
+        site.all(|s| s["members"]["alive"] == 4 && s["version"] == 2 && s["lag"] == 0)
+    });
+}
+
+/// Guards against a zone without watchers after one was paused, and against a paused watcher that still believes in its
+/// lease.
+#[test]
+fn paused_watcher_is_replaced() {
+    let site = Site::new(&["a", "a", "a"], "");
+    wait_until("two watchers", || site.watchers().len() == 2);
+    site.commit(0);
+    wait_until("first version everywhere", || {
+        site.all(|s| s["version"] == 1)
+    });
+    let paused = site.watchers()[0];
+    let others: Vec<_> = (0..3).filter(|i| *i != paused).collect();
+    site.nodes[paused].0.signal("STOP");
+    wait_until("the other two watch", || {
+        let watches = |i: &usize| status(&site.nodes[*i].1)["watcher"] == true;
+        others.iter().all(watches)
+    });
+    site.commit(1);
+    wait_until("second version without the paused node", || {
+        let holds = |i: &usize| status(&site.nodes[*i].1)["version"] == 2;
+        others.iter().all(holds)
+    });
+    site.nodes[paused].0.signal("CONT");
+    wait_until("the former watcher is an ordinary member again", || {
+        site.all(|s| s["version"] == 2 && s["members"]["alive"] == 3) && site.watchers() == others
+    });
+}
+
+/// Guards against dissemination that needs the store, and against waiting watches that grow with the fleet.
+#[test]
+fn version_spreads_while_the_store_is_down() {
+    let site = Site::new(&["a", "a", "a", "b", "b"], FAULTS);
+    wait_until("watchers of both zones", || site.watchers().len() == 4);
+    // One watcher reads the version, then loses the store as well; the others never reach it.
+    let reader = site.watchers()[0];
+    for i in (0..5).filter(|i| *i != reader) {
+        site.faults(i, r#"{"store": true}"#);
+    }
+    site.commit(0);
+    let store = site.store;
+    wait_until("the reader holds the version", || {
+        status(&site.nodes[reader].1)["version"] == 1
+    });
+    let down = http_json(store, "PUT", "/v1/faults", r#"{"down": true}"#).unwrap();
+    assert_eq!(down.status, 200);
+    wait_until("version everywhere", || site.all(|s| s["version"] == 1));
+    assert!(site.all(|s| s["members"]["alive"] == 5));
+}
+
+/// Guards against records of a cut-off zone that are dropped or still count as alive, and a zone that does not catch up
+/// after the partition. Also: the fault injection is refused unless the settings allow it.
+#[test]
+fn cut_zone_is_kept_and_catches_up() {
+    let site = Site::new(&["a", "a", "a", "b", "b", "b"], FAULTS);
+    site.commit(0);
+    wait_until("first version everywhere", || {
+        site.all(|s| s["version"] == 1)
+    });
+    for i in 0..6 {
+        let other = if i < 3 { "b" } else { "a" };
+        let store = i >= 3;
+        site.faults(i, &format!(r#"{{"zones": ["{other}"], "store": {store}}}"#));
+    }
+    wait_until("the other zone is unreachable", || {
+        site.all(|s| s["members"]["unreachable"] == 3 && s["members"]["alive"] == 3)
+    });
+    site.commit(1);
+    let holds = |i: usize, n: u64| status(&site.nodes[i].1)["version"] == n;
+    wait_until("second version in the connected zone", || {
+        (0..3).all(|i| holds(i, 2))
+    });
+    assert!((3..6).all(|i| holds(i, 1)));
+    (0..6).for_each(|i| site.faults(i, "{}"));
+    wait_until("one site again", || {
+        site.all(|s| s["members"]["alive"] == 6 && s["version"] == 2)
+    });
+    let plain = Site::new(&["a"], "");
+    let answer = http_json(plain.nodes[0].1.admin, "PUT", "/faults", "{}").unwrap();
+    assert_eq!(answer.status, 403);
+}
+
+async fn open(to: SocketAddr, key: &str) -> Result<RawLink, LinkError> {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let transport = WsTransport::new(listener, Arc::new(ProcessClock::default()));
+    let me = Identity {
+        site: "trust".into(),
+        node: "stranger".into(),
+        incarnation: 1,
+        az: "a".into(),
+        key: Some(SharedKey::new(key.as_bytes()).unwrap()),
+    };
+    let mut link = transport.connect(to).await?;
+    handshake::open(&mut link, &me, Digest([7; 32])).await?;
+    Ok(link)
+}
+
+/// Guards against a node that takes links of strangers, and against content that does not match its hash: it must be
+/// refused and counted, and its sender must not be asked for that version again.
+#[tokio::test]
+async fn strangers_and_bad_content_are_refused() {
+    let dir = Workdir::new();
+    let (_running, store) = dir.start_store();
+    let key = dir.write("key", KEY);
+    let extra = format!("key_file = \"{}\"", key.display());
+    let (_node, ports) = dir.start_node("n0", "a", store, &[], &extra);
+    let refused = open(ports.peer, "another key of the same size").await.err();
+    assert!(
+        matches!(refused, Some(LinkError::Refused(_))),
+        "{refused:?}"
+    );
+
+    let mut link = open(ports.peer, KEY).await.unwrap();
+    let version = VersionRef {
+        number: 9,
+        hash: Digest::of(b"something else"),
+    };
+    let base = Digest::default();
+    let announce = Frame::Announce(version, base).encode().unwrap();
+    link.sink.send(announce.clone()).await.unwrap();
+    let mut asked = 0;
+    for _ in 0..8 {
+        let frame = link.source.receive().await.unwrap();
+        match Frame::decode(&frame).unwrap() {
+            Frame::Ask(_, v) if v == version => {
+                asked += 1;
+                let data = dragonflyquay::version::pack::deflate(b"not the content");
+                let bad = Frame::Content(version, base, Form::Whole, data);
+                link.sink.send(bad.encode().unwrap()).await.unwrap();
+            }
+            _ => {}
+        }
+        link.sink.send(announce.clone()).await.unwrap();
+    }
+    assert_eq!(asked, 1, "the sender of bad content was asked again");
+    assert_eq!(status(&ports)["version"], 0);
+    assert_eq!(
+        metric(&ports, "dq_rejected_inputs_total{kind=\"content-hash\"}"),
+        1.0
+    );
+    assert!(metric(&ports, "dq_rejected_inputs_total{kind=\"handshake\"}") >= 1.0);
+
+    link.sink.send(b"no frame".to_vec()).await.unwrap();
+    while link.source.receive().await.is_ok() {}
+    assert_eq!(
+        metric(&ports, "dq_rejected_inputs_total{kind=\"frame\"}"),
+        1.0
+    );
+}
