Check answers against their request and test broken, late and doubled ones

Cause: an answer that belongs to another request could not be told from the right one. Change: nodes echo the request id and refuse an answer that names another one; a backend server may echo it too; an answer that is no HTTP is reported as invalid (502); relay listeners accept more headers than caller listeners, since entry nodes add some. Ruled out: closing each connection after one answer, which costs a connection a request. Limit: HTTP/1.1 cannot tell a second copy that arrives after the next request was sent, when the backend server does not echo the id.

--- a/src/cmd/devbackend/behavior.rs
+++ b/src/cmd/devbackend/behavior.rs
@@ -143,7 +143,11 @@
             return self.control(req.method().as_str(), rest);
         }
         tokio::time::sleep(self.behavior.zone_delay).await;
-        let res = self.work(req).await;
+        let id = req.headers().get(context::REQUEST_ID).cloned();
+        let mut res = self.work(req).await;
+        if let Some(id) = id {
+            res.headers_mut().insert(context::REQUEST_ID, id);
+        }
         tokio::time::sleep(self.behavior.zone_delay).await;
         res
     }
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -21,7 +21,8 @@
     NotSent(String),
     /// The request may have been run.
     Lost(String),
-    /// The answer has neither a length nor chunks, so its end could not be told from a broken connection.
+    /// The answer is no HTTP or has neither a length nor chunks, so that its end could not be told from a broken
+    /// connection.
     BadAnswer(String),
 }
 
@@ -111,6 +112,9 @@
             }
             Ok(_) => Err(SendError::BadAnswer("no length and no chunks".into())),
             Err(e) if never_sent(&e) => Err(SendError::NotSent(describe(&e))),
+            Err(e) if cause(&e).is_some_and(hyper::Error::is_parse) => {
+                Err(SendError::BadAnswer(describe(&e)))
+            }
             Err(e) => Err(SendError::Lost(describe(&e))),
         }
     }
@@ -129,12 +133,15 @@
 /// Whether no byte of the request left this process: the connection did not open, or a pooled one was closed
 /// before the request was handed to it, which the library reports as cancelled.
 fn never_sent(e: &hyper_util::client::legacy::Error) -> bool {
-    let cause = std::error::Error::source(e).and_then(|s| s.downcast_ref::<hyper::Error>());
-    e.is_connect() || cause.is_some_and(hyper::Error::is_canceled)
+    e.is_connect() || cause(e).is_some_and(hyper::Error::is_canceled)
+}
+
+fn cause(e: &hyper_util::client::legacy::Error) -> Option<&hyper::Error> {
+    std::error::Error::source(e).and_then(|s| s.downcast_ref())
 }
 
 fn describe(e: &hyper_util::client::legacy::Error) -> String {
-    match std::error::Error::source(e) {
+    match cause(e) {
         Some(cause) => format!("{e}: {cause}"),
         None => e.to_string(),
     }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -231,7 +231,7 @@
         tokio::spawn(control::exchange(p.clone(), seed));
     }
     let q = p.clone();
-    tokio::spawn(listen::serve(relay, limits.clone(), move |req, _| {
+    tokio::spawn(listen::serve(relay, limits.for_relay(), move |req, _| {
         admit::serve(q.clone(), req)
     }));
     let q = p.clone();
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -25,12 +25,18 @@
 
 /// Serves one request relayed by another node.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>) -> Response<Body> {
+    let id = req.headers().get(context::REQUEST_ID).cloned();
     let out = async {
         let work = check(&p, req).await?;
         gate::check_admit(&p, &work.ctx, &work.fingerprint)?;
         forward(&p, work).await
     };
-    out.await.unwrap_or_else(|f| f.response())
+    let mut res = out.await.unwrap_or_else(|f| f.response());
+    // Lets the entry node find out when an answer belongs to another request.
+    if let Some(id) = id {
+        res.headers_mut().insert(context::REQUEST_ID, id);
+    }
+    res
 }
 
 /// Checks the proof of the shared key and reads the first part of the body.
@@ -94,6 +100,9 @@
 ) -> Result<Response<Body>, Failure> {
     let req = backend_request(work, backend, left)?;
     let mut res = p.upstream.send(req).await?;
+    if work.ctx.is_crossed(res.headers()) {
+        return Err(Failure::unknown(Reason::BadAnswer));
+    }
     let declined = res.status() == StatusCode::SERVICE_UNAVAILABLE
         && res
             .headers()
--- a/src/request/context.rs
+++ b/src/request/context.rs
@@ -131,6 +131,13 @@
         })
     }
 
+    /// Whether an answer names another request. An answer that names none passes: backend servers need not echo the id.
+    pub fn is_crossed(&self, answer: &HeaderMap) -> bool {
+        answer
+            .get(REQUEST_ID)
+            .is_some_and(|v| v.as_bytes() != self.id.as_bytes())
+    }
+
     fn parts<'a>(&'a self, method: &'a Method, path: &'a str, ms: &'a [u8]) -> [&'a [u8]; 4] {
         let id = self.id.as_bytes();
         [method.as_str().as_bytes(), path.as_bytes(), id, ms]
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -139,6 +139,9 @@
     left: Duration,
 ) -> Result<Response<Body>, Failure> {
     let mut res = p.upstream.send(job.relay_request(p, address)?).await?;
+    if job.ctx.is_crossed(res.headers()) {
+        return Err(Failure::unknown(Reason::BadAnswer));
+    }
     if let Some(f) = Failure::read(res.headers()) {
         return Err(f);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -141,6 +141,17 @@
     }
 }
 
+impl LimitSettings {
+    /// Limits for relayed requests: entry nodes add headers to what they accepted.
+    pub fn for_relay(&self) -> Self {
+        Self {
+            header_bytes: 2 * self.header_bytes,
+            headers: 2 * self.headers,
+            ..self.clone()
+        }
+    }
+}
+
 /// Choice of policies; the baselines serve comparison measurements.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,143 @@
+//! Broken, late, doubled and crossed answers of backend servers.
+
+mod path;
+mod workdir;
+
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use path::{good, open, path_of, stats, Site};
+use workdir::{http, wait_until};
+
+/// Guards against a broken answer that reaches the caller as a shorter success.
+#[test]
+fn broken_answers_are_errors() {
+    let site = Site::start("");
+    let _backend = site.scripted(|head, s| {
+        let answer: &[u8] = match path_of(head) {
+            "/put/unframed" => b"HTTP/1.1 200 OK\r\n\r\nhalf",
+            "/put/old" => b"HTTP/1.0 200 OK\r\n\r\nhalf",
+            "/put/short" => b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf",
+            "/put/garbage" => b"what is this\r\n\r\n",
+            "/put/two-lengths" => {
+                b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 4\r\n\r\nhalf"
+            }
+            "/put/other" => b"HTTP/1.1 200 OK\r\ndq-request-id: x\r\ncontent-length: 4\r\n\r\nhalf",
+            "/put/nothing" => b"",
+            "/put/head" => b"HTTP/1.1 200 OK\r\ncontent-le",
+            _ => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        };
+        s.write_all(answer).is_ok() && path_of(head).starts_with("/get")
+    });
+    let table = [
+        ("unframed", 502, "bad-answer"),
+        ("old", 502, "bad-answer"),
+        ("short", 502, "bad-answer"),
+        ("garbage", 502, "bad-answer"),
+        ("two-lengths", 502, "bad-answer"),
+        ("other", 502, "bad-answer"),
+        ("nothing", 504, "lost"),
+        ("head", 504, "lost"),
+    ];
+    for (name, status, reason) in table {
+        let r = http(site.node.caller, "PUT", &format!("/put/{name}"), &[], "").unwrap();
+        let got = (r.status, r.header("dq-outcome"), r.header("dq-reason"));
+        assert_eq!(got, (status, "unknown", reason), "{name}");
+        assert!(!r.body.contains("half"), "{name}: {}", r.body);
+    }
+}
+
+/// Guards against a stream that breaks off and still ends like a whole one at the caller.
+#[test]
+fn broken_streams_break_at_the_caller() {
+    let mut site = Site::start("");
+    site.backend(&[]);
+    let fault = ("x-test-fault", "truncate-chunked");
+    let body = "x".repeat(1000);
+    // The helper returns nothing unless the last chunk arrived.
+    assert!(http(site.node.caller, "PUT", "/put/x", &[fault], &body).is_none());
+    let site = Site::start("");
+    let _backend = site.scripted(|head, s| {
+        let data = vec![b'x'; 100_000];
+        let _ = match path_of(head).starts_with("/put") {
+            true => s
+                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n")
+                .and_then(|()| s.write_all(&data)),
+            false => s.write_all(&good("ok")),
+        };
+        false
+    });
+    let mut s = open(
+        site.node.caller,
+        "PUT /put/x HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n",
+    );
+    let mut out = Vec::new();
+    // The connection ends before the promised length, which every HTTP client reports as an error.
+    let _ = s.read_to_end(&mut out);
+    let text = String::from_utf8_lossy(&out);
+    assert!(text.contains("content-length: 200000"), "{}", &text[..200]);
+    assert!(out.len() < 200_000);
+}
+
+/// Guards against a late answer that reaches the next request on the same connection.
+#[test]
+fn late_answers_reach_nobody() {
+    let mut site = Site::start("");
+    let backend = site.backend(&[]);
+    for i in 0..3 {
+        let late = [("x-test-fault", "late")];
+        let r = http(site.node.caller, "PUT", &format!("/put/late{i}"), &late, "").unwrap();
+        let got = (r.status, r.header("dq-outcome"), r.header("dq-reason"));
+        assert_eq!(got, (504, "unknown", "deadline"));
+        for j in 0..10 {
+            let path = format!("/get/{i}-{j}");
+            assert_eq!(site.get(&path).unwrap().body, format!("GET {path}\n"));
+        }
+    }
+    wait_until("late runs were cancelled", || {
+        stats(backend)["cancelled"] == 3
+    });
+}
+
+/// Guards against a second copy of an answer that is taken for the answer of the next request.
+#[test]
+fn doubled_answers_are_not_crossed() {
+    let site = Site::start("");
+    let _backend = site.scripted(|head, s| {
+        let once = good(path_of(head));
+        s.write_all(&[once.clone(), once].concat()).is_ok()
+    });
+    for i in 0..100 {
+        let path = format!("/get/{i}");
+        let r = site.get(&path).unwrap();
+        assert!(r.status != 200 || r.body == path, "{path}: {}", r.body);
+        assert_eq!(r.status, 200);
+    }
+}
+
+/// Guards against answers that are mixed up between callers when they arrive out of order.
+#[test]
+fn concurrent_answers_reach_their_callers() {
+    let site = Site::start("");
+    let n = Arc::new(AtomicU32::new(0));
+    let _backend = site.scripted(move |head, s| {
+        let i = n.fetch_add(1, Ordering::Relaxed);
+        std::thread::sleep(Duration::from_millis(u64::from(i * 7 % 11)));
+        s.write_all(&good(path_of(head))).is_ok()
+    });
+    let callers: Vec<_> = (0..8)
+        .map(|c| {
+            let caller = site.node.caller;
+            std::thread::spawn(move || {
+                for i in 0..25 {
+                    let path = format!("/long/{c}-{i}");
+                    let r = http(caller, "GET", &path, &[], "").unwrap();
+                    assert_eq!(r.body, path);
+                }
+            })
+        })
+        .collect();
+    callers.into_iter().for_each(|c| c.join().unwrap());
+}
