--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -19,7 +19,8 @@
 
 mod behavior;
 
-use behavior::{Behavior, Server};
+pub use behavior::Behavior;
+use behavior::Server;
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -53,16 +54,43 @@
 /// Interval between announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Settings of a sample backend server.
 #[derive(Clone)]
-struct Args {
-    service: String,
-    node: SocketAddr,
-    listen: SocketAddr,
-    slots: u32,
-    connections: u32,
-    refuse: bool,
-    connect_delay: Duration,
-    behavior: Behavior,
+pub struct Args {
+    /// Service that it runs.
+    pub service: String,
+    /// Admin address of its node.
+    pub node: SocketAddr,
+    /// Address that takes requests.
+    pub listen: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time that each request takes.
+    pub work: Duration,
+    /// Open connections.
+    pub connections: u32,
+    /// Whether connections over the limit are closed instead of waiting.
+    pub refuse: bool,
+    /// Time that a new connection costs.
+    pub connect_delay: Duration,
+    /// Faults and delays.
+    pub behavior: Behavior,
+}
+
+impl Default for Args {
+    fn default() -> Self {
+        Self {
+            service: String::new(),
+            node: SocketAddr::from(([0, 0, 0, 0], 0)),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            slots: 6,
+            work: Duration::from_millis(5),
+            connections: 100,
+            refuse: false,
+            connect_delay: Duration::ZERO,
+            behavior: Behavior::default(),
+        }
+    }
 }
 
 fn value<T>(args: &mut lexopt::Parser) -> CmdResult<T>
@@ -78,20 +106,7 @@
 }
 
 fn parse(mut args: lexopt::Parser) -> CmdResult<Option<Args>> {
-    let mut a = Args {
-        service: String::new(),
-        node: SocketAddr::from(([0, 0, 0, 0], 0)),
-        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        slots: 6,
-        connections: 100,
-        refuse: false,
-        connect_delay: Duration::ZERO,
-        behavior: Behavior {
-            work: Duration::from_millis(5),
-            seed: 1,
-            ..Behavior::default()
-        },
-    };
+    let mut a = Args::default();
     while let Some(arg) = args.next().map_err(usage)? {
         match arg {
             Long("help") | Short('h') => return Ok(None),
@@ -102,7 +117,7 @@
             Long("connections") => a.connections = value(&mut args)?,
             Long("refuse-connections") => a.refuse = true,
             Long("connect-delay-ms") => a.connect_delay = time(&mut args)?,
-            Long("work-ms") => a.behavior.work = time(&mut args)?,
+            Long("work-ms") => a.work = time(&mut args)?,
             Long("jitter-ms") => a.behavior.jitter = time(&mut args)?,
             Long("cold-ms") => a.behavior.cold = time(&mut args)?,
             Long("shed-percent") => a.behavior.shed_percent = value(&mut args)?,
@@ -126,20 +141,29 @@
         return Ok(());
     };
     block_on(2, async {
-        let listener = match tokio::net::TcpListener::bind(a.listen).await {
-            Ok(l) => l,
-            Err(e) => return fail(Exit::Failed, format!("{}: {e}", a.listen)),
-        };
-        let address = listener.local_addr().unwrap_or(a.listen);
-        println!("listening {address}");
-        let server = Arc::new(Server::new(a.behavior.clone(), a.slots));
-        tokio::spawn(serve(listener, a.clone(), server.clone()));
-        tokio::spawn(announce(a, address, server));
+        println!("listening {}", start(a).await?);
         let _ = tokio::signal::ctrl_c().await;
         Ok(())
     })
 }
 
+/// Starts a sample backend server and returns its address.
+///
+/// # Errors
+///
+/// [`Exit::Failed`] when the address cannot be listened on.
+pub async fn start(a: Args) -> CmdResult<SocketAddr> {
+    let listener = match TcpListener::bind(a.listen).await {
+        Ok(l) => l,
+        Err(e) => return fail(Exit::Failed, format!("{}: {e}", a.listen)),
+    };
+    let address = listener.local_addr().unwrap_or(a.listen);
+    let server = Arc::new(Server::new(a.behavior.clone(), a.work, a.slots));
+    tokio::spawn(serve(listener, a.clone(), server.clone()));
+    tokio::spawn(announce(a, address, server));
+    Ok(address)
+}
+
 async fn serve(listener: TcpListener, a: Args, server: Arc<Server>) {
     let free = Arc::new(Semaphore::new(a.connections as usize));
     loop {
--- a/src/cmd/devbackend/behavior.rs
+++ b/src/cmd/devbackend/behavior.rs
@@ -27,24 +27,36 @@
 const LATE: Duration = Duration::from_millis(200);
 
 /// Behaviour given on the command line.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Behavior {
-    /// Time that each request takes.
-    pub(super) work: Duration,
+#[derive(Debug, Clone)]
+pub struct Behavior {
     /// Longest random addition to it.
-    pub(super) jitter: Duration,
+    pub jitter: Duration,
     /// Addition right after the start; shrinks to nothing while the server warms up.
-    pub(super) cold: Duration,
+    pub cold: Duration,
     /// Part of the requests that are refused without running, in percent.
-    pub(super) shed_percent: u32,
+    pub shed_percent: u32,
     /// Path whose requests end the process.
-    pub(super) crash_path: Option<String>,
+    pub crash_path: Option<String>,
     /// Delay of each way between zones.
-    pub(super) zone_delay: Duration,
+    pub zone_delay: Duration,
     /// Time by which announced and reported health lag behind.
-    pub(super) health_lag: Duration,
+    pub health_lag: Duration,
     /// Seed of the random generator.
-    pub(super) seed: u64,
+    pub seed: u64,
+}
+
+impl Default for Behavior {
+    fn default() -> Self {
+        Self {
+            jitter: Duration::ZERO,
+            cold: Duration::ZERO,
+            shed_percent: 0,
+            crash_path: None,
+            zone_delay: Duration::ZERO,
+            health_lag: Duration::ZERO,
+            seed: 1,
+        }
+    }
 }
 
 /// Counters that tests read over HTTP.
@@ -69,6 +81,7 @@
 /// The running sample server.
 pub(super) struct Server {
     behavior: Behavior,
+    time: Duration,
     slots: AtomicU32,
     free: Semaphore,
     changing: Mutex<Changing>,
@@ -101,8 +114,9 @@
 }
 
 impl Server {
-    pub(super) fn new(behavior: Behavior, slots: u32) -> Self {
+    pub(super) fn new(behavior: Behavior, time: Duration, slots: u32) -> Self {
         Self {
+            time,
             slots: AtomicU32::new(slots),
             free: Semaphore::new(slots as usize),
             changing: Mutex::new(Changing {
@@ -205,7 +219,7 @@
         let mut c = self.changing();
         let shed = c.rng.random_range(0..100) < b.shed_percent;
         let jitter = b.jitter.mul_f64(c.rng.random::<f64>());
-        (!shed).then(|| b.work + jitter + b.cold.mul_f64(1.0 - warm))
+        (!shed).then(|| self.time + jitter + b.cold.mul_f64(1.0 - warm))
     }
 
     fn shed(&self) -> Response<Body> {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Properties of the admission queue.
 
-mod seeded;
+mod random;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use dragonflyquay::request::reason::Reason;
 use dragonflyquay::settings::QueuePolicy;
 use proptest::prelude::*;
-use seeded::check;
+use random::run;
 
 const FAR: Duration = Duration::from_secs(1_000_000);
 
@@ -65,7 +65,7 @@
 /// dispatches than slots, late dispatches, and queues above their bounds.
 #[test]
 fn each_request_has_one_fate() {
-    check(&(steps(), any::<bool>()), |(steps, fifo)| {
+    run(256, &(steps(), any::<bool>()), |(steps, fifo)| {
         let policy = match fifo {
             true => QueuePolicy::Fifo,
             false => QueuePolicy::Ranked,
@@ -132,6 +132,7 @@
                 "idle slot beside waiting work"
             );
         }
+        Ok(())
     });
 }
 
@@ -173,7 +174,7 @@
 #[test]
 fn least_shares_hold_in_every_flood() {
     let shares = (0..40_u32, 0..30_u32, 0..30_u32);
-    check(&shares, |(x, y, z)| {
+    run(256, &shares, |(x, y, z)| {
         let least = [f64::from(x), f64::from(y), f64::from(z)].map(|s| s / 100.0);
         let n = 1000;
         let served = flood(&least, &[0, 1, 2], n);
@@ -193,6 +194,7 @@
             urgent[1] >= n - 1,
             "an idle rank must not take slots: {urgent:?}"
         );
+        Ok(())
     });
 }
 
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1,6 +1,6 @@
 //! Properties of the balancer.
 
-mod seeded;
+mod random;
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use seeded::check;
+use random::run;
 
 const OLD: Duration = Duration::from_secs(100);
 const GOOD: End = End::Answered {
@@ -62,8 +62,8 @@
 /// leaving, and against a result that depends on anything but events, time and seed.
 #[test]
 fn ejection_is_bounded_and_leaving_targets_get_nothing() {
-    check(&(steps(), 1..8_usize), |(steps, n)| {
-        let run = || {
+    run(256, &(steps(), 1..8_usize), |(steps, n)| {
+        let replay = || {
             let mut b = Balance::new(BalancePolicy::LeastLoaded, "a".into());
             let mut rng = SmallRng::seed_from_u64(7);
             let mut now = at(0);
@@ -101,14 +101,15 @@
             }
             picked
         };
-        assert_eq!(run(), run());
+        assert_eq!(replay(), replay());
+        Ok(())
     });
 }
 
 /// Guards against cross-zone traffic while the own zone has room, and against refusing to spill when it has none.
 #[test]
 fn own_zone_first_until_four_fifths() {
-    check(&(0..40_u32, any::<u64>()), |(out, seed)| {
+    run(256, &(0..40_u32, any::<u64>()), |(out, seed)| {
         let mut b = Balance::new(BalancePolicy::LeastLoaded, "a".into());
         let mut rng = SmallRng::seed_from_u64(seed);
         for (node, az) in [("a0", "a"), ("a1", "a"), ("b0", "b"), ("b1", "b")] {
@@ -121,6 +122,7 @@
             .filter_map(|_| pick(&b, at(1), &mut rng))
             .any(|n| n.starts_with('b'));
         assert_eq!(spilled, f64::from(out) > 0.8 * 12.0);
+        Ok(())
     });
 }
 
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -1,6 +1,6 @@
 //! Retry decisions: fault table and bounds.
 
-mod seeded;
+mod random;
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use seeded::check;
+use random::run;
 
 const BASE: Failed = Failed {
     failure: Failure {
@@ -117,7 +117,7 @@
         1..500_u64,
         any::<u64>(),
     );
-    check(&input, |(fails, left, seed)| {
+    run(256, &input, |(fails, left, seed)| {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut bucket = Bucket::default();
         let (mut requests, mut retries) = (0, 0);
@@ -143,5 +143,6 @@
         };
         let got = decide(RetryPolicy::Unlimited, &lost, &mut bucket, &mut rng);
         assert_eq!(got, Decision::Stop(Stop::MayHaveRun));
+        Ok(())
     });
 }
