Test retry decisions of the entry node with a fake client

Cause: the decision table was tested, its wiring was not. Change: a node can be started with another client; a request can be accepted from any body; the fault table checks attempts, targets, remaining tree budget and the reported outcome.

--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -213,6 +213,21 @@
     settings: Settings,
     store: Arc<dyn Store>,
     listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
+    let upstream = HttpUpstream::new(&UpstreamSettings::default());
+    start_with(settings, store, listeners, Arc::new(upstream))
+}
+
+/// Starts a node that sends requests through this client.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start_with(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+    upstream: Arc<dyn Upstream>,
 ) -> Result<Running, Report<NodeError>> {
     let key = match &settings.peers.key_file {
         Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
@@ -251,7 +266,7 @@
     let p = Arc::new(Process {
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
-        upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
+        upstream,
         store,
         notices: Notices::default(),
         routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -5,9 +5,8 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
-use super::body::{Body, BodyLimits, HeldBody};
+use super::body::{Body, BodyError, BodyLimits, HeldBody};
 use super::context::{self, Context};
 use super::reason::{Failure, Reason};
 use crate::digest::Digest;
@@ -61,11 +60,11 @@
     /// # Errors
     ///
     /// No version or route, or a malformed, slow or too large request. It was not run.
-    pub async fn accept(
-        p: &Process,
-        req: Request<Incoming>,
-        from: IpAddr,
-    ) -> Result<Self, Failure> {
+    pub async fn accept<B>(p: &Process, req: Request<B>, from: IpAddr) -> Result<Self, Failure>
+    where
+        B: http_body::Body<Data = bytes::Bytes> + Send + 'static,
+        B::Error: Into<BodyError>,
+    {
         let start = p.clock.now();
         let snapshot = p
             .config
--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,252 @@
+//! Fault table of the entry node with a fake client: what is repeated, and what the caller is told.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dragonflyquay::connection::upstream::{SendError, Upstream};
+use dragonflyquay::process::admin::Announcement;
+use dragonflyquay::process::node::{self, Listeners, Process, Running};
+use dragonflyquay::process::record::TargetState;
+use dragonflyquay::request::body::{full, Body};
+use dragonflyquay::request::context::RETRIES;
+use dragonflyquay::request::entry;
+use dragonflyquay::request::job::Job;
+use dragonflyquay::request::reason::{Failure, Outcome, Reason};
+use dragonflyquay::settings::{parse, Settings};
+use dragonflyquay::store::mem::MemStore;
+use dragonflyquay::version::publish;
+use dragonflyquay::version::snapshot::canonical;
+use http::{Request, Response};
+
+const MANIFEST: &str = r#"
+site = "default"
+rank = [{ name = "r", order = 0, min_share_percent = 0 }]
+service = [{ name = "s" }]
+
+[[route]]
+name = "once"
+method = "GET"
+path = "/once"
+service = "s"
+rank = "r"
+deadline_ms = 2000
+idempotent = false
+retries = 2
+
+[[route]]
+name = "again"
+method = "GET"
+path = "/again"
+service = "s"
+rank = "r"
+deadline_ms = 2000
+idempotent = true
+retries = 2
+"#;
+
+/// Answers by a script and notes each attempt.
+#[derive(Default)]
+struct Fake {
+    script: Mutex<VecDeque<Step>>,
+    sent: Mutex<Vec<(String, String)>>,
+}
+
+#[derive(Clone, Copy)]
+enum Step {
+    Good,
+    NotSent,
+    Lost,
+    BadAnswer,
+    Refused(Reason),
+    Hang,
+}
+
+#[async_trait]
+impl Upstream for Fake {
+    async fn send(&self, req: Request<Body>) -> Result<Response<Body>, SendError> {
+        let retries = req.headers()[RETRIES].to_str().unwrap().to_owned();
+        let to = req.uri().authority().unwrap().to_string();
+        self.sent.lock().unwrap().push((to, retries));
+        let step = self.script.lock().unwrap().pop_front();
+        match step.unwrap_or(Step::Good) {
+            Step::Good => {
+                let mut res = Response::new(full("ok"));
+                let done = http::HeaderValue::from_static("done");
+                res.headers_mut().insert("dq-outcome", done);
+                Ok(res)
+            }
+            Step::NotSent => Err(SendError::NotSent("refused".into())),
+            Step::Lost => Err(SendError::Lost("reset".into())),
+            Step::BadAnswer => Err(SendError::BadAnswer("no end".into())),
+            Step::Refused(reason) => Ok(Failure::not_run(reason).response()),
+            Step::Hang => std::future::pending().await,
+        }
+    }
+}
+
+fn settings(id: &str, seeds: &[std::net::SocketAddr]) -> Settings {
+    let any = "\"127.0.0.1:0\"";
+    parse(&format!(
+        "node = {{ id = \"{id}\" }}\npeers = {{ seeds = {:?} }}\n\
+         listen = {{ caller = {any}, relay = {any}, peer = {any}, admin = {any} }}\n",
+        seeds.iter().map(ToString::to_string).collect::<Vec<_>>()
+    ))
+    .unwrap()
+}
+
+async fn start(
+    id: &str,
+    seeds: &[std::net::SocketAddr],
+    store: &Arc<MemStore>,
+    fake: &Arc<Fake>,
+) -> Running {
+    let s = settings(id, seeds);
+    let listeners = Listeners::open(&s.listen).await.unwrap();
+    node::start_with(s, store.clone(), listeners, fake.clone()).unwrap()
+}
+
+async fn announce(node: &Running) {
+    let text = Announcement {
+        service: "s".into(),
+        address: "127.0.0.1:9".into(),
+        slots: 6,
+        connections: 100,
+        state: TargetState::Ready,
+        incarnation: 1,
+        floor: None,
+    };
+    let body = serde_json::to_vec(&text).unwrap();
+    let req = Request::post(format!("http://{}/announce", node.addresses.admin))
+        .header("content-type", "application/json")
+        .body(http_body_util::Full::<bytes::Bytes>::from(body))
+        .unwrap();
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let client = hyper_util::client::legacy::Client::builder(executor).build_http();
+    assert!(client.request(req).await.unwrap().status().is_success());
+}
+
+async fn send(p: &Arc<Process>, path: &str, depth: u8) -> Result<(), Failure> {
+    let req = Request::get(path)
+        .header("dq-depth", depth.to_string())
+        .body(full(""))
+        .unwrap();
+    let mut job = Job::accept(p, req, [127, 0, 0, 1].into()).await.unwrap();
+    entry::run(p, &mut job).await.map(|_| ())
+}
+
+/// Guards against a repetition of work that may have run, a repetition at the same target, an unlimited one, a report
+/// of "not run" after an attempt of unknown result, and a tree budget that does not shrink.
+#[test]
+fn fault_table() {
+    use Step::*;
+    let full = Refused(Reason::QueueFull);
+    let not_run = |reason| Err((Outcome::NotRun, reason));
+    let unknown = |reason| Err((Outcome::Unknown, reason));
+    let table = [
+        ("/once", 0, vec![Good], 1, Ok(())),
+        ("/once", 0, vec![NotSent, Good], 2, Ok(())),
+        ("/once", 0, vec![Refused(Reason::NotReady), Good], 2, Ok(())),
+        ("/once", 0, vec![Lost, Good], 1, unknown(Reason::Lost)),
+        ("/once", 0, vec![BadAnswer], 1, unknown(Reason::BadAnswer)),
+        ("/once", 0, vec![NotSent, Lost], 2, unknown(Reason::Lost)),
+        ("/once", 0, vec![NotSent; 9], 3, not_run(Reason::NotSent)),
+        ("/once", 0, vec![full, Good], 2, Ok(())),
+        (
+            "/once",
+            0,
+            vec![full, full, Good],
+            2,
+            not_run(Reason::QueueFull),
+        ),
+        ("/once", 1, vec![full, Good], 1, not_run(Reason::QueueFull)),
+        ("/once", 1, vec![NotSent, Good], 2, Ok(())),
+        (
+            "/once",
+            0,
+            vec![Refused(Reason::BadRequest)],
+            1,
+            not_run(Reason::BadRequest),
+        ),
+        ("/once", 0, vec![Hang], 1, unknown(Reason::Deadline)),
+        ("/again", 0, vec![Lost, BadAnswer, Good], 3, Ok(())),
+        ("/again", 0, vec![Lost; 9], 3, unknown(Reason::Lost)),
+        (
+            "/again",
+            0,
+            vec![Lost, NotSent, NotSent],
+            3,
+            unknown(Reason::NotSent),
+        ),
+        (
+            "/again",
+            0,
+            vec![Lost, full, full],
+            3,
+            unknown(Reason::QueueFull),
+        ),
+    ];
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    rt.block_on(async {
+        let mut fake = Arc::new(Fake::default());
+        let (mut entry, mut _others) = site(&fake).await;
+        let mut spent = 0;
+        for (path, depth, script, attempts, want) in table {
+            // A new site before the node's token bucket is empty.
+            if spent + attempts > 10 {
+                fake = Arc::new(Fake::default());
+                (entry, _others) = site(&fake).await;
+                spent = 0;
+            }
+            spent += attempts;
+            fake.sent.lock().unwrap().clear();
+            let name = format!("{path} at depth {depth}, {} steps, {want:?}", script.len());
+            *fake.script.lock().unwrap() = script.into();
+            let got = send(&entry.process, path, depth).await;
+            assert_eq!(got.map_err(|f| (f.outcome, f.reason)), want, "{name}");
+            let sent = fake.sent.lock().unwrap();
+            assert_eq!(sent.len(), attempts, "{name}");
+            let budgets: Vec<_> = sent.iter().map(|(_, r)| r.as_str()).collect();
+            assert_eq!(budgets, ["2", "1", "0"][..attempts], "{name}");
+            let targets: std::collections::BTreeSet<_> = sent.iter().map(|(to, _)| to).collect();
+            assert_eq!(
+                targets.len(),
+                attempts,
+                "{name}: each attempt at another target"
+            );
+        }
+    });
+}
+
+/// An entry node with the fake client and three targets beside other nodes.
+async fn site(fake: &Arc<Fake>) -> (Running, Vec<Running>) {
+    let store = Arc::new(MemStore::default());
+    let m = dragonflyquay::version::manifest::parse(MANIFEST).unwrap();
+    publish::commit(store.as_ref(), "default", 0, &canonical(&m))
+        .await
+        .unwrap();
+    let entry = start("entry", &[], &store, fake).await;
+    let mut others = Vec::new();
+    for id in ["t1", "t2", "t3"] {
+        let node = start(id, &[entry.addresses.peer], &store, fake).await;
+        announce(&node).await;
+        others.push(node);
+    }
+    let known = || {
+        let records = entry.process.records.load();
+        records.values().filter(|r| r.target.is_some()).count() == 3
+    };
+    let ready = async {
+        while !known() || entry.process.version().number == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), ready)
+        .await
+        .unwrap();
+    (entry, others)
+}
