--- a/src/devsite.rs
+++ b/src/devsite.rs
@@ -134,6 +134,7 @@
             listen: ports.node(4, i),
             slots: SLOTS,
             work: WORK,
+            ..devbackend::Args::default()
         };
         devbackend::start(backend).await?;
         members.push(Member { node, az, service });
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -261,6 +261,21 @@
     settings: Settings,
     store: Arc<dyn Store>,
     listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
+    let upstream = HttpUpstream::new(&UpstreamSettings::default());
+    start_with(settings, store, listeners, Arc::new(upstream))
+}
+
+/// Starts a node that sends requests through this client.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start_with(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+    upstream: Arc<dyn Upstream>,
 ) -> Result<Running, Report<NodeError>> {
     let key = match &settings.peers.key_file {
         Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
@@ -305,7 +320,7 @@
     let p = Arc::new(Process {
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
-        upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
+        upstream,
         store,
         notices: Notices::default(),
         routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
@@ -336,7 +351,7 @@
     let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
     tokio::spawn(control::run(p.clone(), identity, transport));
     let q = p.clone();
-    tokio::spawn(listen::serve(relay, limits.clone(), move |req, _| {
+    tokio::spawn(listen::serve(relay, limits.for_relay(), move |req, _| {
         admit::serve(q.clone(), req)
     }));
     let q = p.clone();
