Add state machines for at-most-once execution, quarantine and stops

Cause: ownership of idempotency keys, suspected requests, the backend server's monitor and planned stops need rules that hold whatever the order of events. Change: grants.rs and choice.rs (ownership ranges and who should hold them), dedup.rs (stored answers), quarantine.rs, drain.rs, target.rs, floor.rs and request/key.rs. Notices carry a random process token and the age of a suspect.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,9 +1,16 @@
 //! State that lives as long as the process.
 
 pub mod admin;
+pub mod choice;
 pub mod clock;
 pub mod control;
+pub mod dedup;
+pub mod drain;
+pub mod floor;
+pub mod grants;
 pub mod metrics;
 pub mod node;
 pub mod notices;
+pub mod quarantine;
 pub mod record;
+pub mod target;
--- a/src/process/notices.rs
+++ b/src/process/notices.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::clock::{Clock, ProcessClock};
+use super::quarantine::{Suspects, Verdict};
 use crate::digest::Digest;
 use crate::prelude::*;
 
@@ -30,6 +32,8 @@
     pub epoch: u64,
     /// Crashes counted in this epoch, in order.
     pub crashes: Vec<Crash>,
+    /// Time since the first crash, in milliseconds, when the notice was sent.
+    pub age_ms: u64,
 }
 
 /// Part of a shard that one node incarnation owns for ever.
@@ -43,6 +47,8 @@
     pub owner: NodeId,
     /// Incarnation of the owner.
     pub incarnation: Incarnation,
+    /// Random number of the owner's process.
+    pub token: u64,
 }
 
 /// Ownership of a shard, as read from the store.
@@ -50,7 +56,8 @@
 pub struct Grant {
     /// Shard.
     pub shard: Shard,
-    /// Revision of the store's entry; a higher one replaces a lower one.
+    /// Number of changes; a higher one replaces a lower one. It is part of the stored value, so that it does not
+    /// fall back with the revisions of a store that was restored to an older state.
     pub revision: u64,
     /// Ranges in order of time; they never overlap.
     pub ranges: Vec<KeyRange>,
@@ -67,41 +74,83 @@
 
 #[derive(Default)]
 struct State {
-    suspects: BTreeMap<Digest, Suspect>,
+    suspects: Suspects,
     grants: BTreeMap<Shard, Grant>,
 }
 
 /// All notices known to a node.
-#[derive(Default)]
 pub struct Notices {
     state: Mutex<State>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Default for Notices {
+    fn default() -> Self {
+        Self::new(Arc::new(ProcessClock::default()))
+    }
 }
 
 impl Notices {
+    /// An empty table.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Mutex::default(),
+            clock,
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Adds notices and returns those that changed something, which are to be sent on.
     pub fn merge(&self, list: Vec<Notice>) -> Vec<Notice> {
+        let now = self.clock.now();
         let mut s = self.state();
-        list.into_iter().filter_map(|n| s.merge(n)).collect()
+        list.into_iter().filter_map(|n| s.merge(n, now)).collect()
     }
 
     /// All notices, for a new link.
     pub fn all(&self) -> Vec<Notice> {
+        let now = self.clock.now();
         let s = self.state();
-        let suspects = s.suspects.values().cloned().map(Notice::Suspect);
+        let suspects = s.suspects.list(now).into_iter().map(Notice::Suspect);
         suspects
             .chain(s.grants.values().cloned().map(Notice::Grant))
             .collect()
     }
+
+    /// Calls `f` with the suspects and the present time.
+    pub fn suspects<F, T>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut Suspects, Now) -> T,
+    {
+        f(&mut self.state().suspects, self.clock.now())
+    }
+
+    /// What is known about a request.
+    pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
+        self.suspects(|s, now| s.verdict(fingerprint, now))
+    }
+
+    /// Ownership of a shard.
+    pub fn grant(&self, shard: Shard) -> Option<Grant> {
+        self.state().grants.get(&shard).cloned()
+    }
+
+    /// The range that holds a key time.
+    pub fn owner(&self, shard: Shard, key_ms: u64) -> Option<KeyRange> {
+        let s = self.state();
+        let ranges = &s.grants.get(&shard)?.ranges;
+        let holds = |r: &&KeyRange| (r.from_ms..r.until_ms).contains(&key_ms);
+        ranges.iter().find(holds).cloned()
+    }
 }
 
 impl State {
-    fn merge(&mut self, n: Notice) -> Option<Notice> {
+    fn merge(&mut self, n: Notice, now: Now) -> Option<Notice> {
         match n {
-            Notice::Suspect(s) => self.merge_suspect(s).map(Notice::Suspect),
+            Notice::Suspect(s) => self.suspects.merge(s, now).map(Notice::Suspect),
             Notice::Grant(g) => match self.grants.get(&g.shard) {
                 Some(held) if held.revision >= g.revision => None,
                 _ => {
@@ -111,21 +160,4 @@
             },
         }
     }
-
-    fn merge_suspect(&mut self, s: Suspect) -> Option<Suspect> {
-        match self.suspects.get_mut(&s.fingerprint) {
-            Some(held) if held.epoch > s.epoch => None,
-            Some(held) if held.epoch == s.epoch => {
-                let before = held.crashes.len();
-                held.crashes.extend(s.crashes);
-                held.crashes.sort();
-                held.crashes.dedup();
-                (held.crashes.len() > before).then(|| held.clone())
-            }
-            _ => {
-                self.suspects.insert(s.fingerprint, s.clone());
-                Some(s)
-            }
-        }
-    }
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,4 +4,5 @@
 pub mod body;
 pub mod context;
 pub mod entry;
+pub mod key;
 pub mod reason;
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -54,6 +54,22 @@
     Lost,
     /// The request is malformed or exceeds a limit.
     BadRequest,
+    /// A non-idempotent route needs an idempotency key.
+    KeyRequired,
+    /// The idempotency key is not a UUIDv7.
+    KeyInvalid,
+    /// The idempotency key was used with other content.
+    KeyReused,
+    /// The key is older than its owner remembers.
+    KeyExpired,
+    /// The answer of the first request with this key was too large to keep.
+    AnswerNotKept,
+    /// The owner of the key is dead, unreachable or not known.
+    OwnerUnreachable,
+    /// The request has crashed backend servers.
+    Quarantined,
+    /// The node takes no new work because of a planned stop.
+    Draining,
 }
 
 impl Reason {
@@ -69,6 +85,14 @@
             Self::NotSent => "not-sent",
             Self::Lost => "lost",
             Self::BadRequest => "bad-request",
+            Self::KeyRequired => "key-required",
+            Self::KeyInvalid => "key-invalid",
+            Self::KeyReused => "key-reused",
+            Self::KeyExpired => "key-expired",
+            Self::AnswerNotKept => "answer-not-kept",
+            Self::OwnerUnreachable => "owner-unreachable",
+            Self::Quarantined => "quarantined",
+            Self::Draining => "draining",
         }
     }
 }
@@ -109,7 +133,10 @@
     pub fn status(&self) -> StatusCode {
         match (self.reason, self.outcome) {
             (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
-            (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
+            (Reason::BadRequest | Reason::KeyRequired | Reason::KeyInvalid, _) => {
+                StatusCode::BAD_REQUEST
+            }
+            (Reason::KeyReused, _) => StatusCode::UNPROCESSABLE_ENTITY,
             (_, Outcome::Unknown) | (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
