--- a/src/process/dedup.rs
+++ b/src/process/dedup.rs
@@ -3,6 +3,7 @@
 use crate::digest::Digest;
 use crate::prelude::*;
 use crate::request::key::Key;
+use crate::request::reason::Reason;
 
 /// Largest answer that is kept, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -31,7 +32,7 @@
 enum State<A> {
     Running,
     Done(A, usize),
-    Unknown,
+    Unknown(Reason),
 }
 
 #[derive(Debug)]
@@ -49,8 +50,8 @@
     Wait,
     /// It ran, and this is its answer.
     Done(A),
-    /// It may have run.
-    Unknown,
+    /// It may have run, or its answer was not kept.
+    Unknown(Reason),
     /// The key was used with other content.
     Reused,
     /// The key is below the floor: it may have run.
@@ -64,8 +65,8 @@
 pub enum End<A> {
     /// With this answer of this size in bytes.
     Done(A, usize),
-    /// It may have run.
-    Unknown,
+    /// It may have run, or its answer was not kept.
+    Unknown(Reason),
     /// It was proven not to have run.
     NotRun,
 }
@@ -121,7 +122,7 @@
                 return match &h.state {
                     State::Running => Begin::Wait,
                     State::Done(a, _) => Begin::Done(a.clone()),
-                    State::Unknown => Begin::Unknown,
+                    State::Unknown(r) => Begin::Unknown(*r),
                 }
             }
             None if key.time_ms() < self.floor_ms => return Begin::Expired,
@@ -149,7 +150,8 @@
                 h.state = State::Done(a, n);
                 self.bytes += n;
             }
-            End::Done(..) | End::Unknown => h.state = State::Unknown,
+            End::Done(..) => h.state = State::Unknown(Reason::AnswerNotKept),
+            End::Unknown(r) => h.state = State::Unknown(r),
             End::NotRun => {
                 self.held.remove(&key);
             }
--- a/src/process/floor.rs
+++ b/src/process/floor.rs
@@ -1,45 +1,36 @@
 //! Version floor token that a backend server returns to its node's next process.
 
-use hmac::{Hmac, Mac};
-use sha2::Sha256;
-
+use crate::key::SharedKey;
 use crate::version::snapshot::VersionRef;
 
-type HmacSha256 = Hmac<Sha256>;
-
-/// Separates these codes from other uses of the shared key.
+/// Separates these proofs from other uses of the shared key.
 const PURPOSE: &[u8] = b"dq-floor-v1";
 
-fn mac(key: &[u8], text: &str) -> Option<HmacSha256> {
-    let mut m = HmacSha256::new_from_slice(key).ok()?;
-    m.update(PURPOSE);
-    m.update(text.as_bytes());
-    Some(m)
+fn parts<'a>(site: &'a str, text: &'a str) -> [&'a [u8]; 3] {
+    [PURPOSE, site.as_bytes(), text.as_bytes()]
 }
 
 /// Writes a token for the version in force, with an HMAC when the site has a shared key.
-pub fn issue(v: VersionRef, site: &str, key: Option<&[u8]>) -> String {
+pub fn issue(v: VersionRef, site: &str, key: Option<&SharedKey>) -> String {
     let text = format!("{}.{}", v.number, v.hash);
-    let code = key.and_then(|k| mac(k, &format!("{site}/{text}")));
-    match code {
-        Some(m) => {
-            let code = m.finalize().into_bytes();
-            let hex: String = code.iter().map(|b| format!("{b:02x}")).collect();
-            format!("{text}.{hex}")
-        }
-        None => text,
-    }
+    let Some(key) = key else {
+        return text;
+    };
+    let code = key.sign(&parts(site, &text));
+    let hex: String = code.iter().map(|b| format!("{b:02x}")).collect();
+    format!("{text}.{hex}")
 }
 
 /// Reads a token; `None` when it is malformed or its HMAC does not match the shared key.
-pub fn read(token: &str, site: &str, key: Option<&[u8]>) -> Option<VersionRef> {
-    let mut parts = token.splitn(3, '.');
-    let (number, hash) = (parts.next()?, parts.next()?);
-    if let Some(k) = key {
-        let code = unhex(parts.next()?)?;
-        mac(k, &format!("{site}/{number}.{hash}"))?
-            .verify_slice(&code)
-            .ok()?;
+pub fn read(token: &str, site: &str, key: Option<&SharedKey>) -> Option<VersionRef> {
+    let mut fields = token.splitn(3, '.');
+    let (number, hash) = (fields.next()?, fields.next()?);
+    if let Some(key) = key {
+        let code = unhex(fields.next()?)?;
+        let text = format!("{number}.{hash}");
+        if !key.verify(&parts(site, &text), &code) {
+            return None;
+        }
     }
     Some(VersionRef {
         number: number.parse().ok()?,
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -154,6 +154,8 @@
 #[derive(Debug)]
 struct Flight {
     fingerprint: Digest,
+    /// Whether it has been sent to the backend server.
+    sent: bool,
     /// Time at which its connection was lost.
     lost: Option<Now>,
     /// Whether a crash has counted it.
@@ -203,6 +205,7 @@
         self.next += 1;
         let flight = Flight {
             fingerprint,
+            sent: false,
             lost: None,
             counted: false,
         };
@@ -210,6 +213,28 @@
         Start::Run(self.next)
     }
 
+    /// The request is about to be sent. It may have become suspected or quarantined while it waited for a slot.
+    pub fn sent(&mut self, id: FlightId, suspects: &Suspects, now: Now) -> Start {
+        let Some(fingerprint) = self.running.get(&id).map(|f| f.fingerprint) else {
+            return Start::Refused;
+        };
+        let busy = |(other, f): (&FlightId, &Flight)| {
+            *other != id
+                && f.sent
+                && f.lost.is_none()
+                && suspects.verdict(&f.fingerprint, now) != Verdict::Clean
+        };
+        match suspects.verdict(&fingerprint, now) {
+            Verdict::Convicted => return Start::Refused,
+            Verdict::Suspect if self.running.iter().any(busy) => return Start::Wait,
+            _ => {}
+        }
+        if let Some(f) = self.running.get_mut(&id) {
+            f.sent = true;
+        }
+        Start::Run(id)
+    }
+
     /// Ends a run. Returns the fingerprint to clear when a suspect completed; a quarantined one stays quarantined.
     pub fn end(
         &mut self,
@@ -223,6 +248,7 @@
                 if let Some(f) = self.running.get_mut(&id) {
                     f.lost = Some(now);
                 }
+                self.expire(now);
                 None
             }
             _ => {
@@ -244,7 +270,7 @@
     /// The backend server crashed: returns the crash of each request that was in flight. `id` names the crash.
     pub fn crashed(&mut self, id: u64, suspects: &Suspects, now: Now) -> Vec<(Digest, Crash)> {
         self.expire(now);
-        let fresh = self.running.values_mut().filter(|f| !f.counted);
+        let fresh = self.running.values_mut().filter(|f| f.sent && !f.counted);
         let mut found: Vec<_> = fresh
             .map(|f| {
                 f.counted = true;
--- a/tests/dedup.rs
+++ b/tests/dedup.rs
@@ -10,6 +10,7 @@
 };
 use dragonflyquay::process::notices::Grant;
 use dragonflyquay::request::key::Key;
+use dragonflyquay::request::reason::Reason;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -45,7 +46,7 @@
                 d.tick(START_MS + 3_600_000 + t / 4);
             } else if d.begin(k, Digest::default()) == Begin::Run {
                 prop_assert!(ran.insert(k, ()).is_none(), "ran again");
-                let end = [End::Done(1, size), End::Unknown, End::NotRun, End::Done(1, MAX_ANSWER_BYTES + 1)];
+                let end = [End::Done(1, size), End::Unknown(Reason::Lost), End::NotRun, End::Done(1, MAX_ANSWER_BYTES + 1)];
                 if what == 2 {
                     ran.remove(&k);
                 }
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -10,6 +10,7 @@
 };
 use dragonflyquay::process::notices::{Grant, Notice, Notices};
 use dragonflyquay::request::key::Key;
+use dragonflyquay::request::reason::Reason;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -277,7 +278,7 @@
             }
             Run::Stays => o.running.push(key),
             Run::Ends => o.dedup.end(key, End::Done(1, 400)),
-            Run::Lost => o.dedup.end(key, End::Unknown),
+            Run::Lost => o.dedup.end(key, End::Unknown(Reason::Lost)),
         }
         *self.runs.entry(key).or_default() += 1;
         false
