--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,10 @@
 //! State that lives as long as the process.
 
 pub mod admin;
+pub mod admission;
+pub mod balance;
+pub mod budget;
+pub mod callers;
 pub mod choice;
 pub mod clock;
 pub mod control;
@@ -13,4 +17,6 @@
 pub mod notices;
 pub mod quarantine;
 pub mod record;
+pub mod routing;
+pub mod slots;
 pub mod target;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -8,3 +8,4 @@
 pub mod job;
 pub mod key;
 pub mod reason;
+pub mod retry;
