Wire at-most-once execution, quarantine and planned stops into the node

Cause: the state machines had no tasks, no place on the request path and no commands. Change: owner.rs passes non-idempotent requests to the owner of their key and runs them there; ownership.rs keeps key ranges in the store; backend.rs drives the monitor, suspects and planned stops; stop.rs plans them by compare-and-swap; operate.rs and the commands stop, status and quarantine serve operators; SIGTERM drains. Ruled out: answering a duplicate from the caller's connection task, because a disconnect would lose the answer for the others, so each run has a task of its own; reporting not-run for a keyed request before its owner has answered, because an earlier attempt with the same key may have run.

--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -116,6 +116,8 @@
             connections: 100,
             state: TargetState::Ready,
             incarnation,
+            healthy: None,
+            load_percent: None,
             floor: None,
         };
         let body = Bytes::from(serde_json::to_vec(&text).unwrap_or_default());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,10 +1,14 @@
 //! Subcommands, one file each.
 
 pub mod check;
+pub mod client;
 pub mod commit;
 pub mod devbackend;
 pub mod devstore;
 pub mod node;
+pub mod quarantine;
+pub mod status;
+pub mod stop;
 
 use std::fmt;
 use std::path::Path;
@@ -32,6 +36,8 @@
     Unknown = 5,
     /// A service that the command needs cannot be reached.
     Unavailable = 6,
+    /// The time that the command was given ran out; what it started goes on.
+    Late = 7,
 }
 
 /// A failed command: its exit code and what to print.
--- /dev/null
+++ b/src/cmd/quarantine.rs
@@ -0,0 +1,78 @@
+//! `quarantine`: lists or clears requests that crashed backend servers.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use lexopt::prelude::*;
+
+use super::{block_on, client, fail, usage, CmdResult, Exit};
+use crate::process::operate::{Cleared, SuspectStatus};
+
+/// Usage text.
+pub const USAGE: &str = "\
+Lists requests that are suspected of crashing backend servers, or clears them on all nodes.
+
+Usage: dragonflyquay quarantine --node IP:PORT [--json] [--clear FINGERPRINT | --clear-all]
+
+  --node IP:PORT       admin address of any node
+  --json               print JSON
+  --clear FINGERPRINT  clear one request
+  --clear-all          clear all requests
+
+Exit codes: 0 success, 1 failed, 2 usage, 3 no such request, 6 node unavailable.
+";
+
+/// Runs the command.
+pub fn run(mut args: lexopt::Parser) -> CmdResult {
+    let (mut node, mut json, mut one, mut all) = (None, false, None, false);
+    while let Some(arg) = args.next().map_err(usage)? {
+        match arg {
+            Long("help") | Short('h') => {
+                print!("{USAGE}");
+                return Ok(());
+            }
+            Long("node") => node = Some(args.value().and_then(|v| v.parse()).map_err(usage)?),
+            Long("json") => json = true,
+            Long("clear") => one = Some(args.value().and_then(|v| v.string()).map_err(usage)?),
+            Long("clear-all") => all = true,
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    let Some(node) = node else {
+        return fail(Exit::Usage, "--node is needed; see --help");
+    };
+    block_on(1, async {
+        match (one, all) {
+            (Some(_), true) => fail(Exit::Usage, "--clear and --clear-all exclude each other"),
+            (Some(f), false) => clear(node, &format!("/quarantine/{f}")).await,
+            (None, true) => clear(node, "/quarantine").await,
+            (None, false) => list(node, json).await,
+        }
+    })
+}
+
+async fn clear(node: SocketAddr, path: &str) -> CmdResult {
+    let done: Cleared = client::call(node, Method::DELETE, path, &()).await?;
+    println!("cleared {}", done.cleared);
+    Ok(())
+}
+
+async fn list(node: SocketAddr, json: bool) -> CmdResult {
+    let all: Vec<SuspectStatus> = client::call(node, Method::GET, "/quarantine", &()).await?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&all).unwrap_or_default());
+        return Ok(());
+    }
+    for s in all {
+        let state = if s.quarantined {
+            "quarantined"
+        } else {
+            "suspected"
+        };
+        println!(
+            "{} {state} crashes={} age_ms={}",
+            s.fingerprint, s.crashes, s.age_ms
+        );
+    }
+    Ok(())
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,9 @@
   node        run the node of a backend server VM
   check       report every finding in a manifest
   commit      store a manifest and make it the next version
+  stop        drain the backend server of a node
+  status      show what a node, its zone or all nodes run
+  quarantine  list or clear requests that crashed backend servers
   devstore    run a stand-in for the platform's store
   devbackend  run a sample backend server
 
@@ -26,6 +29,9 @@
             Some("node") => cmd::node::run(args),
             Some("check") => cmd::check::run(args),
             Some("commit") => cmd::commit::run(args),
+            Some("stop") => cmd::stop::run(args),
+            Some("status") => cmd::status::run(args),
+            Some("quarantine") => cmd::quarantine::run(args),
             Some("devstore") => cmd::devstore::run(args),
             Some("devbackend") => cmd::devbackend::run(args),
             _ => cmd::fail(Exit::Usage, format!("unknown command {name:?}; see --help")),
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::node::Process;
-use super::record::{Target, TargetState};
+use super::record::TargetState;
+use super::target::{Announced, TTL};
+use super::{backend, floor, operate};
 use crate::prelude::*;
 
 /// What a backend server announces, about once a second.
@@ -30,6 +32,12 @@
     pub state: TargetState,
     /// Distinguishes successive processes of the backend server.
     pub incarnation: u64,
+    /// Health, as the backend server sees itself. A hint: it may be late or wrong.
+    #[serde(default)]
+    pub healthy: Option<bool>,
+    /// Load in percent. A hint: it may be late or wrong.
+    #[serde(default)]
+    pub load_percent: Option<u8>,
     /// Version floor from the last answer, returned unchanged.
     #[serde(default)]
     pub floor: Option<String>,
@@ -61,7 +69,7 @@
     pub nodes: usize,
 }
 
-type Ctx = RequestContext<Arc<Process>>;
+pub(super) type Ctx = RequestContext<Arc<Process>>;
 
 fn bad_request(message: &str) -> HttpError {
     HttpError::for_client_error(None, ClientErrorStatusCode::BAD_REQUEST, message.to_owned())
@@ -78,17 +86,28 @@
         .address
         .parse()
         .map_err(|_| bad_request("address: expected IP:PORT"))?;
-    let target = Target {
-        service: a.service.into(),
-        state: a.state,
-        slots: a.slots,
-        age_ms: 0,
-    };
-    ctx.context().announced(address, target);
+    let p = ctx.context();
+    let drained = backend::announced(
+        p,
+        Announced {
+            address,
+            service: a.service.into(),
+            state: a.state,
+            slots: a.slots,
+            connections: a.connections,
+            incarnation: a.incarnation,
+            healthy: a.healthy,
+            load: a.load_percent,
+        },
+    );
     Ok(HttpResponseOk(AnnounceAnswer {
-        ttl_ms: 5000,
-        drained: false,
-        floor: None,
+        ttl_ms: TTL.as_millis() as u64,
+        drained,
+        floor: Some(floor::issue(
+            p.version(),
+            &p.settings.node.site,
+            p.key.as_ref(),
+        )),
     }))
 }
 
@@ -142,6 +161,7 @@
     let mut api = ApiDescription::new();
     api.register(announce).map_err(|e| e.to_string())?;
     api.register(status).map_err(|e| e.to_string())?;
+    operate::register(&mut api)?;
     api.register(metrics).map_err(|e| e.to_string())?;
     api.register(health).map_err(|e| e.to_string())?;
     api.register(ready).map_err(|e| e.to_string())?;
--- a/src/process/grants.rs
+++ b/src/process/grants.rs
@@ -115,6 +115,23 @@
         }
     }
 
+    /// Starts again as another owner: after a planned stop, or when membership raised the incarnation. Ranges of the
+    /// former owner are never used again.
+    pub fn renew(&mut self, me: Owner) {
+        self.me = me;
+        for s in &mut self.shards {
+            *s = ShardState {
+                known: s.known.take(),
+                ..ShardState::default()
+            };
+        }
+    }
+
+    /// The owner that this process is.
+    pub fn me(&self) -> &Owner {
+        &self.me
+    }
+
     fn mine(&self, r: &KeyRange) -> bool {
         r.token == self.me.token && r.owner == self.me.node && r.incarnation == self.me.incarnation
     }
@@ -156,9 +173,13 @@
         }
     }
 
-    /// Whether no range above the cut remains to be given up, as far as known.
-    pub fn handed_over(&self) -> bool {
+    /// Whether no range above the cut remains to be given up, as far as known, and key times below the cut have passed.
+    pub fn handed_over(&self, wall_ms: u64) -> bool {
         self.shards.iter().all(|s| {
+            let held = s.cut.filter(|_| !s.own.is_empty());
+            if held.is_some_and(|c| wall_ms < c + CUT_LEAD_MS / 2) {
+                return false;
+            }
             let last = s.known.as_ref().and_then(|g| g.ranges.last());
             let open = |r: &KeyRange| self.mine(r) && s.cut.is_none_or(|c| r.until_ms > c);
             s.step == Step::Idle && !last.is_some_and(open)
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,6 +1,8 @@
 //! Prometheus metrics of a node.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 use crate::request::reason::Reason;
 
@@ -23,6 +25,8 @@
     pub store_calls: IntCounterVec,
     /// Watches that wait at the store now.
     pub store_waiting: IntGauge,
+    /// Crashes of the backend server beside this node.
+    pub crashes: IntCounter,
     /// Number of the version in force.
     pub version: IntGauge,
 }
@@ -96,6 +100,13 @@
                 "dq_store_waiting_watches",
                 "Watches that wait at the store",
             ),
+            crashes: register(
+                &r,
+                IntCounter::new(
+                    "dq_backend_crashes_total",
+                    "Crashes of the backend server beside this node",
+                ),
+            ),
             version: gauge(&r, "dq_version_number", "Number of the version in force"),
             registry: r,
         }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod backend;
 pub mod balance;
 pub mod budget;
 pub mod callers;
@@ -15,8 +16,11 @@
 pub mod metrics;
 pub mod node;
 pub mod notices;
+pub mod operate;
+pub mod ownership;
 pub mod quarantine;
 pub mod record;
 pub mod routing;
 pub mod slots;
+pub mod stop;
 pub mod target;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -7,11 +7,16 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
+use super::backend::{self, Backend};
 use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
 use super::metrics::Metrics;
-use super::notices::Notices;
+use super::notices::{Notice, Notices};
+use super::ownership::{self, Ownership};
 use super::record::{Addresses, Record, Target, TargetState};
 use super::routing::Routing;
 use super::slots::Slots;
@@ -62,6 +67,10 @@
     pub slots: Arc<Slots>,
     /// Requests in flight of each caller.
     pub callers: Arc<Callers>,
+    /// Ownership of idempotency keys.
+    pub ownership: Ownership,
+    /// The backend server beside this node.
+    pub beside: Backend,
     /// The site's shared key, when the settings name one.
     pub key: Option<SharedKey>,
     own: Mutex<(Record, Option<SocketAddr>)>,
@@ -86,29 +95,49 @@
         }
     }
 
-    /// Takes an announcement of the backend server.
-    pub fn announced(&self, address: SocketAddr, target: Target) {
+    /// Address of the backend server, as it announced it.
+    pub fn set_backend(&self, address: SocketAddr) {
+        self.change_own(|_, a| *a = Some(address));
+    }
+
+    /// Puts the state of the backend server into the own record.
+    pub fn set_target(&self, target: Target) {
         self.slots.set_slots(target.slots);
         if matches!(target.state, TargetState::Starting | TargetState::Gone) {
             self.slots.refuse_all(Reason::NotReady);
         }
-        self.change_own(|r, a| {
-            *a = Some(address);
-            r.target = Some(target);
-        });
+        self.change_own(|r, _| r.target = Some(target));
     }
 
-    /// Address of the backend server while it is ready.
+    /// Address of the backend server while it can run requests.
     pub fn backend(&self) -> Option<SocketAddr> {
-        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
-        let ready = own
-            .0
-            .target
-            .as_ref()
-            .is_some_and(|t| t.state == TargetState::Ready);
-        own.1.filter(|_| ready)
+        self.beside.address(self.clock.now())
+    }
+
+    /// The own record.
+    pub fn own_record(&self) -> Record {
+        self.own.lock().unwrap_or_else(|e| e.into_inner()).0.clone()
+    }
+
+    /// Whether a node is known to have ended.
+    pub fn is_dead(&self, _r: &Record) -> bool {
+        false
+    }
+
+    /// Whether a node answers, as far as known.
+    pub fn is_reachable(&self, _r: &Record) -> bool {
+        true
+    }
+
+    /// Takes notices of this node and tells the others what is new.
+    pub fn tell(&self, list: Vec<Notice>) {
+        let changed = self.notices.merge(list);
+        self.spread(changed);
     }
 
+    /// Sends notices that are already merged.
+    pub fn spread(&self, _list: Vec<Notice>) {}
+
     /// Whether an address is that of the backend server beside this node, which may speak for its callers.
     pub fn is_local(&self, from: std::net::IpAddr) -> bool {
         let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
@@ -158,6 +187,32 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
+/// Waits for a signal. SIGINT ends the process at once. SIGTERM drains it first; a second signal ends it at once.
+async fn wait_for_end(
+    p: &Arc<Process>,
+    close: &watch::Sender<bool>,
+    listeners: Vec<JoinHandle<()>>,
+) -> Result<(), Report<NodeError>> {
+    let mut term = signal(SignalKind::terminate()).change_context(NodeError)?;
+    tokio::select! {
+        done = tokio::signal::ctrl_c() => return done.change_context(NodeError),
+        _ = term.recv() => {}
+    }
+    backend::begin_drain(p);
+    let drained = async {
+        backend::drained(p).await;
+        close.send_replace(true);
+        for l in listeners {
+            let _ = l.await;
+        }
+    };
+    tokio::select! {
+        () = drained => Ok(()),
+        done = tokio::signal::ctrl_c() => done.change_context(NodeError),
+        _ = term.recv() => Ok(()),
+    }
+}
+
 /// Runs a node until the process is told to stop.
 ///
 /// # Errors
@@ -201,7 +256,7 @@
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
         store,
-        notices: Notices::default(),
+        notices: Notices::new(clock.clone()),
         routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
         slots: Arc::new(Slots::new(
             settings.policy.queue,
@@ -212,6 +267,8 @@
         callers: Arc::default(),
         metrics,
         key,
+        ownership: Ownership::new(&settings.node.id, record.incarnation),
+        beside: Backend::default(),
         own: Mutex::new((record, None)),
         settings,
     });
@@ -225,18 +282,24 @@
         peer = addresses.peer.to_string(),
         admin = addresses.admin.to_string()
     });
+    tokio::spawn(ownership::run(p.clone()));
+    tokio::spawn(backend::run(p.clone()));
     tokio::spawn(control::follow_store(p.clone()));
     tokio::spawn(control::accept_links(p.clone(), peer));
     for seed in seeds {
         tokio::spawn(control::exchange(p.clone(), seed));
     }
+    let (close, closing) = watch::channel(false);
     let q = p.clone();
-    tokio::spawn(listen::serve(relay, limits.clone(), move |req, _| {
-        admit::serve(q.clone(), req)
-    }));
+    let serve = move |req, _| admit::serve(q.clone(), req);
+    let relay = tokio::spawn(listen::serve_until(
+        relay,
+        limits.clone(),
+        closing.clone(),
+        serve,
+    ));
     let q = p.clone();
-    tokio::spawn(listen::serve(caller, limits, move |req, from| {
-        entry::serve(q.clone(), req, from)
-    }));
-    tokio::signal::ctrl_c().await.change_context(NodeError)
+    let serve = move |req, from| entry::serve(q.clone(), req, from);
+    let caller = tokio::spawn(listen::serve_until(caller, limits, closing, serve));
+    wait_for_end(&p, &close, vec![caller, relay]).await
 }
--- a/src/process/notices.rs
+++ b/src/process/notices.rs
@@ -10,6 +10,7 @@
 use super::quarantine::{Suspects, Verdict};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::request::reason::Reason;
 
 /// Index of a shard of idempotency keys.
 pub type Shard = u16;
@@ -133,17 +134,26 @@
         self.suspects(|s, now| s.verdict(fingerprint, now))
     }
 
-    /// Ownership of a shard.
-    pub fn grant(&self, shard: Shard) -> Option<Grant> {
-        self.state().grants.get(&shard).cloned()
+    /// Ownership of all shards.
+    pub fn grants(&self) -> Vec<Grant> {
+        self.state().grants.values().cloned().collect()
     }
 
     /// The range that holds a key time.
-    pub fn owner(&self, shard: Shard, key_ms: u64) -> Option<KeyRange> {
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::KeyExpired`] for a time before all ranges, [`Reason::OwnerUnreachable`] for one that no known range
+    /// holds. An owner that is not known here may have run the key.
+    pub fn owner(&self, shard: Shard, key_ms: u64) -> Result<KeyRange, Reason> {
         let s = self.state();
-        let ranges = &s.grants.get(&shard)?.ranges;
+        let ranges = s.grants.get(&shard).map_or(&[][..], |g| &g.ranges);
         let holds = |r: &&KeyRange| (r.from_ms..r.until_ms).contains(&key_ms);
-        ranges.iter().find(holds).cloned()
+        match ranges.iter().find(holds) {
+            Some(r) => Ok(r.clone()),
+            None if ranges.first().is_some_and(|r| key_ms < r.from_ms) => Err(Reason::KeyExpired),
+            None => Err(Reason::OwnerUnreachable),
+        }
     }
 }
 
--- a/src/process/target.rs
+++ b/src/process/target.rs
@@ -68,6 +68,7 @@
     proof: Option<Now>,
     probing: bool,
     published: Option<(ServiceId, TargetState, u32)>,
+    leaving: Option<Now>,
 }
 
 impl Monitor {
@@ -174,6 +175,11 @@
             .map(|h| h.announced.address)
     }
 
+    /// Time since the record says that the target is leaving.
+    pub fn leaving(&self, now: Now) -> Option<Duration> {
+        self.leaving.map(|t| now.saturating_sub(t))
+    }
+
     /// Incarnation of the backend server.
     pub fn incarnation(&self) -> Option<u64> {
         self.held.as_ref().map(|h| h.announced.incarnation)
@@ -201,6 +207,10 @@
             return Vec::new();
         }
         self.published = Some(key);
+        self.leaving = match state {
+            TargetState::Draining => self.leaving.or(Some(now)),
+            _ => None,
+        };
         vec![Action::Publish(Target {
             service: a.service.clone(),
             state,
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -7,11 +7,14 @@
 
 use super::body::{guard, settle, Body, BodyLimits, HeldBody};
 use super::context::{self, Context};
+use super::entry;
 use super::gate::{self, InFlight};
 use super::job::fingerprint;
+use super::owner;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::backend::Pass;
 use crate::process::node::Process;
 
 /// A relayed request as the admitting node holds it.
@@ -26,11 +29,16 @@
 /// Serves one request relayed by another node.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>) -> Response<Body> {
     let out = async {
+        if owner::is_for_owner(&req) {
+            return owner::serve(&p, req).await.map(entry::mark_done);
+        }
         let work = check(&p, req).await?;
-        gate::check_admit(&p, &work.ctx, &work.fingerprint)?;
-        forward(&p, work).await
+        let pass = gate::check_admit(&p, &work.ctx, &work.fingerprint, work.deadline).await?;
+        forward(&p, work, pass).await
     };
-    out.await.unwrap_or_else(|f| f.response())
+    let mut res = out.await.unwrap_or_else(|f| f.response());
+    entry::close_when_leaving(&p, &mut res);
+    res
 }
 
 /// Checks the proof of the shared key and reads the first part of the body.
@@ -63,7 +71,7 @@
 }
 
 /// Waits for a slot, sends the request to the backend server and returns its answer.
-async fn forward(p: &Arc<Process>, work: Work) -> Result<Response<Body>, Failure> {
+async fn forward(p: &Arc<Process>, work: Work, pass: Pass) -> Result<Response<Body>, Failure> {
     p.backend().ok_or(Failure::not_run(Reason::NotReady))?;
     let snapshot = p.config.load_full();
     let (rank, caller) = (&work.ctx.rank, &work.ctx.caller);
@@ -72,11 +80,11 @@
         .take(snapshot.as_deref(), rank, caller, work.deadline);
     let mut slot = slot.await?;
     let backend = p.backend().ok_or(Failure::not_run(Reason::NotReady))?;
-    let mut flight = InFlight::begin(p, work.fingerprint)?;
+    let mut flight = InFlight::begin(pass)?;
     let left = work.deadline.saturating_sub(p.clock.now());
     let sent = tokio::time::timeout(left, send(p, &work, backend, left)).await;
     let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
-    flight.ended(p, sent.as_ref().map(|_| ()).map_err(|f| *f));
+    flight.ended(sent.as_ref().map(|_| ()).map_err(|f| *f));
     let mut res = sent?;
     slot.ran();
     let h = res.headers_mut();
--- a/src/request/body.rs
+++ b/src/request/body.rs
@@ -112,6 +112,32 @@
         self.source.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Reads the rest of the body, so that it can be sent any number of times.
+    ///
+    /// # Errors
+    ///
+    /// The body is larger than `max` bytes, too slow or broken.
+    pub async fn hold(&mut self, max: usize) -> Result<(), Reason> {
+        if self.whole().is_none() {
+            let mut body = self.body();
+            let mut data = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                let frame = frame.map_err(|_| self.fault().unwrap_or(Reason::BadRequest))?;
+                data.extend(frame.into_data().unwrap_or_default());
+                if data.len() > max {
+                    return Err(Reason::TooLarge);
+                }
+            }
+            self.prefix = data.freeze();
+            self.length = Some(self.prefix.len() as u64);
+            self.source = Arc::default();
+        }
+        match self.prefix.len() > max {
+            true => Err(Reason::TooLarge),
+            false => Ok(()),
+        }
+    }
+
     /// Whether the body can be sent (again) from its start.
     pub fn replayable(&self) -> bool {
         !self.source().started
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -9,6 +9,8 @@
 use super::context;
 use super::gate::{self, Way};
 use super::job::Job;
+use super::key::Key;
+use super::owner;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
 use super::retry::{Decision, Failed};
 use crate::prelude::*;
@@ -19,17 +21,40 @@
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let (rank, out) = match Job::accept(&p, req, from).await {
-        Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
-        Err(f) => (RankId::default(), Err(f)),
+    // Without a job it is not known whether the route is idempotent.
+    let keyed = Key::read(req.headers()).is_ok();
+    let (rank, out) = match owner::asks_for_key(&req) {
+        true => (RankId::default(), owner::issue(&p)),
+        false => match Job::accept(&p, req, from).await {
+            Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
+            Err(f) if keyed => (RankId::default(), Err(owner::before_owner(f))),
+            Err(f) => (RankId::default(), Err(f)),
+        },
     };
     let outcome = out.as_ref().map_or_else(|f| f.outcome, |_| Outcome::Done);
     let labels = [rank.as_str(), outcome.as_str()];
     p.metrics.requests.with_label_values(&labels).inc();
-    out.unwrap_or_else(|f| {
+    let mut res = out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
-    })
+    });
+    close_when_leaving(&p, &mut res);
+    res
+}
+
+/// Marks the answer of a backend server.
+pub fn mark_done(mut res: Response<Body>) -> Response<Body> {
+    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
+    res.headers_mut().insert(OUTCOME, done);
+    res
+}
+
+/// Asks the client to open its next connection elsewhere once a planned stop finishes work.
+pub fn close_when_leaving(p: &Process, res: &mut Response<Body>) {
+    if p.beside.closing() {
+        let close = http::HeaderValue::from_static("close");
+        res.headers_mut().insert(http::header::CONNECTION, close);
+    }
 }
 
 async fn answer(p: &Arc<Process>, mut job: Job) -> Result<Response<Body>, Failure> {
@@ -41,10 +66,8 @@
         Way::Answered(res) => res,
     };
     context::strip_internal(res.headers_mut());
-    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
-    res.headers_mut().insert(OUTCOME, done);
     let left = deadline.saturating_sub(p.clock.now());
-    Ok(guard(res, left, permits))
+    Ok(guard(mark_done(res), left, permits))
 }
 
 /// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -80,8 +80,52 @@
             .clone();
         let number = snapshot.version.number;
         let ctx = caller_context(&route, number, &parts.headers, from, p.is_local(from))?;
+        let permits = take_permits(p, &snapshot, &route, &ctx.caller)?;
+        let body = body.map_err(Into::into).boxed_unsync();
+        let mut job = Self::read(p, start, (snapshot, route, ctx), parts, body).await?;
+        job.permits = permits;
+        Ok(job)
+    }
+
+    /// Reads a request that another node relayed to the owner of its key.
+    ///
+    /// # Errors
+    ///
+    /// No version or route here, or a malformed, unproven, slow or too large request. This attempt was not run.
+    pub async fn relayed(p: &Process, req: Request<Incoming>) -> Result<Self, Failure> {
+        let start = p.clock.now();
+        let ctx = Context::read(req.headers()).ok_or(Failure::not_run(Reason::BadRequest))?;
+        let (parts, body) = req.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        if let Some(key) = &p.key {
+            if !ctx.proven(key, &parts.method, path, &parts.headers) {
+                return Err(Failure::not_run(Reason::Unproven));
+            }
+        }
+        let snapshot = p.config.load_full();
+        let snapshot = snapshot.ok_or(Failure::not_run(Reason::NoVersion))?;
+        let host = context::header::<String>(&parts.headers, &http::header::HOST);
+        let route = snapshot
+            .route(
+                parts.method.as_str(),
+                &host.unwrap_or_default(),
+                parts.uri.path(),
+            )
+            .ok_or(Failure::not_run(Reason::NoRoute))?
+            .clone();
+        let body = body.map_err(Into::into).boxed_unsync();
+        Self::read(p, start, (snapshot, route, ctx), parts, body).await
+    }
+
+    async fn read(
+        p: &Process,
+        start: Now,
+        (snapshot, route, ctx): (Arc<Snapshot>, Route, Context),
+        parts: http::request::Parts,
+        body: Body,
+    ) -> Result<Self, Failure> {
         let limits = BodyLimits::new(&p.settings.limits);
-        let read = HeldBody::read(body.map_err(Into::into).boxed_unsync(), limits);
+        let read = HeldBody::read(body, limits);
         let body = tokio::time::timeout(ctx.remaining, read)
             .await
             .unwrap_or(Err(Reason::SlowCaller))
@@ -89,7 +133,7 @@
         let mut headers = parts.headers;
         context::strip(&mut headers);
         add_headers(&snapshot, &route, &mut headers);
-        let permits = take_permits(p, &snapshot, &route, &ctx.caller)?;
+        let host = context::header::<String>(&headers, &http::header::HOST);
         Ok(Self {
             deadline: start + ctx.remaining,
             path: parts
@@ -101,10 +145,10 @@
             snapshot,
             route,
             ctx,
-            host,
+            host: host.unwrap_or_default(),
             headers,
             body,
-            permits,
+            permits: Vec::new(),
         })
     }
 
@@ -143,11 +187,33 @@
     }
 }
 
+/// The host as far as it names the work: callers that address nodes by IP number send the entry node's own address,
+/// which differs when the same request comes through another node.
+fn host_name(host: &str) -> &str {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let number = name.trim_matches(['[', ']']).parse::<IpAddr>();
+    match number.is_ok() || host.parse::<IpAddr>().is_ok() {
+        true => "",
+        false => host,
+    }
+}
+
+/// Hash of all that makes two requests with one key the same request. The body has to be held.
+pub fn content(job: &Job) -> Digest {
+    Digest::of_parts(&[
+        job.method.as_str().as_bytes(),
+        host_name(&job.host).as_bytes(),
+        job.path.as_str().as_bytes(),
+        &job.body.prefix,
+    ])
+}
+
 /// Hash of method, host, path, query and the first part of the body.
 ///
 /// The first part may hold one network read more than the named size, so exactly
 /// [`super::body::PREFIX_BYTES`] are hashed: every node has to find the same value.
 pub fn fingerprint(method: &Method, host: &str, path: &PathAndQuery, prefix: &[u8]) -> Digest {
+    let host = host_name(host);
     let part = &prefix[..prefix.len().min(super::body::PREFIX_BYTES)];
     Digest::of_parts(&[
         method.as_str().as_bytes(),
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -7,5 +7,6 @@
 pub mod gate;
 pub mod job;
 pub mod key;
+pub mod owner;
 pub mod reason;
 pub mod retry;
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -76,6 +76,8 @@
             | Reason::CallerShare
             | Reason::Deadline
             | Reason::Declined
+            | Reason::Draining
+            | Reason::SuspectBusy
     )
 }
 
@@ -107,7 +109,10 @@
 where
     R: Rng,
 {
-    let proven = matches!(f.failure.reason, Reason::NotSent | Reason::NotReady);
+    let proven = matches!(
+        f.failure.reason,
+        Reason::NotSent | Reason::NotReady | Reason::Draining
+    );
     match policy {
         RetryPolicy::Unlimited => DELAY_UNLIMITED,
         RetryPolicy::Budget if proven && f.other && f.attempts <= 1 => Duration::ZERO,
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -252,7 +252,7 @@
 
     /// One request as an entry node and an owner handle it. Returns whether the caller was told "not run".
     fn send(&mut self, key: Key, entry: usize, run: Run) -> bool {
-        let Some(range) = self.nodes[entry].notices.owner(key.shard(), key.time_ms()) else {
+        let Ok(range) = self.nodes[entry].notices.owner(key.shard(), key.time_ms()) else {
             return false;
         };
         let owner: usize = range.owner[1..].parse().unwrap();
