--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,8 +3,10 @@
 pub mod check;
 pub mod client;
 pub mod commit;
+pub mod dev;
 pub mod devbackend;
 pub mod devstore;
+pub mod load;
 pub mod node;
 pub mod quarantine;
 pub mod status;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,8 +16,10 @@
   stop        drain the backend server of a node
   status      show what a node, its zone or all nodes run
   quarantine  list or clear requests that crashed backend servers
+  dev         run a small whole site in one process
   devstore    run a stand-in for the platform's store
   devbackend  run a sample backend server
+  load        send load to nodes and report the results
 
 Each command explains itself with --help.
 ";
@@ -32,8 +34,10 @@
             Some("stop") => cmd::stop::run(args),
             Some("status") => cmd::status::run(args),
             Some("quarantine") => cmd::quarantine::run(args),
+            Some("dev") => cmd::dev::run(args),
             Some("devstore") => cmd::devstore::run(args),
             Some("devbackend") => cmd::devbackend::run(args),
+            Some("load") => cmd::load::run(args),
             _ => cmd::fail(Exit::Usage, format!("unknown command {name:?}; see --help")),
         },
         Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h')) => {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -21,6 +21,7 @@
 pub mod quarantine;
 pub mod record;
 pub mod routing;
+pub mod shutdown;
 pub mod slots;
 pub mod stop;
 pub mod target;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -6,8 +6,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use dropshot::HttpServer;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -20,14 +20,14 @@
 use super::record::{Addresses, Record, Target, TargetState};
 use super::routing::Routing;
 use super::slots::Slots;
-use super::{admin, control};
+use super::{admin, control, shutdown};
 use crate::connection::listen;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
 use crate::key::SharedKey;
 use crate::prelude::*;
 use crate::request::reason::Reason;
 use crate::request::{admit, entry};
-use crate::settings::Settings;
+use crate::settings::{ListenSettings, Settings};
 use crate::store::Store;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
@@ -187,45 +187,74 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
-/// Waits for a signal. SIGINT ends the process at once. SIGTERM drains it first; a second signal ends it at once.
-async fn wait_for_end(
-    p: &Arc<Process>,
-    close: &watch::Sender<bool>,
-    listeners: Vec<JoinHandle<()>>,
-) -> Result<(), Report<NodeError>> {
-    let mut term = signal(SignalKind::terminate()).change_context(NodeError)?;
-    tokio::select! {
-        done = tokio::signal::ctrl_c() => return done.change_context(NodeError),
-        _ = term.recv() => {}
-    }
-    backend::begin_drain(p);
-    let drained = async {
-        backend::drained(p).await;
-        close.send_replace(true);
-        for l in listeners {
-            let _ = l.await;
-        }
-    };
-    tokio::select! {
-        () = drained => Ok(()),
-        done = tokio::signal::ctrl_c() => done.change_context(NodeError),
-        _ = term.recv() => Ok(()),
+/// Listeners of a node, opened before its settings are complete when several nodes start together.
+pub struct Listeners {
+    /// Requests of callers.
+    pub caller: TcpListener,
+    /// Requests relayed by other nodes.
+    pub relay: TcpListener,
+    /// Links of other nodes.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners.
+    ///
+    /// # Errors
+    ///
+    /// An address could not be listened on.
+    pub async fn open(s: &ListenSettings) -> Result<Self, Report<NodeError>> {
+        Ok(Self {
+            caller: bind(s.caller).await?,
+            relay: bind(s.relay).await?,
+            peer: bind(s.peer).await?,
+        })
     }
 }
 
+/// A running node; its admin API stops when this is dropped.
+pub struct Running {
+    /// Shared state.
+    pub process: Arc<Process>,
+    /// Addresses taken.
+    pub addresses: Addresses,
+    /// Ends the listeners for requests once it is set; requests in progress are answered first.
+    pub close: watch::Sender<bool>,
+    /// Tasks of these listeners.
+    pub listeners: Vec<JoinHandle<()>>,
+    _admin: HttpServer<Arc<Process>>,
+}
+
 /// Runs a node until the process is told to stop.
 ///
 /// # Errors
 ///
 /// A listener could not be opened.
 pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
+    let listeners = Listeners::open(&settings.listen).await?;
+    let node = start(settings, store, listeners)?;
+    shutdown::wait(node).await.change_context(NodeError)
+}
+
+/// Starts a node on open listeners.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
     let key = match &settings.peers.key_file {
         Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
         None => None,
     };
-    let caller = bind(settings.listen.caller).await?;
-    let relay = bind(settings.listen.relay).await?;
-    let peer = bind(settings.listen.peer).await?;
+    let Listeners {
+        caller,
+        relay,
+        peer,
+    } = listeners;
     let local = |l: &TcpListener| l.local_addr().change_context(NodeError);
     let mut addresses = Addresses {
         caller: local(&caller)?,
@@ -301,5 +330,11 @@
     let q = p.clone();
     let serve = move |req, from| entry::serve(q.clone(), req, from);
     let caller = tokio::spawn(listen::serve_until(caller, limits, closing, serve));
-    wait_for_end(&p, &close, vec![caller, relay]).await
+    Ok(Running {
+        process: p,
+        addresses,
+        close,
+        listeners: vec![caller, relay],
+        _admin: admin,
+    })
 }
