--- a/src/devsite.rs
+++ b/src/devsite.rs
@@ -128,13 +128,9 @@
         let client = HttpStore::new(store, Duration::from_millis(settings.store.timeout_ms));
         let node = node::start(settings, Arc::new(client), listeners)
             .or_else(|e| fail(Exit::Failed, format!("{e:?}")))?;
-        let backend = devbackend::Args {
-            service: service.into(),
-            node: node.addresses.admin,
-            listen: ports.node(4, i),
-            slots: SLOTS,
-            work: WORK,
-        };
+        let listen = ports.node(4, i);
+        let backend = devbackend::Args::new(service, node.addresses.admin);
+        let backend = backend.with(listen, SLOTS, WORK);
         devbackend::start(backend).await?;
         members.push(Member { node, az, service });
     }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -323,7 +323,7 @@
     let serve = move |req, _| admit::serve(q.clone(), req);
     let relay = tokio::spawn(listen::serve_until(
         relay,
-        limits.clone(),
+        limits.for_relay(),
         closing.clone(),
         serve,
     ));
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -28,6 +28,7 @@
 
 /// Serves one request relayed by another node.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>) -> Response<Body> {
+    let id = req.headers().get(context::REQUEST_ID).cloned();
     let out = async {
         if owner::is_for_owner(&req) {
             return owner::serve(&p, req).await.map(entry::mark_done);
@@ -38,6 +39,10 @@
     };
     let mut res = out.await.unwrap_or_else(|f| f.response());
     entry::close_when_leaving(&p, &mut res);
+    // Lets the entry node find out when an answer belongs to another request.
+    if let Some(id) = id {
+        res.headers_mut().insert(context::REQUEST_ID, id);
+    }
     res
 }
 
@@ -102,6 +107,9 @@
 ) -> Result<Response<Body>, Failure> {
     let req = backend_request(work, backend, left)?;
     let mut res = p.upstream.send(req).await?;
+    if work.ctx.is_crossed(res.headers()) {
+        return Err(Failure::unknown(Reason::BadAnswer));
+    }
     let declined = res.status() == StatusCode::SERVICE_UNAVAILABLE
         && res
             .headers()
--- a/src/request/owner.rs
+++ b/src/request/owner.rs
@@ -96,6 +96,9 @@
             Err(f) if f.outcome == Outcome::NotRun => return Err(unreachable),
             sent => sent?,
         };
+        if job.ctx.is_crossed(res.headers()) {
+            return Err(Failure::unknown(Reason::BadAnswer));
+        }
         if let Some(f) = Failure::read(res.headers()) {
             return Err(f);
         }
