--- a/src/process/floor.rs
+++ b/src/process/floor.rs
@@ -1,41 +1,35 @@
 //! Version floor token that a backend server returns to its node's next process.
+//!
+//! With a shared key the token carries an HMAC, so that a process that can reach the admin port cannot raise the floor
+//! and keep the node from adopting versions.
 
 use crate::key::SharedKey;
+use crate::version::adopt::{floor_token, read_token};
 use crate::version::snapshot::VersionRef;
 
 /// Separates these proofs from other uses of the shared key.
 const PURPOSE: &[u8] = b"dq-floor-v1";
 
-fn parts<'a>(site: &'a str, text: &'a str) -> [&'a [u8]; 3] {
-    [PURPOSE, site.as_bytes(), text.as_bytes()]
-}
-
-/// Writes a token for the version in force, with an HMAC when the site has a shared key.
+/// Writes a token for the version in force.
 pub fn issue(v: VersionRef, site: &str, key: Option<&SharedKey>) -> String {
-    let text = format!("{}.{}", v.number, v.hash);
+    let text = floor_token(site, v);
     let Some(key) = key else {
         return text;
     };
-    let code = key.sign(&parts(site, &text));
+    let code = key.sign(&[PURPOSE, text.as_bytes()]);
     let hex: String = code.iter().map(|b| format!("{b:02x}")).collect();
     format!("{text}.{hex}")
 }
 
-/// Reads a token; `None` when it is malformed or its HMAC does not match the shared key.
+/// Reads a token; `None` when it is malformed, of another site, or its HMAC does not match the shared key.
 pub fn read(token: &str, site: &str, key: Option<&SharedKey>) -> Option<VersionRef> {
-    let mut fields = token.splitn(3, '.');
-    let (number, hash) = (fields.next()?, fields.next()?);
-    if let Some(key) = key {
-        let code = unhex(fields.next()?)?;
-        let text = format!("{number}.{hash}");
-        if !key.verify(&parts(site, &text), &code) {
-            return None;
-        }
-    }
-    Some(VersionRef {
-        number: number.parse().ok()?,
-        hash: hash.parse().ok()?,
-    })
+    let Some(key) = key else {
+        return read_token(site, token);
+    };
+    let (text, code) = token.rsplit_once('.')?;
+    let code = unhex(code)?;
+    let proven = key.verify(&[PURPOSE, text.as_bytes()], &code);
+    read_token(site, text).filter(|_| proven)
 }
 
 fn unhex(s: &str) -> Option<Vec<u8>> {
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -14,14 +14,18 @@
 use super::backend::{self, Backend};
 use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
+use super::faults::{BlockableStore, Faults};
 use super::metrics::Metrics;
 use super::notices::{Notice, Notices};
 use super::ownership::{self, Ownership};
 use super::record::{Addresses, Record, Target, TargetState};
 use super::routing::Routing;
 use super::slots::Slots;
-use super::{admin, control, shutdown};
+use super::view::{Post, Usable, View};
+use super::{admin, control, floor, shutdown};
+use crate::connection::handshake::Identity;
 use crate::connection::listen;
+use crate::connection::peer::WsTransport;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
 use crate::key::SharedKey;
 use crate::prelude::*;
@@ -73,6 +77,10 @@
     pub beside: Backend,
     /// The site's shared key, when the settings name one.
     pub key: Option<SharedKey>,
+    /// What the control task knows, and messages to it.
+    pub view: View,
+    /// Injected faults.
+    pub faults: Arc<Faults>,
     own: Mutex<(Record, Option<SocketAddr>)>,
 }
 
@@ -86,10 +94,11 @@
     }
 
     /// Puts a version in force if it is newer than the present one.
-    pub fn adopt(&self, snapshot: Snapshot) {
+    pub fn adopt(&self, snapshot: Arc<Snapshot>) {
         if snapshot.version.number > self.version().number {
             let v = snapshot.version;
-            self.config.store(Some(Arc::new(snapshot)));
+            self.config.store(Some(snapshot));
+            self.metrics.version.set(v.number as i64);
             self.change_own(|r, _| r.version = v);
             spdlog::info!("event=version_adopted", kv: { number = v.number, hash = v.hash.to_string() });
         }
@@ -114,30 +123,29 @@
         self.beside.address(self.clock.now())
     }
 
-    /// The own record.
-    pub fn own_record(&self) -> Record {
-        self.own.lock().unwrap_or_else(|e| e.into_inner()).0.clone()
+    /// How far the record of a node may be used; a record of an earlier process may not.
+    pub fn usable(&self, r: &Record) -> Usable {
+        match r.node == self.settings.node.id {
+            true => Usable::Yes,
+            false => self.view.members.load().usable(&r.node),
+        }
     }
 
     /// Whether a node is known to have ended.
-    pub fn is_dead(&self, _r: &Record) -> bool {
-        false
+    pub fn is_dead(&self, r: &Record) -> bool {
+        self.usable(r) == Usable::No
     }
 
-    /// Whether a node answers, as far as known.
-    pub fn is_reachable(&self, _r: &Record) -> bool {
-        true
+    /// Whether it is worth trying to reach a node.
+    pub fn may_reach(&self, r: &Record) -> bool {
+        !self.is_dead(r) && !self.is_cut_off(&r.node)
     }
 
-    /// Takes notices of this node and tells the others what is new.
-    pub fn tell(&self, list: Vec<Notice>) {
-        let changed = self.notices.merge(list);
-        self.spread(changed);
+    /// Whether a node answers, as far as known.
+    pub fn is_reachable(&self, r: &Record) -> bool {
+        self.usable(r) <= Usable::Doubtful && !self.is_cut_off(&r.node)
     }
 
-    /// Sends notices that are already merged.
-    pub fn spread(&self, _list: Vec<Notice>) {}
-
     /// Whether an address is that of the backend server beside this node, which may speak for its callers.
     pub fn is_local(&self, from: std::net::IpAddr) -> bool {
         let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
@@ -150,33 +158,77 @@
     {
         let mut own = self.own.lock().unwrap_or_else(|e| e.into_inner());
         let (record, address) = &mut *own;
-        let before = record.clone();
         change(record, address);
-        if *record != before {
-            record.sequence += 1;
-            self.merge(vec![record.clone()]);
+        drop(own);
+        self.view.wake();
+    }
+
+    /// Whether an injected fault cuts this node off from another one.
+    pub fn is_cut_off(&self, node: &NodeId) -> bool {
+        let records = self.records.load();
+        let az = records.get(node).map(|r| &r.az);
+        az.is_some_and(|az| self.faults.blocks_zone(az))
+    }
+
+    /// Own record; incarnation and sequence are those of the last change that the control task made.
+    pub fn own_record(&self) -> Record {
+        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        own.0.clone()
+    }
+
+    /// Incarnation of this process.
+    pub fn own_incarnation(&self) -> Incarnation {
+        self.own_record().incarnation
+    }
+
+    /// Takes a higher incarnation, because another process has used this one.
+    pub fn set_incarnation(&self, n: Incarnation) {
+        self.change_own(|r, _| r.incarnation = n);
+    }
+
+    /// Notes in the own record whether this node watches the store's head.
+    pub fn set_watcher(&self, watcher: bool) {
+        self.change_own(|r, _| r.watcher = watcher);
+    }
+
+    /// Merges notices that were made here and sends the changes to all linked peers at once.
+    pub fn tell(&self, list: Vec<Notice>) {
+        let changed = self.notices.merge(list);
+        self.spread(changed);
+    }
+
+    /// Sends notices that are already merged to all linked peers.
+    pub fn spread(&self, changed: Vec<Notice>) {
+        if !changed.is_empty() {
+            self.view.post(Post::Notices(changed));
         }
     }
 
-    /// Adds records that replace older ones of the same node.
-    pub fn merge(&self, list: Vec<Record>) {
-        self.records.rcu(|old| {
-            let mut map = BTreeMap::clone(old);
-            for r in &list {
-                match map.get(&r.node) {
-                    Some(held) if held.order() >= r.order() => {}
-                    _ => {
-                        map.insert(r.node.clone(), r.clone());
-                    }
-                }
-            }
-            map
-        });
+    /// Takes the floor token that the backend server returned.
+    pub fn returned_floor(&self, token: Option<&str>) {
+        let site = &self.settings.node.site;
+        self.view.post(Post::Token(
+            token.and_then(|t| floor::read(t, site, self.key.as_ref())),
+        ));
+    }
+
+    /// Floor token for the backend server.
+    pub fn floor_token(&self) -> Option<String> {
+        let v = self.version();
+        (v.number > 0).then(|| floor::issue(v, &self.settings.node.site, self.key.as_ref()))
     }
+}
 
-    /// All known records.
-    pub fn all_records(&self) -> Vec<Record> {
-        self.records.load().values().cloned().collect()
+fn identity(settings: &Settings, record: &Record, key: Option<SharedKey>) -> Identity {
+    if key.is_none() {
+        spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
+    }
+    Identity {
+        site: settings.node.site.clone(),
+        node: record.node.clone(),
+        incarnation: record.incarnation,
+        az: record.az.clone(),
+        key,
     }
 }
 
@@ -273,9 +325,15 @@
         region: settings.node.region.clone(),
         addresses,
         version: VersionRef::default(),
+        watcher: false,
         target: None,
     };
-    let seeds = settings.peers.seeds.clone();
+    let identity = identity(&settings, &record, key.clone());
+    let faults = Arc::new(Faults::new(settings.faults.enabled));
+    let store: Arc<dyn Store> = match settings.faults.enabled {
+        true => Arc::new(BlockableStore::new(store, faults.clone())),
+        false => store,
+    };
     let limits = settings.limits.clone();
     let admin_address = settings.listen.admin;
     let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
@@ -298,6 +356,8 @@
         key,
         ownership: Ownership::new(&settings.node.id, record.incarnation),
         beside: Backend::default(),
+        view: View::default(),
+        faults,
         own: Mutex::new((record, None)),
         settings,
     });
@@ -313,11 +373,8 @@
     });
     tokio::spawn(ownership::run(p.clone()));
     tokio::spawn(backend::run(p.clone()));
-    tokio::spawn(control::follow_store(p.clone()));
-    tokio::spawn(control::accept_links(p.clone(), peer));
-    for seed in seeds {
-        tokio::spawn(control::exchange(p.clone(), seed));
-    }
+    let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
+    tokio::spawn(control::run(p.clone(), identity, transport));
     let (close, closing) = watch::channel(false);
     let q = p.clone();
     let serve = move |req, _| admit::serve(q.clone(), req);
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -11,6 +11,8 @@
 
 /// Attempts at a compare-and-swap that other plans win, before the command is told to try again.
 const ATTEMPTS: u32 = 8;
+/// Time after which a node that is not known counts as ended; records spread in less.
+const SETTLE: Duration = Duration::from_secs(20);
 /// Pause between two attempts to remove a finished stop while the store is down.
 const FORGET_PAUSE: Duration = Duration::from_secs(5);
 /// Attempts to remove a finished stop; a stop of a node that ended is removed by the next plan.
@@ -64,7 +66,7 @@
 }
 
 /// Targets of a service as this node knows them.
-fn candidates(p: &Process, service: &str) -> Vec<Candidate> {
+fn candidates(p: &Process, service: &str, stops: &Stops) -> Vec<Candidate> {
     let records = p.records.load();
     let each = records.values().map(|r| {
         let target = r.target.as_ref().filter(|t| t.service == service);
@@ -75,7 +77,18 @@
             dead: p.is_dead(r),
         }
     });
-    each.collect()
+    // Records of dead nodes are not kept with the others. A node that has just started does not know anybody yet.
+    let settled = p.clock.now() >= SETTLE;
+    let ended = stops
+        .iter()
+        .filter(|s| settled && !records.contains_key(&s.node));
+    let ended = ended.map(|s| Candidate {
+        node: s.node.clone(),
+        incarnation: s.incarnation,
+        ready: false,
+        dead: true,
+    });
+    each.chain(ended).collect()
 }
 
 async fn read(p: &Process, key: &str) -> Result<(Revision, Stops), StoreError> {
@@ -115,7 +128,7 @@
             }
             Err(e) => return Err(StopError::Unavailable(e.to_string())),
         };
-        let known = candidates(p, &target.service);
+        let known = candidates(p, &target.service, &stops);
         let next = match plan(stops.clone(), &me(p), &known, force) {
             Ok(next) => next,
             Err(e) => {
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -139,6 +139,9 @@
     if left.is_zero() {
         return Err(Failure::not_run(Reason::Deadline));
     }
+    if p.is_cut_off(node) {
+        return Err(Failure::not_run(Reason::NotSent));
+    }
     let mut sent = p.routing.sent(node, &job.ctx.rank);
     let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
     let out = out.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
--- a/src/request/owner.rs
+++ b/src/request/owner.rs
@@ -83,7 +83,7 @@
     let relay = {
         let records = p.records.load();
         let same = records.get(&range.owner);
-        let same = same.filter(|r| r.incarnation == range.incarnation && !p.is_dead(r));
+        let same = same.filter(|r| r.incarnation == range.incarnation && p.may_reach(r));
         same.map(|r| r.addresses.relay).ok_or(unreachable)?
     };
     let left = job.deadline.saturating_sub(p.clock.now());
