--- /dev/null
+++ b/tests/sites/mod.rs
@@ -0,0 +1,163 @@
+//! A whole site of separate processes: store, nodes with backend servers in three zones, and a manifest.
+#![allow(dead_code, unreachable_pub)]
+
+use std::net::SocketAddr;
+
+use super::workdir::{http, http_json, repo_file, wait_until, Answer, Ports, Running, Workdir};
+
+/// A running site. Backend servers run `parcel-hall` unless stated otherwise.
+pub struct Site {
+    pub dir: Workdir,
+    pub store: SocketAddr,
+    pub nodes: Vec<(Running, Ports)>,
+    pub backends: Vec<(Running, SocketAddr)>,
+    _store: Running,
+}
+
+pub const BOOKINGS: &str = "/bookings";
+
+impl Site {
+    /// Starts `n` nodes and waits until each routes to all targets and issues keys.
+    pub fn start(n: usize, service: &str, backend: &[&str]) -> Self {
+        let dir = Workdir::new();
+        let (running, store) = dir.start_store();
+        let mut site = Self {
+            dir,
+            store,
+            nodes: Vec::new(),
+            backends: Vec::new(),
+            _store: running,
+        };
+        for i in 0..n {
+            let seeds: Vec<_> = site.nodes.iter().map(|(_, p)| p.peer).collect();
+            let az = ["a", "b", "c"][i % 3];
+            let node = site.dir.start_node(&format!("n{i}"), az, store, &seeds, "");
+            site.nodes.push(node);
+            site.start_backend(i, service, backend);
+        }
+        let manifest = repo_file("examples/trust.toml");
+        let out = site.dir.run(&[
+            "commit",
+            &manifest,
+            "--base",
+            "0",
+            "--store",
+            &store.to_string(),
+        ]);
+        assert!(out.status.success(), "{out:?}");
+        site.wait_ready(n);
+        for i in 0..n {
+            wait_until("a key is issued", || site.key(i).is_some());
+            wait_until("all shards have an owner", || {
+                (0..16).all(|s| site.ranges(s).is_some())
+            });
+        }
+        site
+    }
+
+    pub fn start_backend(&mut self, i: usize, service: &str, extra: &[&str]) {
+        let admin = self.nodes[i].1.admin.to_string();
+        let mut args = vec!["devbackend", "--service", service, "--node", &admin];
+        args.extend(extra);
+        let r = self.dir.start(&args);
+        let address = r
+            .wait_line("listening ")
+            .trim_start_matches("listening ")
+            .parse()
+            .unwrap();
+        self.backends.push((r, address));
+    }
+
+    /// Waits until all nodes see `n` ready targets and run a version.
+    pub fn wait_ready(&self, n: usize) {
+        for (_, p) in &self.nodes {
+            wait_until("all targets are ready", || {
+                let members = http(p.admin, "GET", "/members", &[], "");
+                let members = members.map_or(String::new(), |r| r.body);
+                members.matches("\"target\":\"ready\"").count() == n
+                    && members.matches("\"version\":1").count() == self.nodes.len()
+            });
+        }
+    }
+
+    /// Asks node `i` for a key.
+    pub fn key(&self, i: usize) -> Option<String> {
+        let r = http(self.nodes[i].1.caller, "POST", "/.dq/key", &[], "")?;
+        (r.status == 200).then(|| r.body.trim().to_owned())
+    }
+
+    /// Books through node `i`.
+    pub fn book(&self, i: usize, key: &str, body: &str) -> Option<Answer> {
+        book(self.nodes[i].1.caller, key, body)
+    }
+
+    /// Runs of a key at all backend servers.
+    pub fn runs(&self, key: &str) -> u64 {
+        let one = |(_, a): &(Running, SocketAddr)| {
+            let r = http(*a, "GET", &format!("/.dev/runs/{key}"), &[], "");
+            r.map_or(0, |r| r.body.trim().parse::<u64>().unwrap())
+        };
+        self.backends.iter().map(one).sum()
+    }
+
+    fn stored(&self, key: &str) -> Option<serde_json::Value> {
+        let call = format!("{{\"Get\":\"dq/trust/{key}\"}}");
+        let r = http_json(self.store, "POST", "/v1/call", &call)?;
+        let answer: serde_json::Value = serde_json::from_str(&r.body).ok()?;
+        let bytes = answer["Entry"]["value"].as_array()?.iter();
+        let bytes: Vec<u8> = bytes.filter_map(|b| Some(b.as_u64()? as u8)).collect();
+        serde_json::from_slice(&bytes).ok()
+    }
+
+    /// Ownership ranges of a shard.
+    pub fn ranges(&self, shard: u16) -> Option<Vec<serde_json::Value>> {
+        self.stored(&format!("grant/{shard}"))?["ranges"]
+            .as_array()
+            .cloned()
+    }
+
+    /// Planned stops of a service.
+    pub fn stops(&self, service: &str) -> usize {
+        let stored = self.stored(&format!("stops/{service}"));
+        stored.and_then(|s| s.as_array().map(Vec::len)).unwrap_or(0)
+    }
+
+    /// Index of the node that owns a key.
+    pub fn owner(&self, key: &str) -> usize {
+        let key = dragonflyquay::request::key::Key::parse(key).unwrap();
+        let holds = |r: &&serde_json::Value| {
+            (r["from_ms"].as_u64().unwrap()..r["until_ms"].as_u64().unwrap())
+                .contains(&key.time_ms())
+        };
+        let ranges = self.ranges(key.shard()).unwrap();
+        let owner = ranges.iter().find(holds).unwrap()["owner"]
+            .as_str()
+            .unwrap()
+            .to_owned();
+        owner[1..].parse().unwrap()
+    }
+
+    /// A key that is owned by node `i`.
+    pub fn key_owned_by(&self, i: usize) -> String {
+        let mut found = None;
+        wait_until("a key owned by the node", || {
+            found = self.key(i).filter(|k| self.owner(k) == i);
+            found.is_some()
+        });
+        found.unwrap()
+    }
+}
+
+/// Books through the node with this caller address.
+pub fn book(caller: SocketAddr, key: &str, body: &str) -> Option<Answer> {
+    http(caller, "POST", BOOKINGS, &[("idempotency-key", key)], body)
+}
+
+/// Outcome and reason of an answer.
+pub fn verdict(r: &Answer) -> (u16, String, String) {
+    (
+        r.status,
+        r.header("dq-outcome").to_owned(),
+        r.header("dq-reason").to_owned(),
+    )
+}
