--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,218 @@
+//! Requests that crash backend servers: the shared table, the requests in flight and whole processes.
+
+mod sites;
+mod workdir;
+
+use std::collections::BTreeSet;
+
+use dragonflyquay::digest::Digest;
+use dragonflyquay::prelude::Duration;
+use dragonflyquay::process::notices::{Crash, Suspect};
+use dragonflyquay::process::quarantine::{
+    FlightEnd, Flights, Start, Suspects, Verdict, EXPIRY, MAX_SUSPECTS,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sites::{verdict, Site};
+use workdir::{http, wait_until};
+
+const CULPRIT: u8 = 0;
+
+fn print(n: u8) -> Digest {
+    Digest::of(&[n])
+}
+
+fn suspect(n: u8, epoch: u64, ids: &[u64], age_ms: u64) -> Suspect {
+    let crashes = ids
+        .iter()
+        .map(|id| Crash {
+            id: *id,
+            alone: false,
+        })
+        .collect();
+    Suspect {
+        fingerprint: print(n),
+        epoch,
+        crashes,
+        age_ms,
+    }
+}
+
+/// A backend server with the requests in flight at it.
+#[derive(Default)]
+struct Target {
+    flights: Flights,
+    running: Vec<(u64, u8)>,
+    waiting: Vec<u8>,
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a culprit that crashes on and on, and against innocents that are quarantined or never run.
+    #[test]
+    fn culprit_is_stopped_and_innocents_finish(
+        places in prop::collection::vec(0..4_usize, 30),
+        finish in prop::collection::vec(any::<bool>(), 400),
+    ) {
+        let mut suspects = Suspects::default();
+        let mut targets: Vec<Target> = (0..4).map(|_| Target::default()).collect();
+        let (mut crashes, mut done) = (0, BTreeSet::new());
+        for (i, t) in places.iter().enumerate() {
+            // Every fifth arrival is the culprit again; the others are different requests.
+            let who = if i % 5 == 0 { CULPRIT } else { i as u8 };
+            targets[*t].waiting.push(who);
+        }
+        for (step, finish) in finish.iter().enumerate() {
+            let now = Duration::from_millis(step as u64);
+            let t = &mut targets[step % 4];
+            let Target { flights, running, waiting } = t;
+            waiting.retain(|who| match flights.start(print(*who), &suspects, now) {
+                Start::Run(id) => {
+                    flights.sent(id, &suspects, now);
+                    running.push((id, *who));
+                    false
+                }
+                Start::Wait => true,
+                Start::Refused => {
+                    assert_eq!(*who, CULPRIT, "an innocent is quarantined");
+                    false
+                }
+            });
+            if t.running.iter().any(|(_, who)| *who == CULPRIT) {
+                crashes += 1;
+                for (f, c) in t.flights.crashed(step as u64, &suspects, now) {
+                    suspects.crashed(f, c, now);
+                }
+                for (id, who) in t.running.drain(..) {
+                    t.flights.end(id, FlightEnd::Lost, &suspects, now);
+                    if who != CULPRIT {
+                        // An idempotent innocent is sent again.
+                        t.waiting.push(who);
+                    }
+                }
+            } else if *finish {
+                for (id, who) in t.running.drain(..) {
+                    if let Some(f) = t.flights.end(id, FlightEnd::Completed, &suspects, now) {
+                        suspects.clear(&f, now);
+                    }
+                    done.insert(who);
+                }
+            }
+        }
+        prop_assert!(crashes <= 3, "{} crashes", crashes);
+        prop_assert!(done.len() >= 24, "only {} innocents finished", done.len());
+    }
+
+    /// Guards against tables that depend on the order, repetition or loss of notices.
+    #[test]
+    fn notices_merge_in_any_order(
+        list in prop::collection::vec((0..3_u8, 0..3_u64, 0..6_u64), 1..12),
+        order in any::<u64>(),
+    ) {
+        let notices: Vec<_> = list.iter().map(|(n, e, id)| suspect(*n, *e, &[*id], 0)).collect();
+        let mut shuffled = notices.clone();
+        shuffled.extend(notices.clone());
+        shuffled.rotate_left((order % notices.len() as u64) as usize);
+        let now = Duration::from_secs(1);
+        let (mut a, mut b) = (Suspects::default(), Suspects::default());
+        notices.into_iter().for_each(|s| { a.merge(s, now); });
+        shuffled.into_iter().for_each(|s| { b.merge(s, now); });
+        prop_assert_eq!(a.list(now), b.list(now));
+    }
+}
+
+/// Guards against entries that outlive their time by passing from node to node, and against an unbounded table.
+#[test]
+fn suspects_expire_and_are_bounded() {
+    let mut a = Suspects::default();
+    let at = |s| Duration::from_secs(s);
+    a.merge(suspect(1, 0, &[1, 2, 3], 0), at(100));
+    assert_eq!(a.verdict(&print(1), at(100)), Verdict::Convicted);
+    let mut b = Suspects::default();
+    for s in a.list(at(680)) {
+        assert_eq!(b.merge(s, at(5)), None, "too old to be taken");
+    }
+    assert_eq!(a.verdict(&print(1), at(100) + EXPIRY), Verdict::Clean);
+    a.expire(at(100) + EXPIRY);
+    assert!(a.list(at(700)).is_empty());
+    for n in 0..2000_u64 {
+        let crashes = vec![Crash {
+            id: n,
+            alone: false,
+        }];
+        let fingerprint = Digest::of(&n.to_be_bytes());
+        a.merge(
+            Suspect {
+                fingerprint,
+                epoch: 0,
+                crashes,
+                age_ms: 0,
+            },
+            at(n),
+        );
+    }
+    assert_eq!(a.list(at(2000)).len(), MAX_SUSPECTS);
+}
+
+/// Guards against a request that keeps crashing backend servers when it is sent again through other nodes, and against
+/// innocent requests that suffer after it is known.
+#[test]
+fn crashing_request_resent_through_other_nodes() {
+    let n = 6;
+    let mut site = Site::start(n, "catalogue-desk", &["--crash-path", "/catalogue/boom"]);
+    let caller: Vec<_> = site.nodes.iter().map(|(_, p)| p.caller).collect();
+    let get = |i: usize, path: &str| http(caller[i % n], "GET", path, &[], "").unwrap();
+    let mut sent = 0;
+    wait_until("the request is quarantined at every node", || {
+        let each = (0..n).map(|i| get(i, "/catalogue/boom"));
+        sent += n;
+        each.filter(|r| verdict(r) == (503, "not-run".into(), "quarantined".into()))
+            .count()
+            == n
+    });
+    let crashed = |site: &mut Site| {
+        site.backends
+            .iter_mut()
+            .filter_map(|(b, _)| b.ended())
+            .count()
+    };
+    let before = crashed(&mut site);
+    println!("crashes={before} sent={sent}");
+    // Attempts of one request at several targets can overlap with the spread of the first notices.
+    assert!(
+        (1..=4).contains(&before),
+        "{before} of {n} backend servers crashed"
+    );
+    for i in 0..3 * n {
+        assert_eq!(get(i, "/catalogue/boom").header("dq-reason"), "quarantined");
+        assert_eq!(get(i, "/catalogue/oak").status, 200);
+    }
+    assert_eq!(crashed(&mut site), before);
+    let admin = site.nodes[0].1.admin.to_string();
+    let listed = site.dir.run(&["quarantine", "--node", &admin]);
+    assert!(
+        String::from_utf8_lossy(&listed.stdout).contains(" quarantined crashes="),
+        "{listed:?}"
+    );
+    assert!(site
+        .dir
+        .run(&["quarantine", "--node", &admin, "--clear-all"])
+        .status
+        .success());
+    wait_until("cleared at every node", || {
+        let list = |(_, p): &(_, workdir::Ports)| {
+            http(p.admin, "GET", "/quarantine", &[], "").unwrap().body
+        };
+        site.nodes.iter().all(|n| list(n).trim() == "[]")
+    });
+}
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -185,6 +185,12 @@
         let _ = self.child.wait();
     }
 
+    /// Exit code of a process that has ended.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().unwrap()?;
+        Some(status.code().unwrap_or(-1))
+    }
+
     /// Waits for the end of the process and returns its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         let end = Instant::now() + PATIENCE;
