--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -202,6 +202,8 @@
             connections: a.connections,
             state: server.reported(),
             incarnation,
+            healthy: None,
+            load_percent: None,
             floor: None,
         };
         let body = Bytes::from(serde_json::to_vec(&text).unwrap_or_default());
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -8,17 +8,21 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use dropshot::HttpServer;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
+use super::backend::{self, Backend};
 use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
 use super::faults::{BlockableStore, Faults};
 use super::metrics::Metrics;
 use super::notices::{Notice, Notices};
+use super::ownership::{self, Ownership};
 use super::record::{Addresses, Record, Target, TargetState};
 use super::routing::Routing;
 use super::slots::Slots;
-use super::view::{Post, View};
-use super::{admin, control};
+use super::view::{Post, Usable, View};
+use super::{admin, control, floor, shutdown};
 use crate::connection::handshake::Identity;
 use crate::connection::listen;
 use crate::connection::peer::WsTransport;
@@ -29,7 +33,6 @@
 use crate::request::{admit, entry};
 use crate::settings::{ListenSettings, Settings};
 use crate::store::Store;
-use crate::version::adopt::{floor_token, read_token};
 use crate::version::snapshot::{Snapshot, VersionRef};
 
 /// The node could not start.
@@ -68,6 +71,10 @@
     pub slots: Arc<Slots>,
     /// Requests in flight of each caller.
     pub callers: Arc<Callers>,
+    /// Ownership of idempotency keys.
+    pub ownership: Ownership,
+    /// The backend server beside this node.
+    pub beside: Backend,
     /// The site's shared key, when the settings name one.
     pub key: Option<SharedKey>,
     /// What the control task knows, and messages to it.
@@ -97,27 +104,46 @@
         }
     }
 
-    /// Takes an announcement of the backend server.
-    pub fn announced(&self, address: SocketAddr, target: Target) {
+    /// Address of the backend server, as it announced it.
+    pub fn set_backend(&self, address: SocketAddr) {
+        self.change_own(|_, a| *a = Some(address));
+    }
+
+    /// Puts the state of the backend server into the own record.
+    pub fn set_target(&self, target: Target) {
         self.slots.set_slots(target.slots);
         if matches!(target.state, TargetState::Starting | TargetState::Gone) {
             self.slots.refuse_all(Reason::NotReady);
         }
-        self.change_own(|r, a| {
-            *a = Some(address);
-            r.target = Some(target);
-        });
+        self.change_own(|r, _| r.target = Some(target));
     }
 
-    /// Address of the backend server while it is ready.
+    /// Address of the backend server while it can run requests.
     pub fn backend(&self) -> Option<SocketAddr> {
-        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
-        let ready = own
-            .0
-            .target
-            .as_ref()
-            .is_some_and(|t| t.state == TargetState::Ready);
-        own.1.filter(|_| ready)
+        self.beside.address(self.clock.now())
+    }
+
+    /// How far the record of a node may be used; a record of an earlier process may not.
+    pub fn usable(&self, r: &Record) -> Usable {
+        match r.node == self.settings.node.id {
+            true => Usable::Yes,
+            false => self.view.members.load().usable(&r.node),
+        }
+    }
+
+    /// Whether a node is known to have ended.
+    pub fn is_dead(&self, r: &Record) -> bool {
+        self.usable(r) == Usable::No
+    }
+
+    /// Whether it is worth trying to reach a node.
+    pub fn may_reach(&self, r: &Record) -> bool {
+        !self.is_dead(r) && !self.is_cut_off(&r.node)
+    }
+
+    /// Whether a node answers, as far as known.
+    pub fn is_reachable(&self, r: &Record) -> bool {
+        self.usable(r) <= Usable::Doubtful && !self.is_cut_off(&r.node)
     }
 
     /// Whether an address is that of the backend server beside this node, which may speak for its callers.
@@ -168,6 +194,11 @@
     /// Merges notices that were made here and sends the changes to all linked peers at once.
     pub fn tell(&self, list: Vec<Notice>) {
         let changed = self.notices.merge(list);
+        self.spread(changed);
+    }
+
+    /// Sends notices that are already merged to all linked peers.
+    pub fn spread(&self, changed: Vec<Notice>) {
         if !changed.is_empty() {
             self.view.post(Post::Notices(changed));
         }
@@ -176,14 +207,15 @@
     /// Takes the floor token that the backend server returned.
     pub fn returned_floor(&self, token: Option<&str>) {
         let site = &self.settings.node.site;
-        self.view
-            .post(Post::Token(token.and_then(|t| read_token(site, t))));
+        self.view.post(Post::Token(
+            token.and_then(|t| floor::read(t, site, self.key.as_ref())),
+        ));
     }
 
     /// Floor token for the backend server.
     pub fn floor_token(&self) -> Option<String> {
         let v = self.version();
-        (v.number > 0).then(|| floor_token(&self.settings.node.site, v))
+        (v.number > 0).then(|| floor::issue(v, &self.settings.node.site, self.key.as_ref()))
     }
 }
 
@@ -238,6 +270,10 @@
     pub process: Arc<Process>,
     /// Addresses taken.
     pub addresses: Addresses,
+    /// Ends the listeners for requests once it is set; requests in progress are answered first.
+    pub close: watch::Sender<bool>,
+    /// Tasks of these listeners.
+    pub listeners: Vec<JoinHandle<()>>,
     _admin: HttpServer<Arc<Process>>,
 }
 
@@ -248,8 +284,8 @@
 /// A listener could not be opened.
 pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
     let listeners = Listeners::open(&settings.listen).await?;
-    let _node = start(settings, store, listeners)?;
-    tokio::signal::ctrl_c().await.change_context(NodeError)
+    let node = start(settings, store, listeners)?;
+    shutdown::wait(node).await.change_context(NodeError)
 }
 
 /// Starts a node on open listeners.
@@ -322,7 +358,7 @@
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream,
         store,
-        notices: Notices::default(),
+        notices: Notices::new(clock.clone()),
         routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
         slots: Arc::new(Slots::new(
             settings.policy.queue,
@@ -333,6 +369,8 @@
         callers: Arc::default(),
         metrics,
         key,
+        ownership: Ownership::new(&settings.node.id, record.incarnation),
+        beside: Backend::default(),
         view: View::default(),
         faults,
         own: Mutex::new((record, None)),
@@ -348,19 +386,27 @@
         peer = addresses.peer.to_string(),
         admin = addresses.admin.to_string()
     });
+    tokio::spawn(ownership::run(p.clone()));
+    tokio::spawn(backend::run(p.clone()));
     let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
     tokio::spawn(control::run(p.clone(), identity, transport));
+    let (close, closing) = watch::channel(false);
     let q = p.clone();
-    tokio::spawn(listen::serve(relay, limits.for_relay(), move |req, _| {
-        admit::serve(q.clone(), req)
-    }));
+    let serve = move |req, _| admit::serve(q.clone(), req);
+    let relay = tokio::spawn(listen::serve_until(
+        relay,
+        limits.for_relay(),
+        closing.clone(),
+        serve,
+    ));
     let q = p.clone();
-    tokio::spawn(listen::serve(caller, limits, move |req, from| {
-        entry::serve(q.clone(), req, from)
-    }));
+    let serve = move |req, from| entry::serve(q.clone(), req, from);
+    let caller = tokio::spawn(listen::serve_until(caller, limits, closing, serve));
     Ok(Running {
         process: p,
         addresses,
+        close,
+        listeners: vec![caller, relay],
         _admin: admin,
     })
 }
