--- a/examples/measure_fleet.rs
+++ b/examples/measure_fleet.rs
@@ -166,6 +166,9 @@
 fn measure(a: &Args, n: usize) -> Result<Size> {
     eprintln!("{n} nodes: start");
     let mut f = Fleet::start("fleet", n, "")?;
+    for i in 0..n {
+        f.start_backend(&format!("service-{i}"), 6, 5)?;
+    }
     let base_manifest = manifest(a.routes, 0);
     let (mut number, at) = f.commit(&base_manifest, 0)?;
     adopted(&f, number, at);
--- a/examples/support/fleet.rs
+++ b/examples/support/fleet.rs
@@ -33,11 +33,19 @@
     pub run: Running,
 }
 
+/// A sample backend server process.
+pub struct Backend {
+    pub address: SocketAddr,
+    pub run: Running,
+}
+
 /// A store and its nodes, over four zones.
 pub struct Fleet {
     pub http: Http,
     pub store: SocketAddr,
     pub nodes: Vec<Node>,
+    /// Backend servers, by the index of their node.
+    pub backends: Vec<Backend>,
     pub site: String,
     /// Appended to each node's settings.
     pub extra: String,
@@ -103,6 +111,7 @@
             http: Http::new()?,
             store,
             nodes: Vec::new(),
+            backends: Vec::new(),
             site: site.into(),
             extra: extra.into(),
             seeds: Vec::new(),
@@ -134,6 +143,39 @@
         })
     }
 
+    /// Starts the backend server beside the node with the same index.
+    pub fn start_backend(&mut self, service: &str, slots: u32, work_ms: u64) -> Result<()> {
+        let admin = self.nodes[self.backends.len()].ports.admin.to_string();
+        let (slots, work) = (slots.to_string(), work_ms.to_string());
+        let run = Running::start(&[
+            "devbackend",
+            "--service",
+            service,
+            "--node",
+            &admin,
+            "--slots",
+            &slots,
+            "--work-ms",
+            &work,
+        ])?;
+        let (_, line) = run.wait_line("listening ", Instant::now() + PATIENCE)?;
+        let address = field(&line.replace("listening ", "listening="), "listening")
+            .unwrap_or("")
+            .parse();
+        self.backends.push(Backend {
+            address: address.map_err(|e| format!("{line}: {e}"))?,
+            run,
+        });
+        Ok(())
+    }
+
+    /// Writes a file into the folder of this fleet.
+    pub fn write(&self, name: &str, text: &str) -> Result<String> {
+        let path = self.dir.path().join(name);
+        std::fs::write(&path, text).map_err(|e| e.to_string())?;
+        Ok(path.to_string_lossy().into_owned())
+    }
+
     /// Kills a node.
     pub fn kill(&mut self, i: usize) {
         self.nodes[i].run.kill();
