--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -10,6 +10,7 @@
 use crate::load::run;
 use crate::logging;
 use crate::prelude::*;
+use crate::settings::LogLevel;
 use crate::version::manifest::Resource;
 
 /// Usage text.
@@ -53,8 +54,7 @@
     if port.is_some_and(|p: u16| p == 0 || p.checked_add(devsite::PORTS - 1).is_none()) {
         return fail(Exit::Usage, "--port: 51 ports have to fit; see --help");
     }
-    logging::init(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Warn))
-        .or_else(|e| fail(Exit::Failed, e))?;
+    logging::init(LogLevel::Warn).or_else(|e| fail(Exit::Failed, e))?;
     block_on(THREADS, async {
         let site = devsite::start(port).await?;
         let m = devsite::sample_manifest()?;
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -36,8 +36,7 @@
         return fail(Exit::Usage, "SETTINGS.toml is missing; see --help");
     };
     let s = settings::read(&path).or_else(|f| refused(&path, &f))?;
-    logging::init(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Info))
-        .or_else(|e| fail(Exit::Failed, e))?;
+    logging::init(s.log.level).or_else(|e| fail(Exit::Failed, e))?;
     let store = Arc::new(HttpStore::new(
         s.store.address,
         Duration::from_millis(s.store.timeout_ms),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,6 +24,40 @@
     pub limits: LimitSettings,
     /// Choice of policies.
     pub policy: PolicySettings,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Logs, which go to standard error.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    pub level: LogLevel,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::Info,
+        }
+    }
+}
+
+/// Severity of log events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Nothing.
+    Off,
+    /// Only failures that end a process.
+    Error,
+    /// Also failures that the process works around.
+    Warn,
+    /// Also changes of state.
+    Info,
+    /// Also single requests.
+    Debug,
 }
 
 /// Identity of the node.
