--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod devsite;
 pub mod digest;
 pub mod findings;
+pub mod key;
 pub mod load;
 pub mod logging;
 pub mod prelude;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -9,14 +9,19 @@
 use dropshot::HttpServer;
 use tokio::net::TcpListener;
 
+use super::callers::Callers;
 use super::clock::{Clock, ProcessClock};
 use super::metrics::Metrics;
 use super::notices::Notices;
 use super::record::{Addresses, Record, Target, TargetState};
+use super::routing::Routing;
+use super::slots::Slots;
 use super::{admin, control};
 use crate::connection::listen;
 use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
+use crate::key::SharedKey;
 use crate::prelude::*;
+use crate::request::reason::Reason;
 use crate::request::{admit, entry};
 use crate::settings::{ListenSettings, Settings};
 use crate::store::Store;
@@ -52,6 +57,14 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// Choices of the entry node.
+    pub routing: Arc<Routing>,
+    /// Slots of the backend server beside this node.
+    pub slots: Arc<Slots>,
+    /// Requests in flight of each caller.
+    pub callers: Arc<Callers>,
+    /// The site's shared key, when the settings name one.
+    pub key: Option<SharedKey>,
     own: Mutex<(Record, Option<SocketAddr>)>,
 }
 
@@ -76,6 +89,10 @@
 
     /// Takes an announcement of the backend server.
     pub fn announced(&self, address: SocketAddr, target: Target) {
+        self.slots.set_slots(target.slots);
+        if matches!(target.state, TargetState::Starting | TargetState::Gone) {
+            self.slots.refuse_all(Reason::NotReady);
+        }
         self.change_own(|r, a| {
             *a = Some(address);
             r.target = Some(target);
@@ -93,6 +110,12 @@
         own.1.filter(|_| ready)
     }
 
+    /// Whether an address is that of the backend server beside this node, which may speak for its callers.
+    pub fn is_local(&self, from: std::net::IpAddr) -> bool {
+        let own = self.own.lock().unwrap_or_else(|e| e.into_inner());
+        own.1.is_some_and(|a| a.ip() == from)
+    }
+
     fn change_own<F>(&self, change: F)
     where
         F: FnOnce(&mut Record, &mut Option<SocketAddr>),
@@ -191,6 +214,10 @@
     store: Arc<dyn Store>,
     listeners: Listeners,
 ) -> Result<Running, Report<NodeError>> {
+    let key = match &settings.peers.key_file {
+        Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
+        None => None,
+    };
     let Listeners {
         caller,
         relay,
@@ -219,16 +246,26 @@
     let seeds = settings.peers.seeds.clone();
     let limits = settings.limits.clone();
     let admin_address = settings.listen.admin;
+    let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
+    let metrics = Metrics::default();
     let p = Arc::new(Process {
-        settings,
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream: Arc::new(HttpUpstream::new(&UpstreamSettings::default())),
         store,
         notices: Notices::default(),
-        clock: Arc::new(ProcessClock::default()),
-        metrics: Metrics::default(),
+        routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
+        slots: Arc::new(Slots::new(
+            settings.policy.queue,
+            clock.clone(),
+            metrics.queued.clone(),
+        )),
+        clock,
+        callers: Arc::default(),
+        metrics,
+        key,
         own: Mutex::new((record, None)),
+        settings,
     });
     let admin =
         admin::start(admin_address, p.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
