--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -109,9 +109,10 @@
 /// Returns the metrics in the Prometheus text format.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(ctx: Ctx) -> Result<Response<dropshot::Body>, HttpError> {
+    let p = ctx.context();
     Response::builder()
         .header("content-type", "text/plain; version=0.0.4")
-        .body(ctx.context().metrics.render().into())
+        .body(p.metrics.render(p).into())
         .map_err(|e| HttpError::for_internal_error(e.to_string()))
 }
 
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,7 +1,12 @@
 //! Prometheus metrics of a node.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
 
+use super::node::Process;
+use super::sample::Sampled;
 use crate::request::reason::Reason;
 
 /// Counters and gauges of a node.
@@ -23,19 +28,32 @@
     pub store_calls: IntCounterVec,
     /// Watches that wait at the store now.
     pub store_waiting: IntGauge,
-    /// Number of the version in force.
-    pub version: IntGauge,
+    /// Attempts at a target; divided by the requests they give the retry amplification.
+    pub attempts: IntCounter,
+    /// Time from the arrival of a request to the head of its answer, by rank.
+    pub request_seconds: HistogramVec,
+    sampled: Sampled,
 }
 
 fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(r, IntCounterVec::new(Opts::new(name, help), labels))
 }
 
-fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+/// Upper bounds of the histogram buckets, in seconds: from below the added latency aimed at to the longest deadlines.
+const BUCKETS: [f64; 14] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0,
+];
+
+fn histograms(r: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    register(r, HistogramVec::new(opts, labels))
+}
+
+pub(super) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     register(r, IntGaugeVec::new(Opts::new(name, help), labels))
 }
 
-fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+pub(super) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
     register(r, IntGauge::new(name, help))
 }
 
@@ -96,7 +114,20 @@
                 "dq_store_waiting_watches",
                 "Watches that wait at the store",
             ),
-            version: gauge(&r, "dq_version_number", "Number of the version in force"),
+            attempts: register(
+                &r,
+                IntCounter::new(
+                    "dq_attempts_total",
+                    "Attempts at a target by the entry node",
+                ),
+            ),
+            request_seconds: histograms(
+                &r,
+                "dq_request_seconds",
+                "Time from the arrival of a request to the head of its answer",
+                &["rank"],
+            ),
+            sampled: Sampled::new(&r),
             registry: r,
         }
     }
@@ -113,8 +144,9 @@
         self.retries.with_label_values(&[reason.as_str()]).inc();
     }
 
-    /// Metrics in the Prometheus text format.
-    pub fn render(&self) -> String {
+    /// Metrics in the Prometheus text format, with the state of the process as it is now.
+    pub fn render(&self, p: &Process) -> String {
+        self.sampled.read(p);
         let mut out = Vec::new();
         // Writing into a vector cannot fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,4 +12,5 @@
 pub mod notices;
 pub mod record;
 pub mod routing;
+pub mod sample;
 pub mod slots;
--- a/src/process/record.rs
+++ b/src/process/record.rs
@@ -37,6 +37,21 @@
     Gone,
 }
 
+impl TargetState {
+    /// Every state.
+    pub const ALL: [Self; 4] = [Self::Starting, Self::Ready, Self::Draining, Self::Gone];
+
+    /// Value of the metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
 /// The backend server beside a node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -19,19 +19,41 @@
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let (rank, out) = match Job::accept(&p, req, from).await {
-        Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
-        Err(f) => (RankId::default(), Err(f)),
+    let start = p.clock.now();
+    let (rank, id, out) = match Job::accept(&p, req, from).await {
+        Ok(job) => {
+            let (rank, id) = (job.ctx.rank.clone(), job.ctx.id.clone());
+            (rank, id, answer(&p, job).await)
+        }
+        Err(f) => (RankId::default(), SmolStr::default(), Err(f)),
     };
-    let outcome = out.as_ref().map_or_else(|f| f.outcome, |_| Outcome::Done);
-    let labels = [rank.as_str(), outcome.as_str()];
-    p.metrics.requests.with_label_values(&labels).inc();
+    let took = p.clock.now().saturating_sub(start);
+    ended(&p, &rank, &id, out.as_ref().err(), took);
     out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
     })
 }
 
+/// Counts and logs the end of a request.
+fn ended(p: &Process, rank: &str, id: &str, failure: Option<&Failure>, took: Duration) {
+    let outcome = failure.map_or(Outcome::Done, |f| f.outcome).as_str();
+    let m = &p.metrics;
+    m.requests.with_label_values(&[rank, outcome]).inc();
+    m.request_seconds
+        .with_label_values(&[rank])
+        .observe(took.as_secs_f64());
+    let reason = failure.map_or("none", |f| f.reason.as_str());
+    // Only a single request's own trace; refusals in an overload would fill the log at a higher level.
+    spdlog::debug!("event=request_ended", kv: {
+        request = id,
+        rank,
+        outcome,
+        reason,
+        ms = took.as_millis() as u64
+    });
+}
+
 async fn answer(p: &Arc<Process>, mut job: Job) -> Result<Response<Body>, Failure> {
     gate::check_entry(p, &job)?;
     let deadline = job.deadline;
@@ -84,6 +106,10 @@
             Decision::After(delay) => tokio::time::sleep(delay).await,
         }
         p.metrics.retried(f.reason);
+        spdlog::debug!("event=request_retried", kv: {
+            request = job.ctx.id.as_str(),
+            reason = f.reason.as_str()
+        });
         job.ctx.retries = job.ctx.retries.saturating_sub(1);
     }
 }
@@ -116,6 +142,7 @@
     if left.is_zero() {
         return Err(Failure::not_run(Reason::Deadline));
     }
+    p.metrics.attempts.inc();
     let mut sent = p.routing.sent(node, &job.ctx.rank);
     let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
     let out = out.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -85,8 +85,8 @@
 }
 
 impl Reason {
-    /// Every reason, to read one from a header.
-    const ALL: [Self; 17] = [
+    /// Every reason.
+    pub const ALL: [Self; 17] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
