--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -27,7 +27,8 @@
   --rate N           mean arrivals per second (default 10)
   --key SOURCE       idempotency key: none, per-request or issued (default none)
   --deadline-ms MS   deadline from the intended send time; 0 for none (default 0)
-  --callers N        number of caller identities; 0 leaves it to the node (default 0)
+  --callers N        number of caller identities, accepted by nodes from the address of their backend server; 0 leaves
+                     it to the node (default 0)
   --body TEXT        body (default empty)
 
 Limits of the run; they override the plan:
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -32,6 +32,8 @@
     pub attempts: IntCounter,
     /// Time from the arrival of a request to the head of its answer, by rank.
     pub request_seconds: HistogramVec,
+    /// Number of the version in force.
+    pub version: IntGauge,
     sampled: Sampled,
 }
 
@@ -127,6 +129,7 @@
                 "Time from the arrival of a request to the head of its answer",
                 &["rank"],
             ),
+            version: gauge(&r, "dq_version_number", "Number of the version in force"),
             sampled: Sampled::new(&r),
             registry: r,
         }
--- a/src/process/sample.rs
+++ b/src/process/sample.rs
@@ -8,8 +8,6 @@
 
 /// Gauges of the process's state.
 pub struct Sampled {
-    /// Number of the version in force.
-    version: IntGauge,
     /// Targets that this node knows, by state.
     targets: IntGaugeVec,
     /// Running and waiting requests of the backend server in percent of its slots.
@@ -22,7 +20,6 @@
     /// Registers the gauges.
     pub fn new(r: &Registry) -> Self {
         Self {
-            version: gauge(r, "dq_version_number", "Number of the version in force"),
             targets: gauges(r, "dq_known_targets", "Known targets by state", &["state"]),
             load: gauge(
                 r,
@@ -39,7 +36,7 @@
 
     /// Reads the state.
     pub fn read(&self, p: &Process) {
-        self.version.set(as_gauge(p.version().number));
+        p.metrics.version.set(as_gauge(p.version().number));
         for state in TargetState::ALL {
             let records = p.records.load();
             let targets = records.values().filter_map(|r| r.target.as_ref());
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,129 @@
+//! Keeps docs/OPERATIONS.md complete: what the code has and the page lacks is listed.
+
+mod workdir;
+
+use std::path::Path;
+
+use dragonflyquay::request::reason::Reason;
+use dragonflyquay::settings::Settings;
+use workdir::{repo_file, Workdir};
+
+/// Text of all source files.
+fn sources(dir: &Path, out: &mut String) {
+    for entry in std::fs::read_dir(dir).unwrap().map(Result::unwrap) {
+        match entry.path() {
+            p if p.is_dir() => sources(&p, out),
+            p => out.push_str(&std::fs::read_to_string(p).unwrap()),
+        }
+    }
+}
+
+/// Words of the source that follow `start`, made of the characters that `part` accepts.
+fn words<F>(start: &str, part: F) -> Vec<String>
+where
+    F: Fn(char) -> bool,
+{
+    let mut text = String::new();
+    sources(Path::new(&repo_file("src")), &mut text);
+    let found = text.split(start).skip(1);
+    let mut list: Vec<String> = found
+        .map(|s| s.chars().take_while(|c| part(*c)).collect())
+        .collect();
+    list.sort();
+    list.dedup();
+    list.retain(|w| !w.is_empty());
+    list
+}
+
+fn settings(prefix: &str, v: &serde_json::Value, out: &mut Vec<String>) {
+    match v.as_object() {
+        Some(map) => map
+            .iter()
+            .for_each(|(k, v)| settings(&format!("{prefix}.{k}"), v, out)),
+        None => {
+            let text = v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+            out.push(format!(
+                "| `{}` | `{text}` |",
+                prefix.trim_start_matches('.')
+            ));
+        }
+    }
+}
+
+fn check(what: &str, wanted: &[String]) {
+    let page = std::fs::read_to_string(repo_file("docs/OPERATIONS.md")).unwrap();
+    assert!(!wanted.is_empty(), "no {what} found in the code");
+    let missing: Vec<_> = wanted
+        .iter()
+        .filter(|w| !page.contains(w.as_str()))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "{what} missing in docs/OPERATIONS.md: {missing:#?}"
+    );
+}
+
+fn rows(list: &[String], prefix: &str) -> Vec<String> {
+    list.iter().map(|w| format!("| `{prefix}{w}` |")).collect()
+}
+
+/// Guards against a setting that is not documented or has another default.
+#[test]
+fn settings_are_documented() {
+    let mut wanted = Vec::new();
+    settings(
+        "",
+        &serde_json::to_value(Settings::default()).unwrap(),
+        &mut wanted,
+    );
+    check("settings", &wanted);
+}
+
+/// Guards against a metric that is not documented.
+#[test]
+fn metrics_are_documented() {
+    let names = words("\"dq_", |c| c.is_ascii_lowercase() || c == '_');
+    check("metrics", &rows(&names, "dq_"));
+}
+
+/// Guards against a log event that is not documented.
+#[test]
+fn events_are_documented() {
+    let names = words("event=", |c| c.is_ascii_lowercase() || c == '_');
+    check("log events", &rows(&names, ""));
+}
+
+/// Guards against a header that is not documented.
+#[test]
+fn headers_are_documented() {
+    let names = words("from_static(\"dq-", |c| c.is_ascii_lowercase() || c == '-');
+    check("headers", &rows(&names, "dq-"));
+}
+
+/// Guards against a reason that is not documented, or that is missing in the list from which headers are read.
+#[test]
+fn reasons_are_documented() {
+    let listed: Vec<_> = Reason::ALL.iter().map(|r| r.as_str().to_owned()).collect();
+    check("reasons", &rows(&listed, ""));
+    let text = std::fs::read_to_string(repo_file("src/request/reason.rs")).unwrap();
+    let all = text.split("fn as_str").nth(2).unwrap();
+    let body = &all[..all.find("\n    }\n").unwrap()];
+    assert_eq!(body.matches("=> \"").count(), listed.len());
+}
+
+/// Guards against a command or an admin path that is not documented.
+#[test]
+fn commands_and_paths_are_documented() {
+    let out = Workdir::new().run(&["--help"]);
+    let help = String::from_utf8(out.stdout).unwrap();
+    let list = help.lines().skip_while(|l| *l != "Commands:").skip(1);
+    let names: Vec<_> = list
+        .map_while(|l| l.split_whitespace().next())
+        .map(str::to_owned)
+        .collect();
+    check("commands", &rows(&names, ""));
+    let text = std::fs::read_to_string(repo_file("docs/admin-api.json")).unwrap();
+    let api: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let paths: Vec<_> = api["paths"].as_object().unwrap().keys().cloned().collect();
+    check("admin paths", &rows(&paths, ""));
+}
