--- a/examples/measure_fleet.rs
+++ b/examples/measure_fleet.rs
@@ -12,9 +12,9 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::SeedableRng;
-use serde::Serialize;
-use support::figures::{output, table, Fit, Summary};
+use support::figures::{output, Summary};
 use support::fleet::{Fleet, StoreStats};
+use support::fleet_table::{fits, show, show_fits, Size};
 use support::{field, usage, Result};
 
 const USAGE: &str = "\
@@ -34,6 +34,8 @@
 const LIMIT: Duration = Duration::from_secs(30);
 /// Pause between commits, so that the spread of one does not overlap the next.
 const PAUSE: Duration = Duration::from_millis(300);
+/// Pause after the start, for the last records to spread before the idle window.
+const SETTLE: Duration = Duration::from_secs(2);
 
 struct Args {
     sizes: Vec<usize>,
@@ -44,29 +46,6 @@
     out: Option<String>,
 }
 
-/// Results of one fleet size.
-#[derive(Debug, Serialize)]
-struct Size {
-    nodes: usize,
-    /// Accepted to in force, in milliseconds, over all nodes and commits.
-    idle_ms: Summary,
-    /// The same for nodes that were not killed, while a fifth of the nodes restarts.
-    churn_survivors_ms: Summary,
-    /// The same for the nodes that were killed right before the commit.
-    churn_restarted_ms: Summary,
-    /// Nodes that did not reach a version within the limit, over all commits.
-    not_converged: usize,
-    control_bytes_per_change_node: f64,
-    manifest_bytes: usize,
-    store_calls_per_change: f64,
-    store_calls_per_s_idle: f64,
-    store_waiting: u64,
-    control_bytes_per_s_node: f64,
-    cpu_percent_node: f64,
-    memory_mb_node: f64,
-    memory_mb_max: f64,
-}
-
 fn parse() -> Result<Option<Args>> {
     let mut a = Args {
         sizes: vec![10, 20, 40, 80],
@@ -163,67 +142,108 @@
     }
 }
 
-fn measure(a: &Args, n: usize) -> Result<Size> {
+/// Starts a fleet with its first version.
+fn start(a: &Args, n: usize) -> Result<(Fleet, u64)> {
     eprintln!("{n} nodes: start");
     let mut f = Fleet::start("fleet", n, "")?;
     for i in 0..n {
         f.start_backend(&format!("service-{i}"), 6, 5)?;
     }
-    let base_manifest = manifest(a.routes, 0);
-    let (mut number, at) = f.commit(&base_manifest, 0)?;
+    let (number, at) = f.commit(&manifest(a.routes, 0), 0)?;
     adopted(&f, number, at);
     if !f.wait_status("nodes", n as u64) {
         eprintln!(
-            "{n} nodes: not all nodes know each other after 60 s: {:?}",
+            "{n} nodes: not all know each other after 60 s: {:?}",
             f.status("nodes")
         );
     }
-    std::thread::sleep(Duration::from_secs(2));
-    eprintln!("{n} nodes: idle window");
-    let first = window(&f);
+    std::thread::sleep(SETTLE);
+    Ok((f, number))
+}
+
+/// Cost of a fleet without changes.
+struct Idle {
+    bytes_per_s: f64,
+    calls_per_s: f64,
+    cpu_part: f64,
+    waiting: u64,
+    memory_mb: Vec<f64>,
+}
+
+fn idle(a: &Args, f: &Fleet) -> Idle {
+    eprintln!("{} nodes: idle window", f.nodes.len());
+    let first = window(f);
     std::thread::sleep(a.idle);
-    let second = window(&f);
-    let memory: Vec<_> = f
+    let second = window(f);
+    let seconds = (second.at - first.at).as_secs_f64();
+    let memory = f
         .pids()
         .into_iter()
         .filter_map(usage)
-        .map(|u| u.memory_bytes as f64 / 1e6)
-        .collect();
-    let seconds = (second.at - first.at).as_secs_f64();
-    let idle_rate = (second.bytes - first.bytes) / seconds;
-    let idle_calls = (second.store.calls() - first.store.calls()) as f64 / seconds;
-    eprintln!("{n} nodes: commits");
-    let (mut idle_ms, mut missing) = (Vec::new(), 0);
-    let before = window(&f);
+        .map(|u| u.memory_bytes as f64 / 1e6);
+    Idle {
+        bytes_per_s: (second.bytes - first.bytes) / seconds,
+        calls_per_s: (second.store.calls() - first.store.calls()) as f64 / seconds,
+        cpu_part: (second.cpu - first.cpu).as_secs_f64() / seconds,
+        waiting: second.store.waiting,
+        memory_mb: memory.collect(),
+    }
+}
+
+/// Commits to an otherwise idle fleet.
+#[derive(Default)]
+struct Changes {
+    number: u64,
+    times: Vec<f64>,
+    missing: usize,
+    /// Beyond what the idle fleet sends in the same time.
+    bytes: f64,
+    calls: f64,
+}
+
+fn changes(a: &Args, f: &Fleet, number: u64, idle: &Idle) -> Result<Changes> {
+    eprintln!("{} nodes: commits", f.nodes.len());
+    let mut out = Changes {
+        number,
+        ..Changes::default()
+    };
+    let before = window(f);
     for k in 1..=a.commits {
-        let (made, at) = f.commit(&manifest(a.routes, k), number)?;
-        number = made;
-        let times = adopted(&f, number, at);
-        missing += times.iter().filter(|t| t.is_none()).count();
-        idle_ms.extend(times.into_iter().flatten());
+        let (made, at) = f.commit(&manifest(a.routes, k), out.number)?;
+        out.number = made;
+        let times = adopted(f, made, at);
+        out.missing += times.iter().filter(|t| t.is_none()).count();
+        out.times.extend(times.into_iter().flatten());
         std::thread::sleep(PAUSE);
     }
-    let after = window(&f);
+    let after = window(f);
     let span = (after.at - before.at).as_secs_f64();
-    let changes = a.commits as f64;
-    let extra = (after.bytes - before.bytes - idle_rate * span).max(0.0);
-    let calls = (after.store.calls() - before.store.calls()) as f64 - idle_calls * span;
-    let churn = churn(a, &mut f, number)?;
+    out.bytes = (after.bytes - before.bytes - idle.bytes_per_s * span).max(0.0);
+    out.calls = (after.store.calls() - before.store.calls()) as f64 - idle.calls_per_s * span;
+    Ok(out)
+}
+
+fn measure(a: &Args, n: usize) -> Result<Size> {
+    let (mut f, number) = start(a, n)?;
+    let idle = idle(a, &f);
+    let changes = changes(a, &f, number, &idle)?;
+    let churn = churn(a, &mut f, changes.number)?;
+    let (nodes, commits) = (n as f64, a.commits as f64);
     Ok(Size {
         nodes: n,
-        idle_ms: Summary::of(idle_ms),
+        idle_ms: Summary::of(changes.times),
         churn_survivors_ms: Summary::of(churn.survivors),
         churn_restarted_ms: Summary::of(churn.restarted),
-        not_converged: missing + churn.missing,
-        control_bytes_per_change_node: extra / changes / n as f64,
-        manifest_bytes: canonical(&base_manifest).len(),
-        store_calls_per_change: calls / changes,
-        store_calls_per_s_idle: idle_calls,
-        store_waiting: second.store.waiting,
-        control_bytes_per_s_node: idle_rate / n as f64,
-        cpu_percent_node: 100.0 * (second.cpu - first.cpu).as_secs_f64() / seconds / n as f64,
-        memory_mb_node: memory.iter().sum::<f64>() / n as f64,
-        memory_mb_max: memory.iter().copied().fold(0.0, f64::max),
+        not_converged: changes.missing + churn.missing,
+        control_bytes_per_change_node: changes.bytes / commits / nodes,
+        manifest_bytes: canonical(&manifest(a.routes, 0)).len(),
+        store_calls_per_change: changes.calls / commits,
+        store_calls_per_s_idle: idle.calls_per_s,
+        store_waiting: idle.waiting,
+        control_bytes_per_s_node: idle.bytes_per_s / nodes,
+        cpu_percent_node: 100.0 * idle.cpu_part / nodes,
+        memory_mb_node: idle.memory_mb.iter().sum::<f64>() / nodes,
+        memory_mb_max: idle.memory_mb.iter().copied().fold(0.0, f64::max),
     })
 }
 
@@ -263,91 +283,6 @@
     Ok(out)
 }
 
-fn summary_row(n: usize, s: &Summary) -> Vec<String> {
-    row![
-        n,
-        s.count,
-        format!("{:.1}", s.p50),
-        format!("{:.1}", s.p99),
-        format!("{:.1}", s.max)
-    ]
-}
-
-fn show(sizes: &[Size], fits: &[(&str, Fit)]) {
-    let head = row!["nodes", "samples", "p50 ms", "p99 ms", "max ms"];
-    let block = |title: &str, pick: fn(&Size) -> &Summary| {
-        let mut rows = vec![head.clone()];
-        rows.extend(sizes.iter().map(|s| summary_row(s.nodes, pick(s))));
-        table(title, &rows);
-    };
-    block("Accepted to in force, idle", |s| &s.idle_ms);
-    block(
-        "Accepted to in force, a fifth restarting: the others",
-        |s| &s.churn_survivors_ms,
-    );
-    block(
-        "Accepted to in force, a fifth restarting: the restarted",
-        |s| &s.churn_restarted_ms,
-    );
-    let mut rows = vec![row![
-        "nodes",
-        "missing",
-        "B/change/node",
-        "manifest B",
-        "calls/change",
-        "idle calls/s",
-        "waiting",
-        "idle B/s/node",
-        "cpu %/node",
-        "MB/node",
-        "MB max"
-    ]];
-    rows.extend(sizes.iter().map(|s| {
-        row![
-            s.nodes,
-            s.not_converged,
-            format!("{:.0}", s.control_bytes_per_change_node),
-            s.manifest_bytes,
-            format!("{:.1}", s.store_calls_per_change),
-            format!("{:.2}", s.store_calls_per_s_idle),
-            s.store_waiting,
-            format!("{:.0}", s.control_bytes_per_s_node),
-            format!("{:.2}", s.cpu_percent_node),
-            format!("{:.1}", s.memory_mb_node),
-            format!("{:.1}", s.memory_mb_max)
-        ]
-    }));
-    table("Control traffic, store and idle cost", &rows);
-    let mut rows = vec![row!["figure by nodes", "slope", "intercept", "residuals"]];
-    rows.extend(fits.iter().map(|(name, f)| {
-        let rest: Vec<_> = f.residuals.iter().map(|r| format!("{r:.2}")).collect();
-        row![
-            name,
-            format!("{:.4}", f.slope),
-            format!("{:.2}", f.intercept),
-            rest.join(" ")
-        ]
-    }));
-    table("Least-squares lines", &rows);
-}
-
-fn fits(sizes: &[Size]) -> Vec<(&'static str, Fit)> {
-    let fit = |pick: fn(&Size) -> f64| {
-        let points: Vec<_> = sizes.iter().map(|s| (s.nodes as f64, pick(s))).collect();
-        Fit::of(&points)
-    };
-    vec![
-        ("p99 ms idle", fit(|s| s.idle_ms.p99)),
-        ("B/change/node", fit(|s| s.control_bytes_per_change_node)),
-        ("store calls/change", fit(|s| s.store_calls_per_change)),
-        ("store calls/s idle", fit(|s| s.store_calls_per_s_idle)),
-        ("waiting watches", fit(|s| s.store_waiting as f64)),
-        ("idle B/s/node", fit(|s| s.control_bytes_per_s_node)),
-        ("cpu %/node", fit(|s| s.cpu_percent_node)),
-        ("MB/node", fit(|s| s.memory_mb_node)),
-    ]
-}
-
 fn run() -> Result<()> {
     let Some(a) = parse()? else {
         print!("{USAGE}");
@@ -359,7 +294,8 @@
         .map(|n| measure(&a, *n))
         .collect::<Result<_>>()?;
     let fits = fits(&sizes);
-    show(&sizes, &fits);
+    show(&sizes);
+    show_fits(&fits);
     let json =
         serde_json::json!({ "seed": a.seed, "commits": a.commits, "sizes": sizes, "fits": fits });
     output(&json, a.out.as_deref())
--- /dev/null
+++ b/examples/support/fleet_table.rs
@@ -0,0 +1,117 @@
+//! Results of a fleet and their tables.
+
+use serde::Serialize;
+
+use super::figures::{table, Fit, Summary};
+use crate::row;
+
+/// Results of one fleet size.
+#[derive(Debug, Serialize)]
+pub struct Size {
+    pub nodes: usize,
+    /// Accepted to in force, in milliseconds, over all nodes and commits.
+    pub idle_ms: Summary,
+    /// The same for nodes that were not killed, while a fifth of the nodes restarts.
+    pub churn_survivors_ms: Summary,
+    /// The same for the nodes that were killed right before the commit.
+    pub churn_restarted_ms: Summary,
+    /// Nodes that did not reach a version within the limit, over all commits.
+    pub not_converged: usize,
+    pub control_bytes_per_change_node: f64,
+    pub manifest_bytes: usize,
+    pub store_calls_per_change: f64,
+    pub store_calls_per_s_idle: f64,
+    pub store_waiting: u64,
+    pub control_bytes_per_s_node: f64,
+    pub cpu_percent_node: f64,
+    pub memory_mb_node: f64,
+    pub memory_mb_max: f64,
+}
+
+fn summary_row(n: usize, s: &Summary) -> Vec<String> {
+    row![
+        n,
+        s.count,
+        format!("{:.1}", s.p50),
+        format!("{:.1}", s.p99),
+        format!("{:.1}", s.max)
+    ]
+}
+
+pub fn show(sizes: &[Size]) {
+    let head = row!["nodes", "samples", "p50 ms", "p99 ms", "max ms"];
+    let block = |title: &str, pick: fn(&Size) -> &Summary| {
+        let mut rows = vec![head.clone()];
+        rows.extend(sizes.iter().map(|s| summary_row(s.nodes, pick(s))));
+        table(title, &rows);
+    };
+    block("Accepted to in force, idle", |s| &s.idle_ms);
+    block(
+        "Accepted to in force, a fifth restarting: the others",
+        |s| &s.churn_survivors_ms,
+    );
+    block(
+        "Accepted to in force, a fifth restarting: the restarted",
+        |s| &s.churn_restarted_ms,
+    );
+    let mut rows = vec![row![
+        "nodes",
+        "missing",
+        "B/change/node",
+        "manifest B",
+        "calls/change",
+        "idle calls/s",
+        "waiting",
+        "idle B/s/node",
+        "cpu %/node",
+        "MB/node",
+        "MB max"
+    ]];
+    rows.extend(sizes.iter().map(|s| {
+        row![
+            s.nodes,
+            s.not_converged,
+            format!("{:.0}", s.control_bytes_per_change_node),
+            s.manifest_bytes,
+            format!("{:.1}", s.store_calls_per_change),
+            format!("{:.2}", s.store_calls_per_s_idle),
+            s.store_waiting,
+            format!("{:.0}", s.control_bytes_per_s_node),
+            format!("{:.2}", s.cpu_percent_node),
+            format!("{:.1}", s.memory_mb_node),
+            format!("{:.1}", s.memory_mb_max)
+        ]
+    }));
+    table("Control traffic, store and idle cost", &rows);
+}
+
+pub fn show_fits(fits: &[(&str, Fit)]) {
+    let mut rows = vec![row!["figure by nodes", "slope", "intercept", "residuals"]];
+    rows.extend(fits.iter().map(|(name, f)| {
+        let rest: Vec<_> = f.residuals.iter().map(|r| format!("{r:.2}")).collect();
+        row![
+            name,
+            format!("{:.4}", f.slope),
+            format!("{:.2}", f.intercept),
+            rest.join(" ")
+        ]
+    }));
+    table("Least-squares lines", &rows);
+}
+
+pub fn fits(sizes: &[Size]) -> Vec<(&'static str, Fit)> {
+    let fit = |pick: fn(&Size) -> f64| {
+        let points: Vec<_> = sizes.iter().map(|s| (s.nodes as f64, pick(s))).collect();
+        Fit::of(&points)
+    };
+    vec![
+        ("p99 ms idle", fit(|s| s.idle_ms.p99)),
+        ("B/change/node", fit(|s| s.control_bytes_per_change_node)),
+        ("store calls/change", fit(|s| s.store_calls_per_change)),
+        ("store calls/s idle", fit(|s| s.store_calls_per_s_idle)),
+        ("waiting watches", fit(|s| s.store_waiting as f64)),
+        ("idle B/s/node", fit(|s| s.control_bytes_per_s_node)),
+        ("cpu %/node", fit(|s| s.cpu_percent_node)),
+        ("MB/node", fit(|s| s.memory_mb_node)),
+    ]
+}
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod figures;
 pub mod fleet;
+pub mod fleet_table;
 pub mod site;
 
 use std::io::{BufRead, BufReader, Read};
--- a/src/devsite.rs
+++ b/src/devsite.rs
@@ -103,19 +103,7 @@
     let server = server::start(ports.store(), standin)
         .or_else(|e| fail(Exit::Failed, format!("{}: {e}", ports.store())))?;
     let store = server.local_addr();
-    let mut opened = Vec::new();
-    for i in 0..NODES {
-        let listen = ListenSettings {
-            caller: ports.node(0, i),
-            admin: ports.node(1, i),
-            relay: ports.node(2, i),
-            peer: ports.node(3, i),
-        };
-        let listeners = Listeners::open(&listen)
-            .await
-            .or_else(|e| fail(Exit::Failed, format!("{e:?}")))?;
-        opened.push((listen, listeners));
-    }
+    let opened = open(ports).await?;
     let peers: Vec<_> = opened
         .iter()
         .filter_map(|(_, l)| l.peer.local_addr().ok())
@@ -148,6 +136,24 @@
     })
 }
 
+/// Opens the listeners of all nodes, so that each can name the others as seeds.
+async fn open(ports: Ports) -> CmdResult<Vec<(ListenSettings, Listeners)>> {
+    let mut opened = Vec::new();
+    for i in 0..NODES {
+        let listen = ListenSettings {
+            caller: ports.node(0, i),
+            admin: ports.node(1, i),
+            relay: ports.node(2, i),
+            peer: ports.node(3, i),
+        };
+        let listeners = Listeners::open(&listen)
+            .await
+            .or_else(|e| fail(Exit::Failed, format!("{e:?}")))?;
+        opened.push((listen, listeners));
+    }
+    Ok(opened)
+}
+
 fn node_settings(
     site: &str,
     i: usize,
