--- a/tests/load.rs
+++ b/tests/load.rs
@@ -103,3 +103,34 @@
     assert_eq!(n("a"), ranks["a"]["good"].as_u64().unwrap());
     assert!(n("b") > 0);
 }
+
+/// Guards against requests in flight above the limit, and against arrivals that vanish from the report at the limit.
+#[test]
+fn arrivals_above_the_limit_are_counted() {
+    let dir = Workdir::new();
+    let backend = dir.start(&["devbackend", "--service", "s", "--node", "127.0.0.1:9"]);
+    let line = backend.wait_line("listening ");
+    let address = line.trim_start_matches("listening ");
+    let args = [
+        "load",
+        "--target",
+        address,
+        "--path",
+        "/",
+        "--rate",
+        "100000",
+        "--requests",
+        "500",
+    ];
+    let out = dir.run(&[&args[..], &["--in-flight", "1", "--json"]].concat());
+    let json: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    let r = &json["ranks"]["all"];
+    let n = |v: &serde_json::Value| v.as_u64().unwrap_or(0);
+    assert_eq!(n(&r["arrived"]), 500, "{json}");
+    assert!(n(&r["over_limit"]) > 0, "{json}");
+    assert_eq!(
+        n(&r["over_limit"]) + n(&r["outcomes"]["none"]),
+        500,
+        "{json}"
+    );
+}
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,8 +1,11 @@
 //! Format of log lines.
 
+mod workdir;
+
 use std::time::{Duration, UNIX_EPOCH};
 
 use dragonflyquay::logging::{write_head, write_pair};
+use workdir::{http, repo_file, wait_until, Workdir};
 
 /// Guards against a value that breaks the line or hides the next pair.
 #[test]
@@ -23,3 +26,33 @@
     }
     insta::assert_snapshot!(line, @r#"time=2023-11-14T22:13:20.123Z level=info event=listening address=127.0.0.1:7400 empty="" error="no answer" forged="x\nlevel=info" quote="say \"no\"" pair="a=b""#);
 }
+
+/// Guards against request events that cannot be matched to a request, and against a level that is ignored.
+#[test]
+fn request_events_carry_the_id() {
+    let dir = Workdir::new();
+    let (_store, store) = dir.start_store();
+    let (node, ports) = dir.start_node("n1", "a", store, &[], "[log]\nlevel = \"debug\"");
+    let manifest = repo_file("examples/trust.toml");
+    let store = store.to_string();
+    let out = dir.run(&["commit", &manifest, "--base", "0", "--store", &store]);
+    assert!(out.status.success(), "{out:?}");
+    let send = || {
+        http(
+            ports.caller,
+            "GET",
+            "/catalogue/oak",
+            &[("dq-request-id", "id-1")],
+            "",
+        )
+        .unwrap()
+    };
+    wait_until("version in force", || {
+        send().header("dq-reason") == "no-target"
+    });
+    let line = node.wait_line("reason=no-target");
+    assert!(
+        line.contains("event=request_ended request=id-1 rank=counter outcome=not-run"),
+        "{line}"
+    );
+}
