--- a/tests/links.rs
+++ b/tests/links.rs
@@ -136,15 +136,15 @@
     let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
     assert!(matches!(t.connect(nobody).await, Err(LinkError::Failed(_))));
 
-    let mut open = Vec::new();
+    let (mut opened, mut accepted) = (Vec::new(), Vec::new());
     let busy = loop {
-        assert!(open.len() <= MAX_ACCEPTED, "too many links accepted");
+        assert!(opened.len() <= MAX_ACCEPTED, "too many links accepted");
         tokio::select! {
             link = t.connect(address) => match link {
-                Ok(l) => open.push(l),
+                Ok(l) => opened.push(l),
                 Err(e) => break e,
             },
-            link = t.accept() => open.push(link.unwrap()),
+            link = t.accept() => accepted.push(link.unwrap()),
         }
     };
     assert!(
