Send versions in records rarely and let status ask the nodes

Cause: in sites of up to 20 nodes every adoption sent the node's whole record to all others, so control bytes for each change and node grew with the number of nodes. Linked nodes learn versions from announcements anyway. Ruled out: dropping the version from the record, since a restarted node takes its floor from it. Change: records that differ only in their version are sent at most every 30 s, or 650 ms for each known node if that is more, at every size. status asks each listed node for its version and says when it had to use the record.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,12 +7,14 @@
 use serde_json::{json, Value};
 
 use super::{block_on, client, fail, usage, CmdResult, Exit};
+use crate::prelude::*;
 use crate::process::operate::{MemberStatus, StopStatus, SuspectStatus};
 
 /// Usage text.
 pub const USAGE: &str = "\
 Shows what a node runs, how far it is behind, the members that it knows and planned stops.
-All answers come from the node's memory, so that the command works while the store is down.
+All answers come from the nodes' memory, so that the command works while the store is down. Each listed node is asked
+for its version; one that does not answer is shown with the version of its last record and source=record.
 
 Usage: dragonflyquay status --node IP:PORT [--zone | --all] [--json]
 
@@ -24,6 +26,11 @@
 Exit codes: 0 success, 1 failed, 2 usage, 6 node unavailable.
 ";
 
+/// Nodes that are asked for their version at the same time.
+const ASKED_TOGETHER: usize = 64;
+/// Longest wait for one of them.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Which members to list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Scope {
@@ -65,6 +72,7 @@
         Scope::Zone => m.az == az,
         Scope::All => true,
     });
+    let members = refresh(members).await;
     let quarantined = suspects.iter().filter(|s| s.quarantined).count();
     if json {
         let all = json!({
@@ -87,12 +95,13 @@
             .target
             .map(|t| serde_json::to_value(t).unwrap_or_default());
         println!(
-            "member={} az={} state={} version={} lag={} service={} target={}",
+            "member={} az={} state={} version={} lag={} source={} service={} target={}",
             m.node,
             m.az,
             m.state,
             m.version,
             m.lag,
+            m.source,
             if m.service.is_empty() {
                 "-"
             } else {
@@ -104,6 +113,31 @@
     Ok(())
 }
 
+/// Asks each member for its version, [`ASKED_TOGETHER`] at a time. Records carry versions with a delay, so that a
+/// change does not cost a record of every node.
+async fn refresh(mut members: Vec<MemberStatus>) -> Vec<MemberStatus> {
+    for part in members.chunks_mut(ASKED_TOGETHER) {
+        let asked = part.iter().map(|m| ask(m.admin.clone()));
+        let asked: Vec<_> = asked.map(tokio::spawn).collect();
+        for (m, task) in part.iter_mut().zip(asked) {
+            if let Ok(Some((version, lag))) = task.await {
+                m.version = version;
+                m.lag = lag;
+                m.source = "node".into();
+            }
+        }
+    }
+    members
+}
+
+/// Version and lag of a node; `None` when it does not answer in time.
+async fn ask(admin: String) -> Option<(u64, u64)> {
+    let address = admin.parse().ok()?;
+    let call = client::call::<_, Value>(address, Method::GET, "/status", &());
+    let status = tokio::time::timeout(ASK_TIMEOUT, call).await.ok()?.ok()?;
+    Some((status["version"].as_u64()?, status["lag"].as_u64()?))
+}
+
 fn plain(v: &Value) -> String {
     v.as_str().map_or_else(|| v.to_string(), str::to_owned)
 }
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -23,10 +23,11 @@
 pub const SILENCE: Duration = Duration::from_secs(3);
 /// Interval of anti-entropy.
 pub const ANTI_ENTROPY: Duration = Duration::from_secs(10);
-/// Number of nodes up to which a node sends its record at once when only its version has changed.
-const SMALL_SITE: usize = 20;
-/// Time between two such records for each node above that number. A record costs every node about 16 copies of 130
-/// bytes. With 8,100 nodes and a new version every 6 s, sending at once would take 2.8 MB/s; this share takes 3.2 KB/s.
+/// Least time between two records of a node that differ only in its version. Linked nodes learn versions from the
+/// announcements, so the record only serves a restarted node that links to others than before.
+const VERSION_LEAST: Duration = Duration::from_secs(30);
+/// Time between two such records for each known node. A record costs every node about 16 copies of 130 bytes. With
+/// 8,100 nodes and a new version every 6 s, sending at once would take 2.8 MB/s; this share takes 3.2 KB/s.
 const VERSION_SHARE: Duration = Duration::from_millis(650);
 /// Gap between two ticks that shows that this process was paused.
 const PAUSE: Duration = Duration::from_secs(2);
@@ -115,7 +116,7 @@
         let version = std::mem::replace(&mut record.version, self.own.version);
         let due = version != self.own.version && self.next_version <= now;
         if due || record != self.own {
-            self.next_version = now + VERSION_SHARE * self.excess();
+            self.next_version = now + self.version_interval();
             self.own = record;
             self.own.version = version;
             self.own.sequence += 1;
@@ -123,10 +124,9 @@
         }
     }
 
-    /// Nodes above the size up to which a changed version is sent at once.
-    fn excess(&self) -> u32 {
-        let n = self.table.members().len().saturating_sub(SMALL_SITE);
-        u32::try_from(n).unwrap_or(u32::MAX)
+    fn version_interval(&self) -> Duration {
+        let n = u32::try_from(self.table.members().len()).unwrap_or(u32::MAX);
+        VERSION_LEAST.max(VERSION_SHARE * n)
     }
 
     /// Notes the version that a linked node says it holds.
--- a/src/process/operate.rs
+++ b/src/process/operate.rs
@@ -51,6 +51,8 @@
     pub version: u64,
     /// Versions that it is behind the greatest one known here.
     pub lag: u64,
+    /// Where the version comes from: `record`, which may be late, or `node`.
+    pub source: String,
     /// Service of its backend server, empty without one.
     pub service: String,
     /// State of its backend server.
@@ -152,6 +154,7 @@
         .to_owned(),
         version: r.version.number,
         lag: newest - r.version.number,
+        source: "record".into(),
         service: r
             .target
             .as_ref()
