Inject more store faults and count store calls

Cause: the stand-in could only be down, slow or lose an answer, and the node did not count its store calls. Ruled out: faults inside the HTTP server only, because state machines are tested against the in-memory store too. Change: FaultyStore (store/faults.rs) decorates the in-memory store and is shared by tests and the stand-in server. New faults: delay after the effect, refused writes, a closed connection without an answer, dropped and reordered watch events, a count of writes to pass first, lease expiry, save and restore of an older state. A watch above the store's revision answers Compacted, so that it does not go blind after a restore. Counted (store/counted.rs) records calls by kind and result and waiting watches; the node uses it.

--- a/src/cmd/devstore.rs
+++ b/src/cmd/devstore.rs
@@ -17,7 +17,8 @@
 
   --listen IP:PORT  address (default 127.0.0.1:7500); the first output line names the one taken
 
-Faults are set with PUT /v1/faults, counters are read with GET /v1/stats.
+Faults are set with PUT /v1/faults, counters are read with GET /v1/stats. POST /v1/expire-leases ends all leases;
+POST /v1/save keeps the present state and POST /v1/restore returns to it.
 
 Exit codes: 0 stopped, 1 failed, 2 usage.
 ";
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -18,6 +18,7 @@
 use crate::prelude::*;
 use crate::request::{admit, entry};
 use crate::settings::Settings;
+use crate::store::counted::Counted;
 use crate::store::Store;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
@@ -166,6 +167,8 @@
     };
     let seeds = settings.peers.seeds.clone();
     let limits = settings.limits.clone();
+    let metrics = Metrics::default();
+    let store = Arc::new(Counted::new(store, &metrics));
     let admin_address = settings.listen.admin;
     let p = Arc::new(Process {
         settings,
@@ -175,7 +178,7 @@
         store,
         notices: Notices::default(),
         clock: Arc::new(ProcessClock::default()),
-        metrics: Metrics::default(),
+        metrics,
         own: Mutex::new((record, None)),
     });
     let admin =
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -72,15 +72,22 @@
             .map_err(|e| StoreError::Unknown(e.to_string()))?
             .to_bytes();
         match status {
-            s if s.is_success() => {
-                serde_json::from_slice(&data).map_err(|e| StoreError::Unknown(e.to_string()))
-            }
+            s if s.is_success() => decode_answer(&data),
             s if s.is_client_error() => Err(StoreError::Invalid(format!("status {s}"))),
             s => Err(StoreError::Unknown(format!("status {s}"))),
         }
     }
 }
 
+/// Decodes the body of an answer.
+///
+/// # Errors
+///
+/// [`StoreError::Unknown`], because a write with a damaged answer may have taken effect.
+pub fn decode_answer(data: &[u8]) -> Result<Answer, StoreError> {
+    serde_json::from_slice(data).map_err(|e| StoreError::Unknown(e.to_string()))
+}
+
 fn unexpected<T>() -> Result<T, StoreError> {
     Err(StoreError::Unknown("answer of another kind".into()))
 }
--- a/src/store/mem.rs
+++ b/src/store/mem.rs
@@ -14,18 +14,20 @@
 /// Number of past changes kept for watches.
 const HISTORY: usize = 4096;
 
+#[derive(Clone)]
 struct Item {
     value: Vec<u8>,
     revision: Revision,
     lease: Option<LeaseId>,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     ends: Instant,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     items: BTreeMap<String, Item>,
     leases: BTreeMap<LeaseId, Lease>,
@@ -86,7 +88,7 @@
             .history
             .front()
             .map_or(self.revision + 1, |e| e.revision);
-        if from + 1 < oldest {
+        if from > self.revision || from + 1 < oldest {
             return Err(StoreError::Compacted);
         }
         let events = self
@@ -109,7 +111,35 @@
     changed: Notify,
 }
 
+/// A saved state of a [`MemStore`].
+#[derive(Clone, Default)]
+pub struct Saved(State);
+
 impl MemStore {
+    /// Ends all leases now.
+    pub fn expire_leases(&self) {
+        self.with(|s| {
+            let ids: Vec<_> = s.leases.keys().copied().collect();
+            ids.into_iter().for_each(|id| s.end_lease(id));
+        });
+    }
+
+    /// Copies the present state.
+    pub fn save(&self) -> Saved {
+        Saved(self.with(|s| s.clone()))
+    }
+
+    /// Returns to an older state, with its revision. Lease ids are not used again, so that the holder of a lost lease
+    /// cannot extend the lease of another.
+    pub fn restore(&self, saved: Saved) {
+        self.with(|s| {
+            let next_lease = s.next_lease.max(saved.0.next_lease);
+            *s = saved.0;
+            s.next_lease = next_lease;
+        });
+        self.changed.notify_waiters();
+    }
+
     fn with<T, F>(&self, f: F) -> T
     where
         F: FnOnce(&mut State) -> T,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's key-value store: compare-and-swap, leases and watches.
 
+pub mod counted;
+pub mod faults;
 pub mod http;
 pub mod mem;
 pub mod server;
@@ -79,10 +81,24 @@
     Invalid(String),
     /// The lease does not exist or has expired.
     NoLease,
-    /// The watch starts before the oldest revision that the store still knows; list again.
+    /// The watch starts before the oldest revision that the store still knows, or after its present one, because the
+    /// store was restored from an older state. List again and watch from the revision of the listing.
     Compacted,
 }
 
+impl StoreError {
+    /// Label for counters.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) => "unavailable",
+            Self::Unknown(_) => "unknown",
+            Self::Invalid(_) => "invalid",
+            Self::NoLease => "no-lease",
+            Self::Compacted => "compacted",
+        }
+    }
+}
+
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -120,6 +136,8 @@
     /// Ends a lease and deletes its keys.
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError>;
     /// Waits up to `wait` for changes after revision `from` to keys that begin with `prefix`.
+    ///
+    /// Events may be missing or out of order, so they only say that something changed: the keys have to be read again.
     async fn watch(
         &self,
         prefix: &str,
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -1,16 +1,23 @@
 //! Stand-in for the platform's store: HTTP with JSON over the in-memory store, with faults and counters.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
+use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use dropshot::{
-    endpoint, ApiDescription, ConfigDropshot, HttpError, HttpResponseOk, HttpServer,
-    RequestContext, ServerBuilder, TypedBody,
+    endpoint, ApiDescription, Body, ConfigDropshot, HttpError, HttpResponseOk,
+    HttpResponseUpdatedNoContent, HttpServer, RequestContext, ServerBuilder, TypedBody,
 };
+use http::Response;
+use http_body::Frame;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+pub use super::faults::Faults;
+use super::faults::{FaultyStore, CLOSED};
+use super::mem::MemStore;
 use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
 
@@ -68,18 +75,6 @@
     Error(StoreError),
 }
 
-/// Faults that the stand-in injects.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-#[serde(default, deny_unknown_fields)]
-pub struct Faults {
-    /// Refuse every call.
-    pub down: bool,
-    /// Delay before each call, in milliseconds.
-    pub slow_ms: u64,
-    /// Number of following writes whose answer is lost after the write took effect.
-    pub lose_writes: u64,
-}
-
 /// Calls served since the start, by kind, and watches that wait now.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Stats {
@@ -103,28 +98,26 @@
 
 /// State of the stand-in server.
 pub struct StandIn {
-    store: Arc<dyn Store>,
-    faults: Mutex<Faults>,
+    store: Arc<FaultyStore>,
     counters: Counters,
 }
 
 impl StandIn {
     /// Creates a stand-in over a store.
-    pub fn new(store: Arc<dyn Store>) -> Self {
+    pub fn new(store: Arc<MemStore>) -> Self {
         Self {
-            store,
-            faults: Mutex::default(),
+            store: Arc::new(FaultyStore::new(store)),
             counters: Counters::default(),
         }
     }
 
-    fn faults(&self) -> std::sync::MutexGuard<'_, Faults> {
-        self.faults.lock().unwrap_or_else(|e| e.into_inner())
+    /// The store with its faults.
+    pub fn store(&self) -> &Arc<FaultyStore> {
+        &self.store
     }
 
     /// Serves one call.
     pub async fn serve(&self, call: Call) -> Answer {
-        let Faults { down, slow_ms, .. } = self.faults().clone();
         let c = &self.counters;
         let kind = match call {
             Call::Get(_) | Call::List(_) => &c.reads,
@@ -132,18 +125,7 @@
             _ => &c.writes,
         };
         kind.fetch_add(1, Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
-        if down {
-            return Answer::Error(StoreError::Unavailable("injected outage".into()));
-        }
-        let is_write = matches!(call, Call::Swap { .. });
-        let answer = self.run(call).await.unwrap_or_else(Answer::Error);
-        let mut faults = self.faults();
-        if is_write && faults.lose_writes > 0 {
-            faults.lose_writes -= 1;
-            return Answer::Error(StoreError::Unknown("injected loss of the answer".into()));
-        }
-        answer
+        self.run(call).await.unwrap_or_else(Answer::Error)
     }
 
     async fn run(&self, call: Call) -> Result<Answer, StoreError> {
@@ -206,8 +188,31 @@
 
 /// Serves one store call.
 #[endpoint { method = POST, path = "/v1/call", request_body_max_bytes = 8 * 1024 * 1024 }]
-async fn post_call(ctx: Ctx, body: TypedBody<Call>) -> Result<HttpResponseOk<Answer>, HttpError> {
-    Ok(HttpResponseOk(ctx.context().serve(body.into_inner()).await))
+async fn post_call(ctx: Ctx, body: TypedBody<Call>) -> Result<Response<Body>, HttpError> {
+    let answer = ctx.context().serve(body.into_inner()).await;
+    let body = match &answer {
+        Answer::Error(StoreError::Unknown(m)) if m == CLOSED => Body::wrap(NoAnswer),
+        a => serde_json::to_vec(a).unwrap_or_default().into(),
+    };
+    Response::builder()
+        .header("content-type", "application/json")
+        .body(body)
+        .map_err(|e| HttpError::for_internal_error(e.to_string()))
+}
+
+/// A body that fails at once. The HTTP server then closes the connection before it has sent the response head.
+struct NoAnswer;
+
+impl http_body::Body for NoAnswer {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Poll::Ready(Some(Err(std::io::ErrorKind::ConnectionAborted.into())))
+    }
 }
 
 /// Replaces the injected faults.
@@ -217,10 +222,31 @@
     body: TypedBody<Faults>,
 ) -> Result<HttpResponseOk<Faults>, HttpError> {
     let new = body.into_inner();
-    *ctx.context().faults() = new.clone();
+    *ctx.context().store.faults() = new.clone();
     Ok(HttpResponseOk(new))
 }
 
+/// Ends all leases now.
+#[endpoint { method = POST, path = "/v1/expire-leases" }]
+async fn post_expire(ctx: Ctx) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    ctx.context().store.inner().expire_leases();
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Keeps the present state for a later restore.
+#[endpoint { method = POST, path = "/v1/save" }]
+async fn post_save(ctx: Ctx) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    ctx.context().store.save();
+    Ok(HttpResponseUpdatedNoContent())
+}
+
+/// Returns to the saved state, or to an empty store when none was saved.
+#[endpoint { method = POST, path = "/v1/restore" }]
+async fn post_restore(ctx: Ctx) -> Result<HttpResponseUpdatedNoContent, HttpError> {
+    ctx.context().store.restore();
+    Ok(HttpResponseUpdatedNoContent())
+}
+
 /// Returns the call counters.
 #[endpoint { method = GET, path = "/v1/stats" }]
 async fn get_stats(ctx: Ctx) -> Result<HttpResponseOk<Stats>, HttpError> {
@@ -239,6 +265,9 @@
     let mut api = ApiDescription::new();
     api.register(post_call).map_err(|e| e.to_string())?;
     api.register(put_faults).map_err(|e| e.to_string())?;
+    api.register(post_expire).map_err(|e| e.to_string())?;
+    api.register(post_save).map_err(|e| e.to_string())?;
+    api.register(post_restore).map_err(|e| e.to_string())?;
     api.register(get_stats).map_err(|e| e.to_string())?;
     let log = crate::logging::dropshot_log();
     ServerBuilder::new(api, standin, log)
--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,369 @@
+//! Contract of the `Store` trait, run against the in-memory store and the HTTP adapter with the stand-in.
+
+mod random;
+mod workdir;
+
+use std::future::Future;
+use std::io::{Read, Write};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use dragonflyquay::process::metrics::Metrics;
+use dragonflyquay::store::counted::Counted;
+use dragonflyquay::store::faults::{Faults, FaultyStore};
+use dragonflyquay::store::http::{decode_answer, HttpStore};
+use dragonflyquay::store::mem::MemStore;
+use dragonflyquay::store::server::{self, Answer, Call, StandIn};
+use dragonflyquay::store::{Store, StoreError, Swap, MAX_VALUE_BYTES};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use random::run;
+use workdir::PATIENCE;
+
+/// Wait of a watch that has to find its event; tests never wait this long unless they fail.
+const LONG: Duration = PATIENCE;
+
+struct Site {
+    name: &'static str,
+    store: Arc<dyn Store>,
+    faulty: Arc<FaultyStore>,
+}
+
+/// Runs `check` against both kinds of store. `timeout` is the one of the HTTP adapter.
+async fn each<F, R>(timeout: Duration, check: F)
+where
+    F: Fn(Site) -> R,
+    R: Future<Output = ()>,
+{
+    let standin = Arc::new(StandIn::new(Arc::new(MemStore::default())));
+    let faulty = standin.store().clone();
+    let store = faulty.clone();
+    let name = "mem";
+    check(Site {
+        name,
+        store,
+        faulty,
+    })
+    .await;
+    let standin = Arc::new(StandIn::new(Arc::new(MemStore::default())));
+    let server = server::start(([127, 0, 0, 1], 0).into(), standin.clone()).unwrap();
+    let store = Arc::new(HttpStore::new(server.local_addr(), timeout));
+    let faulty = standin.store().clone();
+    let name = "http";
+    check(Site {
+        name,
+        store,
+        faulty,
+    })
+    .await;
+    server.close().await.unwrap();
+}
+
+fn done(s: Result<Swap, StoreError>) -> u64 {
+    match s {
+        Ok(Swap::Done(r)) => r,
+        s => panic!("{s:?}"),
+    }
+}
+
+async fn put(s: &dyn Store, key: &str, expect: u64, value: &str) -> Result<Swap, StoreError> {
+    s.swap(key, expect, Some(value.into()), None).await
+}
+
+async fn value(s: &dyn Store, key: &str) -> Option<String> {
+    let e = s.get(key).await.unwrap();
+    e.map(|e| String::from_utf8(e.value).unwrap())
+}
+
+/// Guards against a compare-and-swap that ignores its comparison, and against wrong keys in a listing.
+#[tokio::test]
+async fn swap_compares() {
+    each(LONG, |t| async move {
+        let s = t.store.as_ref();
+        let r1 = done(put(s, "a/1", 0, "x").await);
+        let conflict = put(s, "a/1", 0, "y").await.unwrap();
+        assert!(matches!(conflict, Swap::Conflict(Some(e)) if e.revision == r1 && e.value == b"x"));
+        let missing = put(s, "a/2", 7, "y").await.unwrap();
+        assert_eq!(missing, Swap::Conflict(None));
+        let r2 = done(put(s, "a/1", r1, "y").await);
+        assert!(r2 > r1);
+        done(put(s, "a/2", 0, "z").await);
+        done(put(s, "b/1", 0, "z").await);
+        let list = s.list("a/").await.unwrap();
+        let keys: Vec<_> = list.entries.iter().map(|e| e.key.as_str()).collect();
+        assert_eq!(keys, ["a/1", "a/2"], "{}", t.name);
+        assert!(list.revision > list.entries[1].revision);
+        done(s.swap("a/1", r2, None, None).await);
+        assert_eq!(s.get("a/1").await, Ok(None));
+        let full = vec![255; MAX_VALUE_BYTES];
+        done(s.swap("full", 0, Some(full.clone()), None).await);
+        assert_eq!(s.get("full").await.unwrap().unwrap().value, full);
+        let over = s.swap("over", 0, Some(vec![0; MAX_VALUE_BYTES + 1]), None);
+        assert!(matches!(over.await, Err(StoreError::Invalid(_))));
+    })
+    .await;
+}
+
+/// Guards against keys that outlive their lease, and against a paused holder that extends an expired lease.
+#[tokio::test]
+async fn lease_ends_with_its_keys() {
+    each(LONG, |t| async move {
+        let s = t.store.as_ref();
+        let lease = s.grant(LONG).await.unwrap();
+        let value = Some(b"x".to_vec());
+        done(s.swap("l/1", 0, value.clone(), Some(lease)).await);
+        assert_eq!(s.keep(lease).await, Ok(()));
+        t.faulty.inner().expire_leases();
+        assert_eq!(s.get("l/1").await, Ok(None), "{}", t.name);
+        assert_eq!(s.keep(lease).await, Err(StoreError::NoLease));
+        let late = s.swap("l/1", 0, value.clone(), Some(lease)).await;
+        assert_eq!(late, Err(StoreError::NoLease));
+        let second = s.grant(LONG).await.unwrap();
+        assert_ne!(second, lease);
+        let r = done(s.swap("l/1", 0, value.clone(), Some(second)).await);
+        let other = put(s, "l/1", 0, "y").await;
+        assert!(matches!(other, Ok(Swap::Conflict(Some(_)))));
+        done(s.swap("l/1", r, value.clone(), None).await);
+        s.revoke(second).await.unwrap();
+        assert!(
+            s.get("l/1").await.unwrap().is_some(),
+            "the key left its lease"
+        );
+        let short = s.grant(Duration::from_millis(1)).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(s.keep(short).await, Err(StoreError::NoLease));
+    })
+    .await;
+}
+
+/// Guards against a watch that misses a change, wakes for other keys, or goes blind after a restore.
+#[tokio::test]
+async fn watch_sees_changes() {
+    each(LONG, |t| async move {
+        let s = t.store.as_ref();
+        let from = done(put(s, "w/1", 0, "x").await);
+        let none = s.watch("w/", from, Duration::ZERO).await.unwrap();
+        assert!(none.events.is_empty() && none.revision == from);
+        let write = async {
+            done(put(s, "other", 0, "x").await);
+            done(put(s, "w/2", 0, "y").await);
+        };
+        let (seen, ()) = tokio::join!(s.watch("w/", from, LONG), write);
+        let seen = seen.unwrap();
+        assert_eq!(seen.events.len(), 1, "{}", t.name);
+        assert_eq!(seen.events[0].key, "w/2");
+        t.faulty.save();
+        for i in 0..3 {
+            done(put(s, &format!("w/more{i}"), 0, "z").await);
+        }
+        let newest = s.list("").await.unwrap().revision;
+        t.faulty.restore();
+        assert_eq!(
+            s.watch("w/", newest, LONG).await,
+            Err(StoreError::Compacted)
+        );
+        assert_eq!(s.list("w/").await.unwrap().entries.len(), 2);
+        let from = s.list("w/").await.unwrap().revision;
+        for i in 0..5000 {
+            let lease = t.faulty.inner().grant(LONG).await.unwrap();
+            let key = format!("fill{i}");
+            done(t.faulty.inner().swap(&key, 0, None, Some(lease)).await);
+        }
+        assert_eq!(s.watch("w/", from, LONG).await, Err(StoreError::Compacted));
+    })
+    .await;
+}
+
+/// Guards against a store fault that is reported as another outcome than the caller has to assume.
+#[tokio::test]
+async fn write_faults() {
+    let f = Faults::default;
+    #[rustfmt::skip]
+    let cases = [
+        (Faults { down: true, ..f() }, "unavailable", false),
+        (Faults { refuse_writes: 1, ..f() }, "unavailable", false),
+        (Faults { lose_writes: 1, ..f() }, "unknown", true),
+        (Faults { close_writes: 1, ..f() }, "unknown", true),
+        (Faults { slow_ms: 5, ..f() }, "ok", true),
+        (Faults { slow_answer_ms: 5, ..f() }, "ok", true),
+        (Faults { skip_writes: 1, lose_writes: 1, ..f() }, "ok", true),
+    ];
+    each(LONG, |t| {
+        let cases = cases.clone();
+        async move {
+            let s = t.store.as_ref();
+            for (i, (faults, result, written)) in cases.into_iter().enumerate() {
+                let key = format!("k{i}");
+                *t.faulty.faults() = faults.clone();
+                let out = put(s, &key, 0, "x").await;
+                let got = out.as_ref().map_or_else(|e| e.as_str(), |_| "ok");
+                assert_eq!(got, result, "{} {faults:?} {out:?}", t.name);
+                *t.faulty.faults() = Faults::default();
+                let there = value(s, &key).await.is_some();
+                assert_eq!(there, written, "{} {faults:?}", t.name);
+            }
+            *t.faulty.faults() = Faults {
+                lose_writes: 1,
+                ..f()
+            };
+            assert!(matches!(s.grant(LONG).await, Err(StoreError::Unknown(_))));
+        }
+    })
+    .await;
+}
+
+/// Guards against consumers that trust watch events: the stand-in has to be able to drop and reorder them.
+#[tokio::test]
+async fn watch_faults() {
+    each(LONG, |t| async move {
+        let s = t.store.as_ref();
+        for key in ["e/1", "e/2", "e/3"] {
+            done(put(s, key, 0, "x").await);
+        }
+        t.faulty.faults().drop_events = 1;
+        t.faulty.faults().reorder_events = true;
+        let seen = s.watch("e/", 0, LONG).await.unwrap();
+        let keys: Vec<_> = seen.events.iter().map(|e| e.key.as_str()).collect();
+        assert_eq!(keys, ["e/3", "e/2"], "{}", t.name);
+        assert_eq!(t.faulty.faults().drop_events, 0);
+    })
+    .await;
+}
+
+/// Guards against a timeout that is reported as "not written" although the write takes effect later.
+#[tokio::test]
+async fn timeout_leaves_the_outcome_open() {
+    each(Duration::from_millis(100), |t| async move {
+        if t.name == "mem" {
+            return;
+        }
+        for (i, faults) in [(1000, 0), (0, 1000)].into_iter().enumerate() {
+            let key = format!("k{i}");
+            *t.faulty.faults() = Faults {
+                slow_ms: faults.0,
+                slow_answer_ms: faults.1,
+                ..Faults::default()
+            };
+            let out = put(t.store.as_ref(), &key, 0, "x").await;
+            assert!(matches!(out, Err(StoreError::Unknown(_))), "{out:?}");
+            let end = Instant::now() + PATIENCE;
+            while t.faulty.inner().get(&key).await.unwrap().is_none() {
+                assert!(Instant::now() < end, "the write never took effect");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    })
+    .await;
+}
+
+/// Guards against an absent server that is reported as an unknown outcome: nothing was sent.
+#[tokio::test]
+async fn refused_connection_is_unavailable() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let out = put(&HttpStore::new(address, LONG), "k", 0, "x").await;
+    assert!(matches!(out, Err(StoreError::Unavailable(_))), "{out:?}");
+}
+
+/// Guards against a lost answer that is sent in part: a caller must see a closed connection only.
+#[test]
+fn closed_connection_carries_no_byte() {
+    let dir = workdir::Workdir::new();
+    let (_store, address) = dir.start_store();
+    let set = workdir::http_json(address, "PUT", "/v1/faults", r#"{"close_writes": 1}"#);
+    assert_eq!(set.unwrap().status, 200);
+    let call = Call::Swap {
+        key: "k".into(),
+        expect: 0,
+        value: Some(b"x".to_vec()),
+        lease: None,
+    };
+    let body = serde_json::to_string(&call).unwrap();
+    let mut s = std::net::TcpStream::connect(address).unwrap();
+    s.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head = "POST /v1/call HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n";
+    write!(s, "{head}content-length: {}\r\n\r\n{body}", body.len()).unwrap();
+    let mut answer = Vec::new();
+    // A reset is as good as an end of stream.
+    let _ = s.read_to_end(&mut answer);
+    assert_eq!(String::from_utf8_lossy(&answer), "");
+    for (path, entry) in [
+        ("/v1/save", true),
+        ("/v1/expire-leases", true),
+        ("/v1/restore", true),
+    ] {
+        assert_eq!(
+            workdir::http(address, "POST", path, &[], "")
+                .unwrap()
+                .status,
+            204
+        );
+        let got = workdir::http_json(address, "POST", "/v1/call", r#"{"Get":"k"}"#).unwrap();
+        let got = decode_answer(got.body.as_bytes()).unwrap();
+        assert!(matches!(got, Answer::Entry(e) if e.is_some() == entry));
+    }
+    let stats = workdir::http(address, "GET", "/v1/stats", &[], "").unwrap();
+    assert_eq!(
+        stats.body.trim(),
+        r#"{"reads":3,"writes":1,"watches":0,"waiting":0}"#
+    );
+}
+
+/// Guards against store calls that the metrics miss, and against a waiting watch that is counted for ever.
+#[tokio::test]
+async fn calls_are_counted() {
+    let metrics = Metrics::default();
+    let faulty = Arc::new(FaultyStore::default());
+    let s = Arc::new(Counted::new(faulty.clone(), &metrics));
+    done(put(s.as_ref(), "k", 0, "x").await);
+    put(s.as_ref(), "k", 0, "x").await.unwrap();
+    let lease = s.grant(LONG).await.unwrap();
+    s.revoke(lease).await.unwrap();
+    let _ = s.keep(lease).await;
+    s.list("").await.unwrap();
+    let waiting = tokio::spawn({
+        let s = s.clone();
+        async move { s.watch("none", 1, LONG).await }
+    });
+    while metrics.store_waiting.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    waiting.abort();
+    let _ = waiting.await;
+    assert_eq!(metrics.store_waiting.get(), 0);
+    faulty.faults().down = true;
+    let _ = s.get("k").await;
+    let text = metrics.render();
+    let calls: Vec<_> = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("dq_store_calls_total"))
+        .collect();
+    let expected = [
+        r#"{kind="get",result="unavailable"} 1"#,
+        r#"{kind="grant",result="ok"} 1"#,
+        r#"{kind="keep",result="no-lease"} 1"#,
+        r#"{kind="list",result="ok"} 1"#,
+        r#"{kind="revoke",result="ok"} 1"#,
+        r#"{kind="swap",result="conflict"} 1"#,
+        r#"{kind="swap",result="ok"} 1"#,
+    ];
+    assert_eq!(calls, expected);
+}
+
+/// Guards against a store answer that makes the adapter panic.
+#[test]
+fn arbitrary_answers_are_safe() {
+    run(500, &vec(any::<u8>(), 0..200), |data| {
+        let out = decode_answer(&data);
+        prop_assert!(matches!(out, Err(StoreError::Unknown(_))) || out.is_ok());
+        Ok(())
+    });
+    let text = serde_json::to_vec(&Answer::Swap(Swap::Conflict(None))).unwrap();
+    run(500, &(0..text.len(), any::<u8>()), |(i, byte)| {
+        let mut text = text.clone();
+        text[i] = byte;
+        let _ = decode_answer(&text);
+        Ok(())
+    });
+}
