Report every problem of a manifest and of the settings at once

Cause: a file with several problems showed only the first one, and validation covered dangling references only. Ruled out: a reader written by hand for each type, because it would repeat every field of the settings that other modules add. Instead, when a file cannot be read as a whole, each leaf is read on its own with the same serde types. Change: strict.rs collects syntax errors, duplicate keys, unknown keys and wrong types with line and place. Validation of the manifest covers names, counts, duplicates, overlaps, ranges, header names and values, paths, hosts and reserved paths; validation of the settings covers names, ranges and addresses. Content that is not in the canonical form is rejected. An exact path now wins over a prefix: `/a/` lost to `/a/*` before. Routes overlap only when method, host and path are equal, since every other pair has a more specific route. A wildcard listening address is a finding, because other nodes connect to it.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,8 +12,7 @@
 use error_stack::Report;
 
 use crate::findings::Findings;
-use crate::version::manifest::{self, Manifest, MAX_MANIFEST_BYTES};
-use crate::version::validate::validate;
+use crate::version::manifest::{self, Manifest};
 
 /// Exit codes of all subcommands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,9 +75,9 @@
 /// Reports the findings of an input file.
 pub fn refused<T>(path: &Path, f: &Findings) -> CmdResult<T> {
     let lines: Vec<_> = f
-        .to_string()
-        .lines()
-        .map(|l| format!("{}: {l}", path.display()))
+        .items
+        .iter()
+        .map(|x| format!("{}: {x}", path.display()))
         .collect();
     fail(Exit::Refused, lines.join("\n"))
 }
@@ -89,18 +88,11 @@
 ///
 /// [`Exit::Failed`] when the file cannot be read, [`Exit::Refused`] with all findings.
 pub fn read_manifest(path: &Path) -> CmdResult<Manifest> {
-    let text = match std::fs::read_to_string(path) {
-        Ok(t) if t.len() <= MAX_MANIFEST_BYTES => t,
-        Ok(_) => {
-            return fail(
-                Exit::Refused,
-                format!("{}: larger than {MAX_MANIFEST_BYTES} bytes", path.display()),
-            )
-        }
-        Err(e) => return fail(Exit::Failed, format!("{}: {e}", path.display())),
-    };
-    let checked = manifest::parse(&text).and_then(|m| validate(&m).map(|()| m));
-    checked.or_else(|f| refused(path, &f))
+    let text = std::fs::read_to_string(path).or_else(|e| {
+        let message = format!("{}: {e}; name a readable manifest file", path.display());
+        fail(Exit::Failed, message)
+    })?;
+    manifest::parse(&text).or_else(|f| refused(path, &f))
 }
 
 /// Runs a future on a runtime with this number of threads.
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -13,6 +13,12 @@
     pub remedy: String,
 }
 
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.place, self.message, self.remedy)
+    }
+}
+
 /// All problems found in one input. It is an error only when it is not empty.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Findings {
@@ -54,7 +60,7 @@
             if i > 0 {
                 writeln!(f)?;
             }
-            write!(f, "{}: {}; {}", x.place, x.message, x.remedy)?;
+            x.fmt(f)?;
         }
         Ok(())
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod request;
 pub mod settings;
 pub mod store;
+pub mod strict;
 pub mod version;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,15 @@
 //! Settings of a node, read from a TOML file.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
 
 use crate::findings::Findings;
 use crate::prelude::*;
+use crate::strict;
+use crate::version::validate::check_name;
 
 /// Settings of one node.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -211,18 +214,114 @@
     parse(&text)
 }
 
-/// Parses settings.
+/// Parses and validates settings.
 ///
 /// # Errors
 ///
-/// The findings, each with its place.
+/// All findings, each with its line and place.
 pub fn parse(text: &str) -> Result<Settings, Findings> {
-    toml::from_str(text).map_err(|e| {
-        let mut f = Findings::default();
-        let line = e
-            .span()
-            .map_or(1, |s| 1 + text[..s.start].matches('\n').count());
-        f.add(format!("line {line}"), e.message(), "correct the settings");
-        f
-    })
+    let (s, places) = strict::read::<Settings>(text)?;
+    match validate(&s) {
+        Ok(()) => Ok(s),
+        Err(f) => Err(places.locate(f)),
+    }
+}
+
+/// Checks the settings as a whole.
+///
+/// # Errors
+///
+/// All findings, each with its place.
+pub fn validate(s: &Settings) -> Result<(), Findings> {
+    let mut f = Findings::default();
+    check_name(&mut f, "node.id".into(), &s.node.id);
+    check_name(&mut f, "node.az".into(), &s.node.az);
+    check_name(&mut f, "node.region".into(), &s.node.region);
+    check_name(&mut f, "node.site".into(), &s.node.site);
+    check_addresses(&mut f, s);
+    let l = &s.limits;
+    // Ranges keep a typing error of a unit, such as seconds for milliseconds, from reaching a node.
+    let ranges: [(&str, u64, RangeInclusive<u64>); 8] = [
+        ("node.threads", s.node.threads as u64, 1..=64),
+        ("store.timeout_ms", s.store.timeout_ms, 10..=60_000),
+        ("limits.connections", l.connections as u64, 1..=65_536),
+        ("limits.header_bytes", l.header_bytes as u64, 1024..=1 << 20),
+        ("limits.headers", l.headers as u64, 16..=1024),
+        (
+            "limits.header_timeout_ms",
+            l.header_timeout_ms,
+            10..=600_000,
+        ),
+        ("limits.body_bytes", l.body_bytes as u64, 1024..=1 << 30),
+        ("limits.body_timeout_ms", l.body_timeout_ms, 10..=600_000),
+    ];
+    for (place, value, range) in ranges {
+        if !range.contains(&value) {
+            let remedy = format!("use {} to {}", range.start(), range.end());
+            f.add(place, format!("{value} is out of range"), remedy);
+        }
+    }
+    f.into_result(())
+}
+
+fn check_addresses(f: &mut Findings, s: &Settings) {
+    let mut used: HashMap<SocketAddr, &str> = HashMap::default();
+    for (place, address) in [
+        ("listen.caller", s.listen.caller),
+        ("listen.relay", s.listen.relay),
+        ("listen.peer", s.listen.peer),
+        ("listen.admin", s.listen.admin),
+    ] {
+        // Other nodes connect to these addresses, so a wildcard would be of no use to them.
+        check_ip(f, place.to_owned(), address.ip());
+        match used.insert(address, place) {
+            Some(first) if address.port() != 0 => f.add(
+                place,
+                format!("{address} is already used by {first}"),
+                "give each listener its own port",
+            ),
+            _ => {}
+        }
+    }
+    check_remote(f, "store.address".into(), s.store.address);
+    let mut seeds = HashSet::default();
+    for (i, seed) in s.peers.seeds.iter().enumerate() {
+        let place = format!("peers.seeds[{i}]");
+        check_remote(f, place.clone(), *seed);
+        if !seeds.insert(seed) {
+            f.add(
+                place,
+                format!("{seed} is named twice"),
+                "remove one of them",
+            );
+        }
+    }
+    if s.peers
+        .key_file
+        .as_ref()
+        .is_some_and(|p| p.as_os_str().is_empty())
+    {
+        f.add(
+            "peers.key_file",
+            "the file name is empty",
+            "name the key file",
+        );
+    }
+}
+
+fn check_remote(f: &mut Findings, place: String, address: SocketAddr) {
+    if address.port() == 0 {
+        f.add(place.clone(), "port 0 cannot be reached", "name the port");
+    }
+    check_ip(f, place, address.ip());
+}
+
+fn check_ip(f: &mut Findings, place: String, ip: IpAddr) {
+    if ip.is_unspecified() || ip.is_multicast() {
+        f.add(
+            place,
+            format!("{ip} is not the address of one machine"),
+            "name the address that other processes connect to",
+        );
+    }
 }
--- a/src/version/manifest.rs
+++ b/src/version/manifest.rs
@@ -2,8 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::validate::validate;
 use crate::findings::Findings;
 use crate::prelude::*;
+use crate::strict;
 
 /// Largest manifest that is read, in bytes.
 pub const MAX_MANIFEST_BYTES: usize = 16 << 20;
@@ -51,15 +53,19 @@
     /// Headers added to the request that is forwarded.
     HeaderSet {
         /// Name.
+        #[serde(default)]
         name: SmolStr,
         /// Header names and values.
+        #[serde(default)]
         headers: BTreeMap<String, String>,
     },
     /// Limit on the concurrent requests of one caller at one node.
     CallerLimit {
         /// Name.
+        #[serde(default)]
         name: SmolStr,
         /// Concurrent requests.
+        #[serde(default)]
         concurrent: u32,
     },
 }
@@ -100,18 +106,24 @@
     pub resources: Vec<SmolStr>,
 }
 
-/// Parses a manifest.
+/// Parses and validates a manifest.
 ///
 /// # Errors
 ///
-/// The findings, each with its place.
+/// All findings, each with its line and place.
 pub fn parse(text: &str) -> Result<Manifest, Findings> {
-    toml::from_str(text).map_err(|e| {
+    if text.len() > MAX_MANIFEST_BYTES {
         let mut f = Findings::default();
-        let line = e
-            .span()
-            .map_or(1, |s| 1 + text[..s.start].matches('\n').count());
-        f.add(format!("line {line}"), e.message(), "correct the manifest");
-        f
-    })
+        f.add(
+            "file",
+            format!("{} bytes exceed {MAX_MANIFEST_BYTES}", text.len()),
+            "make the manifest smaller",
+        );
+        return Err(f);
+    }
+    let (m, places) = strict::read::<Manifest>(text)?;
+    match validate(&m) {
+        Ok(()) => Ok(m),
+        Err(f) => Err(places.locate(f)),
+    }
 }
--- a/src/version/snapshot.rs
+++ b/src/version/snapshot.rs
@@ -53,19 +53,22 @@
     ///
     /// Findings when the content does not match its hash, cannot be decoded or is not coherent.
     pub fn decode(version: VersionRef, parent: Digest, content: Vec<u8>) -> Result<Self, Findings> {
-        let mut f = Findings::default();
+        let reject = |message: String, remedy: &str| {
+            let mut f = Findings::default();
+            f.add("content", message, remedy);
+            Err(f)
+        };
         if Digest::of(&content) != version.hash {
-            f.add(
-                "content",
-                "content does not match its hash",
-                "fetch it again",
-            );
-            return Err(f);
+            return reject("content does not match its hash".into(), "fetch it again");
+        }
+        let manifest: Manifest = match serde_json::from_slice(&content) {
+            Ok(m) => m,
+            Err(e) => return reject(e.to_string(), "commit a valid manifest"),
+        };
+        if canonical(&manifest) != content {
+            let message = "content is not in the canonical form";
+            return reject(message.into(), "commit a valid manifest");
         }
-        let manifest: Manifest = serde_json::from_slice(&content).map_err(|e| {
-            f.add("content", e.to_string(), "commit a valid manifest");
-            f
-        })?;
         validate(&manifest)?;
         let mut by_method: HashMap<SmolStr, Vec<usize>> = HashMap::default();
         for (i, r) in manifest.route.iter().enumerate() {
@@ -87,14 +90,15 @@
         })
     }
 
-    /// Finds the route of a request: the longest matching path, one with a host before one without.
+    /// Finds the route of a request: one with a host before one without, then an exact path before a prefix, then the
+    /// longest prefix.
     pub fn route(&self, method: &str, host: &str, path: &str) -> Option<&Route> {
         let candidates = self.by_method.get(method)?;
         candidates
             .iter()
             .map(|i| &self.manifest.route[*i])
             .filter(|r| r.host.as_ref().is_none_or(|h| h == host) && path_matches(&r.path, path))
-            .max_by_key(|r| (r.host.is_some(), r.path.len(), !r.path.ends_with("/*")))
+            .max_by_key(|r| (r.host.is_some(), !r.path.ends_with("/*"), r.path.len()))
     }
 
     /// Finds a resource by name.
--- a/src/version/validate.rs
+++ b/src/version/validate.rs
@@ -1,9 +1,78 @@
-//! Checks that a manifest is whole and coherent.
+//! Checks that a manifest is complete and coherent.
 
-use super::manifest::Manifest;
+use http::{HeaderName, HeaderValue};
+
+use super::manifest::{Manifest, Resource, Route};
 use crate::findings::Findings;
 use crate::prelude::*;
 
+/// Most ranks; each has a queue at every node.
+pub const MAX_RANKS: usize = 16;
+/// Most services.
+pub const MAX_SERVICES: usize = 4096;
+/// Most resources.
+pub const MAX_RESOURCES: usize = 4096;
+/// Most routes.
+pub const MAX_ROUTES: usize = 32_768;
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+/// Longest path of a route, in bytes.
+pub const MAX_PATH_BYTES: usize = 1024;
+/// Longest host of a route, in bytes (RFC 1035 limits a name to 253).
+pub const MAX_HOST_BYTES: usize = 253;
+/// Longest deadline of a route, in milliseconds.
+pub const MAX_DEADLINE_MS: u32 = 3_600_000;
+/// Most retries of a call tree.
+pub const MAX_RETRIES: u8 = 10;
+/// Most headers of a header set.
+pub const MAX_SET_HEADERS: usize = 32;
+/// Longest header value, in bytes.
+pub const MAX_HEADER_BYTES: usize = 1024;
+/// Most concurrent requests that a caller limit may allow.
+pub const MAX_CONCURRENT: u32 = 1_000_000;
+
+/// Methods that a route may have.
+const METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// Headers that the proxy or the HTTP connection owns, so that a header set must not replace them.
+const RESERVED_HEADERS: [&str; 12] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a text can be a name: 1 to 63 ASCII letters, digits, `-`, `_` and `.`, beginning with a letter or digit.
+pub fn is_name(s: &str) -> bool {
+    s.len() <= MAX_NAME_BYTES
+        && s.starts_with(|c: char| c.is_ascii_alphanumeric())
+        && s.bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
+/// Records a finding when `s` is not a name.
+pub fn check_name(f: &mut Findings, place: String, s: &str) {
+    match s {
+        "" => f.add(place, "name is missing or empty", "add a name"),
+        _ if !is_name(s) => f.add(
+            place,
+            format!("{s:?} is not a name"),
+            format!(
+                "use 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' and '.', beginning with a letter or digit"
+            ),
+        ),
+        _ => {}
+    }
+}
+
 /// Checks a manifest.
 ///
 /// # Errors
@@ -11,32 +80,263 @@
 /// All findings, each with its place.
 pub fn validate(m: &Manifest) -> Result<(), Findings> {
     let mut f = Findings::default();
+    check_name(&mut f, "site".into(), &m.site);
+    for (kind, n, max) in [
+        ("rank", m.rank.len(), MAX_RANKS),
+        ("service", m.service.len(), MAX_SERVICES),
+        ("resource", m.resource.len(), MAX_RESOURCES),
+        ("route", m.route.len(), MAX_ROUTES),
+    ] {
+        if n > max {
+            let message = format!("{n} entries exceed the limit of {max}");
+            f.add(kind, message, "remove or join entries");
+        }
+    }
+    check_ranks(&mut f, m);
+    names(&mut f, "service", m.service.iter().map(|s| &s.name));
+    names(&mut f, "resource", m.resource.iter().map(|r| r.name()));
+    for (i, r) in m.resource.iter().enumerate() {
+        check_resource(&mut f, &format!("resource[{i}]"), r);
+    }
+    names(&mut f, "route", m.route.iter().map(|r| &r.name));
+    check_routes(&mut f, m);
+    f.into_result(())
+}
+
+/// Checks the names of a list, each valid and unique.
+fn names<'a, I>(f: &mut Findings, kind: &str, list: I)
+where
+    I: Iterator<Item = &'a SmolStr>,
+{
+    let mut seen: HashMap<&str, usize> = HashMap::default();
+    for (i, name) in list.enumerate() {
+        let place = format!("{kind}[{i}].name");
+        if let Some(first) = seen.get(name.as_str()).filter(|_| !name.is_empty()) {
+            let message = format!("name {name:?} is already used by {kind}[{first}]");
+            f.add(place.clone(), message, "choose another name");
+        } else {
+            seen.insert(name, i);
+        }
+        check_name(f, place, name);
+    }
+}
+
+fn check_ranks(f: &mut Findings, m: &Manifest) {
+    names(f, "rank", m.rank.iter().map(|r| &r.name));
+    let mut orders: HashMap<u8, usize> = HashMap::default();
+    for (i, r) in m.rank.iter().enumerate() {
+        if let Some(first) = orders.insert(r.order, i) {
+            f.add(
+                format!("rank[{i}].order"),
+                format!("order {} is already used by rank[{first}]", r.order),
+                "give each rank its own order",
+            );
+        }
+    }
+    let total: u32 = m.rank.iter().map(|r| u32::from(r.min_share_percent)).sum();
+    if total > 100 {
+        f.add(
+            "rank",
+            format!("the sum of min_share_percent is {total}"),
+            "lower the shares to at most 100 together",
+        );
+    }
+}
+
+fn check_resource(f: &mut Findings, at: &str, r: &Resource) {
+    match r {
+        Resource::HeaderSet { headers, .. } => {
+            let place = format!("{at}.headers");
+            match headers.len() {
+                0 => f.add(
+                    place,
+                    "the header set is empty",
+                    "add a header or remove it",
+                ),
+                n if n > MAX_SET_HEADERS => f.add(
+                    place,
+                    format!("{n} headers exceed the limit of {MAX_SET_HEADERS}"),
+                    "split the header set",
+                ),
+                _ => {}
+            }
+            for (name, value) in headers {
+                check_header(f, format!("{at}.headers.{name}"), name, value);
+            }
+        }
+        Resource::CallerLimit { concurrent, .. } => {
+            if !(1..=MAX_CONCURRENT).contains(concurrent) {
+                f.add(
+                    format!("{at}.concurrent"),
+                    format!("a limit of {concurrent} concurrent requests is impossible"),
+                    format!("use 1 to {MAX_CONCURRENT}"),
+                );
+            }
+        }
+    }
+}
+
+fn check_header(f: &mut Findings, place: String, name: &str, value: &str) {
+    let reserved = RESERVED_HEADERS.contains(&name) || name.starts_with("dq-");
+    match name {
+        // `from_static` is not used: it panics on invalid names.
+        _ if HeaderName::from_bytes(name.as_bytes()).is_err() => f.add(
+            place.clone(),
+            format!("{name:?} is not a header name"),
+            "use letters, digits and '-'",
+        ),
+        _ if name.bytes().any(|b| b.is_ascii_uppercase()) => f.add(
+            place.clone(),
+            format!("header name {name:?} has upper-case letters"),
+            "write it in lower case",
+        ),
+        _ if reserved => f.add(
+            place.clone(),
+            format!("header {name:?} is set by the proxy or the connection"),
+            "remove it",
+        ),
+        _ => {}
+    }
+    let text = value.bytes().all(|b| (0x20..0x7f).contains(&b));
+    match value {
+        _ if value.len() > MAX_HEADER_BYTES => f.add(
+            place,
+            format!("a value of {} bytes is too long", value.len()),
+            format!("use at most {MAX_HEADER_BYTES} bytes"),
+        ),
+        _ if !text || HeaderValue::from_str(value).is_err() => f.add(
+            place,
+            "the value has characters that a header cannot carry",
+            "use printable ASCII characters",
+        ),
+        _ => {}
+    }
+}
+
+fn check_routes(f: &mut Findings, m: &Manifest) {
     let services: HashSet<_> = m.service.iter().map(|s| &s.name).collect();
     let ranks: HashSet<_> = m.rank.iter().map(|r| &r.name).collect();
-    let resources: HashSet<_> = m.resource.iter().map(|r| r.name()).collect();
+    let resources: HashMap<_, _> = m.resource.iter().map(|r| (r.name(), r)).collect();
+    let mut matches: HashMap<_, usize> = HashMap::default();
     for (i, r) in m.route.iter().enumerate() {
-        let at = |field: &str| format!("route[{i}].{field}");
-        if !services.contains(&r.service) {
+        let at = format!("route[{i}]");
+        check_route(f, &at, r);
+        if let Some(first) = matches.get(&(&r.method, &r.host, &r.path)) {
             f.add(
-                at("service"),
-                format!("service {:?} is not declared", r.service),
-                "declare it",
+                format!("{at}.path"),
+                format!("the route overlaps route[{first}]: same method, host and path"),
+                "remove one of them or change its path",
             );
+        } else {
+            matches.insert((&r.method, &r.host, &r.path), i);
+        }
+        if !services.contains(&r.service) {
+            dangling(f, format!("{at}.service"), "service", &r.service);
         }
         if !ranks.contains(&r.rank) {
-            f.add(
-                at("rank"),
-                format!("rank {:?} is not declared", r.rank),
-                "declare it",
-            );
+            dangling(f, format!("{at}.rank"), "rank", &r.rank);
         }
-        for x in r.resources.iter().filter(|x| !resources.contains(x)) {
-            f.add(
-                at("resources"),
-                format!("resource {x:?} is not declared"),
-                "declare it",
-            );
+        check_uses(f, &at, r, &resources);
+    }
+}
+
+fn dangling(f: &mut Findings, place: String, kind: &str, name: &str) {
+    f.add(
+        place,
+        format!("{kind} {name:?} is not declared"),
+        format!("declare it with [[{kind}]] or name a declared one"),
+    );
+}
+
+/// Checks the resources that a route uses.
+fn check_uses(f: &mut Findings, at: &str, r: &Route, resources: &HashMap<&SmolStr, &Resource>) {
+    let mut used = HashSet::default();
+    let mut headers: HashMap<&str, &SmolStr> = HashMap::default();
+    for (k, name) in r.resources.iter().enumerate() {
+        let place = format!("{at}.resources[{k}]");
+        if !used.insert(name) {
+            let message = format!("resource {name:?} is named twice");
+            f.add(place, message, "remove one of them");
+            continue;
+        }
+        match resources.get(name) {
+            None => dangling(f, place, "resource", name),
+            Some(Resource::HeaderSet { headers: set, .. }) => {
+                for h in set.keys() {
+                    if let Some(other) = headers.insert(h, name) {
+                        f.add(
+                            place.clone(),
+                            format!("header {h:?} is set by {other:?} and {name:?}"),
+                            "keep it in one header set of the route",
+                        );
+                    }
+                }
+            }
+            Some(Resource::CallerLimit { .. }) => {}
         }
     }
-    f.into_result(())
+}
+
+fn check_route(f: &mut Findings, at: &str, r: &Route) {
+    if !METHODS.contains(&r.method.as_str()) {
+        f.add(
+            format!("{at}.method"),
+            format!("{:?} is not a method of a route", r.method),
+            format!("use one of {}", METHODS.join(", ")),
+        );
+    }
+    if let Some((message, remedy)) = path_problem(&r.path) {
+        f.add(format!("{at}.path"), message, remedy);
+    }
+    let host_char = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b".-:[]".contains(&b);
+    match r.host.as_deref() {
+        Some(h) if h.is_empty() || h.len() > MAX_HOST_BYTES || !h.bytes().all(host_char) => f.add(
+            format!("{at}.host"),
+            format!("{h:?} is not a host"),
+            format!("use a lower-case host of at most {MAX_HOST_BYTES} bytes, or omit the key for any host"),
+        ),
+        _ => {}
+    }
+    if !(1..=MAX_DEADLINE_MS).contains(&r.deadline_ms) {
+        f.add(
+            format!("{at}.deadline_ms"),
+            format!("a deadline of {} ms is impossible", r.deadline_ms),
+            format!("use 1 to {MAX_DEADLINE_MS}"),
+        );
+    }
+    if r.retries > MAX_RETRIES {
+        f.add(
+            format!("{at}.retries"),
+            format!("{} retries exceed the limit", r.retries),
+            format!("use 0 to {MAX_RETRIES}"),
+        );
+    }
+}
+
+fn path_problem(path: &str) -> Option<(&'static str, &'static str)> {
+    let plain = path.strip_suffix("/*").unwrap_or(path);
+    let allowed = |b: u8| b.is_ascii_graphic() && !b"?#*\"<>\\^`{|}".contains(&b);
+    match path {
+        _ if !path.starts_with('/') => Some(("the path does not begin with '/'", "add '/'")),
+        _ if path.len() > MAX_PATH_BYTES => {
+            Some(("the path is too long", "use at most 1024 bytes"))
+        }
+        _ if plain.contains('*') => Some((
+            "'*' stands elsewhere than in a final '/*'",
+            "use an exact path or a prefix that ends in '/*'",
+        )),
+        _ if !plain.bytes().all(allowed) => Some((
+            "the path has characters that a path cannot carry",
+            "percent-encode them",
+        )),
+        _ if plain.split('/').any(|s| s == "." || s == "..") => Some((
+            "the path has a '.' or '..' segment",
+            "write the resolved path",
+        )),
+        _ if path == "/.dq" || path.starts_with("/.dq/") => Some((
+            "paths below '/.dq' are served by the proxy itself",
+            "choose another path",
+        )),
+        _ => None,
+    }
 }
