Complete the commit protocol and remove old content

Cause: one lost answer ended a commit, a commit on an impossible base still wrote its chunks, old content stayed for ever, and a version lost by a restored store could not be published again. Ruled out: removal of every content that no version names, because a commit in progress has stored content that is not named yet; a lease around removals, because a paused holder could delete after it expired. Store errors carry their causes.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -33,6 +33,21 @@
     Unavailable = 6,
 }
 
+impl Exit {
+    /// Label for machine-readable output.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Failed => "failed",
+            Self::Usage => "usage",
+            Self::Refused => "refused",
+            Self::Conflict => "conflict",
+            Self::Unknown => "unknown",
+            Self::Unavailable => "unavailable",
+        }
+    }
+}
+
 /// A failed command: its exit code and what to print.
 #[derive(Debug)]
 pub struct CmdError {
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -62,8 +62,8 @@
             .request(req)
             .await
             .map_err(|e| match e.is_connect() {
-                true => StoreError::Unavailable(e.to_string()),
-                false => StoreError::Unknown(e.to_string()),
+                true => StoreError::Unavailable(with_causes(&e)),
+                false => StoreError::Unknown(with_causes(&e)),
             })?;
         let status = res.status();
         let data = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
@@ -79,6 +79,14 @@
     }
 }
 
+/// Text of an error and its causes; the outer one only says "client error".
+fn with_causes(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(cause) => format!("{e}: {}", with_causes(cause)),
+        None => e.to_string(),
+    }
+}
+
 /// Decodes the body of an answer.
 ///
 /// # Errors
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as a configuration version.
 
 pub mod adopt;
+pub mod collect;
 pub mod delta;
 pub mod manifest;
 pub mod pack;
--- /dev/null
+++ b/tests/commit.rs
@@ -0,0 +1,457 @@
+//! Commit protocol: no accepted version is lost, made twice or left without its content.
+
+mod random;
+mod workdir;
+
+use std::sync::Arc;
+
+use dragonflyquay::digest::Digest;
+use dragonflyquay::store::faults::{Faults, FaultyStore};
+use dragonflyquay::store::{Store, StoreError, Swap, MAX_VALUE_BYTES};
+use dragonflyquay::version::collect::{collect, BATCH, KEPT_VERSIONS};
+use dragonflyquay::version::manifest::{self, Manifest, Route, Service};
+use dragonflyquay::version::publish::*;
+use dragonflyquay::version::snapshot::{canonical, Snapshot, VersionRef};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use random::run;
+use workdir::{http_json, repo_file, Workdir};
+
+const SITE: &str = "trust";
+
+fn trust() -> Manifest {
+    let text = std::fs::read_to_string(repo_file("examples/trust.toml")).unwrap();
+    manifest::parse(&text).unwrap()
+}
+
+/// Content that differs for each `n`.
+fn content(n: u64) -> Vec<u8> {
+    let mut m = trust();
+    m.route[0].deadline_ms = 1000 + n as u32;
+    canonical(&m)
+}
+
+fn block_on<F: std::future::Future>(f: F) -> F::Output {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(f)
+}
+
+async fn accept(s: &FaultyStore, base: u64, n: u64) -> VersionRef {
+    match commit(s, SITE, base, &content(n)).await {
+        Ok(Outcome::Accepted(v)) => v,
+        out => panic!("{base} {n}: {out:?}"),
+    }
+}
+
+/// Reads the head and checks that it and all kept versions have their whole content.
+async fn check_store(s: &FaultyStore) -> Head {
+    let keys = Keys::new(SITE);
+    let s: &dyn Store = s.inner().as_ref();
+    let (head, _) = read_head(s, &keys).await.unwrap();
+    let mut next: Option<Head> = None;
+    for n in (1..=head.version.number)
+        .rev()
+        .take(1 + KEPT_VERSIONS as usize)
+    {
+        let h = read_accepted(s, &keys, &head, n).await.unwrap().unwrap();
+        assert_eq!(h.version.number, n);
+        read_content(s, &keys, &h).await.unwrap();
+        if let Some(next) = next {
+            assert_eq!(next.parent, h.version.hash, "chain at {n}");
+        }
+        next = Some(h);
+    }
+    head
+}
+
+/// Guards against a rerun that makes a second version, or misses its own commit below later ones.
+#[tokio::test]
+async fn rerun_finds_its_commit() {
+    let s = FaultyStore::default();
+    let first = accept(&s, 0, 1).await;
+    assert_eq!(accept(&s, 0, 1).await, first);
+    let second = accept(&s, 1, 2).await;
+    accept(&s, 2, 3).await;
+    assert_eq!(accept(&s, 0, 1).await, first);
+    assert_eq!(accept(&s, 1, 2).await, second);
+    let head = check_store(&s).await.version;
+    assert_eq!(head.number, 3);
+    let late = commit(&s, SITE, 1, &content(9)).await;
+    let winner = commit_id(SITE, first, &second.hash);
+    let expected = Outcome::Conflict {
+        head,
+        winner: Some(winner),
+    };
+    assert_eq!(late, Ok(expected));
+}
+
+/// Guards against writes for a commit that cannot be accepted, and against invalid content in the store.
+#[tokio::test]
+async fn impossible_commits_write_nothing() {
+    let s = FaultyStore::default();
+    accept(&s, 0, 1).await;
+    let before = s.list("").await.unwrap();
+    for base in [2, u64::MAX - 1, u64::MAX] {
+        let out = commit(&s, SITE, base, &content(2)).await;
+        assert!(matches!(out, Ok(Outcome::Conflict { winner: None, .. })));
+    }
+    let mut dangling = trust();
+    dangling.service.pop();
+    let out = commit(&s, SITE, 1, &canonical(&dangling)).await;
+    assert!(matches!(out, Err(StoreError::Invalid(_))));
+    assert_eq!(s.list("").await.unwrap(), before);
+}
+
+/// Guards against an accepted version that is lost or made twice, for each place at which a fault can strike a write.
+#[tokio::test]
+async fn faults_between_writes() {
+    for skip in 0..4 {
+        let f = Faults {
+            skip_writes: skip,
+            ..Faults::default()
+        };
+        let faults = [
+            Faults {
+                refuse_writes: 1,
+                ..f.clone()
+            },
+            Faults {
+                lose_writes: 1,
+                ..f.clone()
+            },
+            // The process gives up or dies: no further write of this call takes effect.
+            Faults {
+                refuse_writes: 1000,
+                ..f.clone()
+            },
+            Faults {
+                lose_writes: 1,
+                refuse_writes: 0,
+                ..f
+            },
+        ];
+        for (i, faults) in faults.into_iter().enumerate() {
+            let s = FaultyStore::default();
+            accept(&s, 0, 1).await;
+            *s.faults() = faults.clone();
+            if i == 3 {
+                // Dies while it waits for the lost answer.
+                s.faults().slow_answer_ms = 3_600_000;
+                let cut = std::time::Duration::from_millis(5);
+                let cancelled = tokio::time::timeout(cut, commit(&s, SITE, 1, &content(2))).await;
+                assert!(cancelled.is_err());
+            } else {
+                let out = commit(&s, SITE, 1, &content(2)).await;
+                let refused = i == 2 && skip < 3;
+                assert_eq!(out.is_err(), refused, "{faults:?} {out:?}");
+                assert!(!refused || matches!(out, Err(StoreError::Unavailable(_))));
+            }
+            *s.faults() = Faults::default();
+            check_store(&s).await;
+            let v = accept(&s, 1, 2).await;
+            assert_eq!(v.number, 2, "{faults:?}");
+            assert_eq!(check_store(&s).await.version, v, "{faults:?}");
+        }
+    }
+}
+
+/// Guards against an outcome that is reported as "nothing accepted" although the head was moved.
+#[tokio::test]
+async fn lost_head_write_is_unknown() {
+    let s = FaultyStore::default();
+    accept(&s, 0, 1).await;
+    s.faults().skip_writes = 2;
+    s.faults().lose_writes = 1;
+    let blind = Blind {
+        inner: &s,
+        lost: Default::default(),
+    };
+    let out = commit(&blind, SITE, 1, &content(2)).await;
+    assert!(matches!(out, Err(StoreError::Unknown(_))), "{out:?}");
+    assert_eq!(accept(&s, 1, 2).await.number, 2);
+    assert_eq!(check_store(&s).await.version.number, 2);
+}
+
+/// A store that is unavailable after the first lost answer.
+struct Blind<'a> {
+    inner: &'a FaultyStore,
+    lost: std::sync::atomic::AtomicBool,
+}
+
+impl Blind<'_> {
+    fn open(&self) -> Result<&FaultyStore, StoreError> {
+        match self.lost.load(std::sync::atomic::Ordering::Relaxed) {
+            true => Err(StoreError::Unavailable("cut off".into())),
+            false => Ok(self.inner),
+        }
+    }
+}
+
+#[async_trait::async_trait]
+impl Store for Blind<'_> {
+    async fn get(&self, key: &str) -> Result<Option<dragonflyquay::store::Entry>, StoreError> {
+        self.open()?.get(key).await
+    }
+    async fn list(&self, prefix: &str) -> Result<dragonflyquay::store::Listing, StoreError> {
+        self.open()?.list(prefix).await
+    }
+    async fn swap(
+        &self,
+        key: &str,
+        expect: u64,
+        value: Option<Vec<u8>>,
+        lease: Option<u64>,
+    ) -> Result<Swap, StoreError> {
+        let out = self.open()?.swap(key, expect, value, lease).await;
+        if matches!(out, Err(StoreError::Unknown(_))) {
+            self.lost.store(true, std::sync::atomic::Ordering::Relaxed);
+        }
+        out
+    }
+    async fn grant(&self, ttl: std::time::Duration) -> Result<u64, StoreError> {
+        self.open()?.grant(ttl).await
+    }
+    async fn keep(&self, lease: u64) -> Result<(), StoreError> {
+        self.open()?.keep(lease).await
+    }
+    async fn revoke(&self, lease: u64) -> Result<(), StoreError> {
+        self.open()?.revoke(lease).await
+    }
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: u64,
+        wait: std::time::Duration,
+    ) -> Result<dragonflyquay::store::Changes, StoreError> {
+        self.open()?.watch(prefix, from, wait).await
+    }
+}
+
+/// Guards against two racing commits that both believe they won, under faults and concurrent removals.
+#[test]
+fn racing_commits_have_one_winner() {
+    let steps = vec((0u64..4, 0u64..3, 0u64..3), 1..5);
+    run(40, &(steps, 0u64..2), |(steps, slow)| {
+        block_on(async {
+            let s = Arc::new(FaultyStore::default());
+            for (base, (skip, lose, same)) in steps.into_iter().enumerate() {
+                let base = base as u64;
+                *s.faults() = Faults {
+                    skip_writes: skip,
+                    lose_writes: lose,
+                    slow_ms: slow,
+                    ..Faults::default()
+                };
+                let racers = (0..3).map(|i| {
+                    let s = s.clone();
+                    let n = 10 * base + if same == 0 { 0 } else { i };
+                    tokio::spawn(
+                        async move { (n, commit(s.as_ref(), SITE, base, &content(n)).await) },
+                    )
+                });
+                let mut won = Vec::new();
+                for r in racers.collect::<Vec<_>>() {
+                    match r.await.unwrap() {
+                        (n, Ok(Outcome::Accepted(v))) => {
+                            assert_eq!(v.number, base + 1);
+                            won.push(n);
+                        }
+                        (_, Ok(Outcome::Conflict { winner, .. })) => assert!(winner.is_some()),
+                        (_, Err(e)) => panic!("{e}"),
+                    }
+                }
+                won.dedup();
+                assert_eq!(won.len(), 1);
+                *s.faults() = Faults::default();
+                let head = check_store(&s).await;
+                assert_eq!(head.version.hash, Digest::of(&content(won[0])));
+            }
+        });
+        Ok(())
+    });
+}
+
+/// Guards against a removal that touches content in use, also when it is interrupted at any write or content returns.
+#[tokio::test]
+async fn removal_keeps_what_is_named() {
+    let last = KEPT_VERSIONS + BATCH + 1;
+    for skip in [0, 1, 2, 3, 5, 8, 13, 1000] {
+        let s = FaultyStore::default();
+        for n in 0..last {
+            // Version 3 has the content of the newest one.
+            let n = if n == 2 { last - 1 } else { n };
+            accept(&s, s_head(&s).await, n).await;
+        }
+        s.faults().skip_writes = skip;
+        s.faults().refuse_writes = 1;
+        let out = collect(&s, SITE).await;
+        assert_eq!(out.is_err(), skip < 1000, "{skip}: {out:?}");
+        *s.faults() = Faults::default();
+        let head = check_store(&s).await;
+        assert_eq!(head.version.number, last);
+        // Content whose removal was interrupted is committed again.
+        accept(&s, last, 0).await;
+        accept(&s, last + 1, 1).await;
+        check_store(&s).await;
+        collect(&s, SITE).await.unwrap();
+        assert_eq!(check_store(&s).await.version.number, last + 2);
+        let chunks = s.list("dq/trust/content/").await.unwrap().entries.len() as u64;
+        assert_eq!(chunks, KEPT_VERSIONS + 3, "{skip}");
+        let left = s.list("dq/trust/removal/").await.unwrap().entries;
+        assert!(left.is_empty(), "{skip}: {left:?}");
+    }
+}
+
+async fn s_head(s: &FaultyStore) -> u64 {
+    read_head(s, &Keys::new(SITE))
+        .await
+        .unwrap()
+        .0
+        .version
+        .number
+}
+
+/// Guards against an accepted version that a restored store loses, and against one that replaces a newer head.
+#[tokio::test]
+async fn restored_store_gets_the_version_again() {
+    let keys = Keys::new(SITE);
+    let s = FaultyStore::default();
+    accept(&s, 0, 1).await;
+    s.save();
+    accept(&s, 1, 2).await;
+    accept(&s, 2, 3).await;
+    let head = check_store(&s).await;
+    let held = read_content(&s, &keys, &head).await.unwrap();
+    assert_eq!(publish_again(&s, SITE, &held).await, Ok(Again::Present));
+    s.restore();
+    s.faults().lose_writes = 1;
+    assert!(publish_again(&s, SITE, &held).await.is_err());
+    assert_eq!(publish_again(&s, SITE, &held).await, Ok(Again::Published));
+    let (again, _) = read_head(&s, &keys).await.unwrap();
+    assert_eq!(again, head);
+    assert_eq!(accept(&s, 2, 3).await, head.version, "the rerun finds it");
+    accept(&s, 3, 4).await;
+    let newer = publish_again(&s, SITE, &held).await;
+    assert!(matches!(newer, Ok(Again::Newer(v)) if v.number == 4));
+    s.restore();
+    let lost = accept(&s, 1, 7).await;
+    assert_eq!(lost.number, 2);
+    let fork = accept(&s, 2, 8).await;
+    assert_eq!(publish_again(&s, SITE, &held).await, Ok(Again::Fork(fork)));
+    s.restore();
+    accept(&s, 1, 7).await;
+    assert_eq!(publish_again(&s, SITE, &held).await, Ok(Again::Published));
+    let replaced = commit(&s, SITE, 1, &content(7)).await;
+    assert!(
+        matches!(replaced, Ok(Outcome::Conflict { .. })),
+        "{replaced:?}"
+    );
+}
+
+/// Guards against content that does not fit the store's values, and against a chunk count that exhausts memory.
+#[tokio::test]
+async fn large_manifest_fits() {
+    let mut m = trust();
+    let base = m.route[0].clone();
+    m.service.extend((0..540).map(|i| Service {
+        name: format!("service-{i}").into(),
+    }));
+    m.route.extend((0..540 * 5).map(|i| Route {
+        name:
+            format!("route-{i}-{}", Digest::of(&[i as u8, (i / 256) as u8])).as_str()[..40].into(),
+        path: format!("/{}/*", Digest::of(&[(i / 256) as u8, i as u8])).into(),
+        service: format!("service-{}", i / 5).into(),
+        ..base.clone()
+    }));
+    let s = FaultyStore::default();
+    let out = commit(&s, SITE, 0, &canonical(&m)).await;
+    assert!(matches!(out, Ok(Outcome::Accepted(_))), "{out:?}");
+    let chunks = s.list("dq/trust/content/").await.unwrap().entries;
+    assert!(chunks.iter().all(|c| c.value.len() <= MAX_VALUE_BYTES / 2));
+    let mut head = check_store(&s).await;
+    head.chunks = u32::MAX;
+    let read = read_content(&s, &Keys::new(SITE), &head).await;
+    assert!(matches!(read, Err(StoreError::Invalid(_))));
+}
+
+/// Guards against damaged values of the store that make a reader panic or that are applied in part.
+#[test]
+fn damaged_store_values_are_safe() {
+    let input = (0u8..3, any::<usize>(), vec(any::<u8>(), 0..4), 0usize..4);
+    run(200, &input, |(which, at, new, cut)| {
+        let read = block_on(async {
+            let s = FaultyStore::default();
+            accept(&s, 0, 1).await;
+            accept(&s, 1, 2).await;
+            let keys = Keys::new(SITE);
+            let head = check_store(&s).await;
+            let key = match which {
+                0 => keys.head(),
+                1 => keys.accepted(1),
+                _ => keys.chunk(&head.version.hash, 0),
+            };
+            let e = s.get(&key).await.unwrap().unwrap();
+            let mut value = e.value;
+            let at = at % value.len();
+            let end = (at + cut).min(value.len());
+            value.splice(at..end, new.clone());
+            let done = s.swap(&key, e.revision, Some(value), None).await;
+            assert!(matches!(done, Ok(Swap::Done(_))));
+            let _ = commit(&s, SITE, 0, &content(1)).await;
+            match read_head(&s, &keys).await {
+                Ok((h, _)) => read_content(&s, &keys, &h).await.ok(),
+                Err(_) => None,
+            }
+        });
+        let whole = |s: &Snapshot| [content(1), content(2)].contains(&s.content);
+        prop_assert!(read.as_ref().is_none_or(whole));
+        Ok(())
+    });
+}
+
+/// Guards against wrong exit codes, messages without file, place or remedy, and changed JSON of `commit`.
+#[test]
+fn commit_command() {
+    let dir = Workdir::new();
+    let (mut store, address) = dir.start_store();
+    let at = address.to_string();
+    std::fs::copy(repo_file("examples/trust.toml"), dir.path("a.toml")).unwrap();
+    let text = std::fs::read_to_string(dir.path("a.toml")).unwrap();
+    dir.write("b.toml", &text.replace("1000", "1500"));
+    dir.write(
+        "bad.toml",
+        &text.replace("\"catalogue-desk\"\n\n", "\"other\"\n\n"),
+    );
+    let commit = |file: &str, base: &str, json: bool| {
+        let mut args = vec!["commit", file, "--base", base, "--store", &at];
+        args.extend(json.then_some("--json"));
+        let out = dir.run(&args);
+        let text = |b: &[u8]| String::from_utf8_lossy(b).replace(&at, "STORE");
+        format!(
+            "exit {}\n{}{}",
+            out.status.code().unwrap(),
+            text(&out.stdout),
+            text(&out.stderr)
+        )
+    };
+    let mut all = vec![
+        commit("a.toml", "0", false),
+        commit("a.toml", "0", true),
+        commit("b.toml", "0", false),
+        commit("b.toml", "0", true),
+        commit("b.toml", "5", false),
+        commit("bad.toml", "1", false),
+        commit("bad.toml", "1", true),
+    ];
+    for _ in 0..2 {
+        let body = r#"{"close_writes": 1, "skip_writes": 2}"#;
+        http_json(address, "PUT", "/v1/faults", body).unwrap();
+        all.push(commit("b.toml", "1", true));
+    }
+    store.kill();
+    all.push(commit("b.toml", "1", false));
+    insta::assert_snapshot!(all.join("\n"));
+}
