Find a commit whose record a restored store has lost

Cause: after a restore and a version published again, the records of the versions between are missing, and a rerun of their commits was reported as a conflict although their content had been accepted. Ruled out: writing the missing records again, because a node knows neither the chunk counts nor all numbers between. With two or more records missing in a row, only the last lost commit can be found this way; older ones are reported as a conflict without a known winner.

--- a/src/version/publish.rs
+++ b/src/version/publish.rs
@@ -423,7 +423,15 @@
         let made = read_accepted(self.store, &self.keys, head, number).await?;
         let next = read_accepted(self.store, &self.keys, head, number.saturating_add(1)).await?;
         let Some(made) = made else {
-            return Ok(lost(None));
+            // A restored store has lost the record, but the version after it names the content that it followed.
+            let own = VersionRef {
+                number,
+                hash: self.hash,
+            };
+            return Ok(match next {
+                Some(n) if n.parent == self.hash => Outcome::Accepted(own),
+                _ => lost(None),
+            });
         };
         let parent = VersionRef {
             number: base,
