--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -32,6 +32,7 @@
 use crate::request::reason::Reason;
 use crate::request::{admit, entry};
 use crate::settings::{ListenSettings, Settings};
+use crate::store::counted::Counted;
 use crate::store::Store;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
@@ -350,9 +351,10 @@
         false => store,
     };
     let limits = settings.limits.clone();
+    let metrics = Metrics::default();
+    let store = Arc::new(Counted::new(store, &metrics));
     let admin_address = settings.listen.admin;
     let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
-    let metrics = Metrics::default();
     let p = Arc::new(Process {
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
