--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod figures;
 pub mod fleet;
+pub mod fleet_table;
+pub mod site;
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -9,6 +9,8 @@
 use super::context;
 use super::gate::{self, Way};
 use super::job::Job;
+use super::key::Key;
+use super::owner;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
 use super::retry::{Decision, Failed};
 use crate::prelude::*;
@@ -19,17 +21,66 @@
 
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
-    let (rank, out) = match Job::accept(&p, req, from).await {
-        Ok(job) => (job.ctx.rank.clone(), answer(&p, job).await),
-        Err(f) => (RankId::default(), Err(f)),
+    let start = p.clock.now();
+    // Without a job it is not known whether the route is idempotent.
+    let keyed = Key::read(req.headers()).is_ok();
+    let (rank, id, out) = match owner::asks_for_key(&req) {
+        true => (RankId::default(), SmolStr::default(), owner::issue(&p)),
+        false => match Job::accept(&p, req, from).await {
+            Ok(job) => {
+                let (rank, id) = (job.ctx.rank.clone(), job.ctx.id.clone());
+                (rank, id, answer(&p, job).await)
+            }
+            Err(f) if keyed => (
+                RankId::default(),
+                SmolStr::default(),
+                Err(owner::before_owner(f)),
+            ),
+            Err(f) => (RankId::default(), SmolStr::default(), Err(f)),
+        },
     };
-    let outcome = out.as_ref().map_or_else(|f| f.outcome, |_| Outcome::Done);
-    let labels = [rank.as_str(), outcome.as_str()];
-    p.metrics.requests.with_label_values(&labels).inc();
-    out.unwrap_or_else(|f| {
+    let took = p.clock.now().saturating_sub(start);
+    ended(&p, &rank, &id, out.as_ref().err(), took);
+    let mut res = out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
-    })
+    });
+    close_when_leaving(&p, &mut res);
+    res
+}
+
+/// Marks the answer of a backend server.
+pub fn mark_done(mut res: Response<Body>) -> Response<Body> {
+    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
+    res.headers_mut().insert(OUTCOME, done);
+    res
+}
+
+/// Asks the client to open its next connection elsewhere once a planned stop finishes work.
+pub fn close_when_leaving(p: &Process, res: &mut Response<Body>) {
+    if p.beside.closing() {
+        let close = http::HeaderValue::from_static("close");
+        res.headers_mut().insert(http::header::CONNECTION, close);
+    }
+}
+
+/// Counts and logs the end of a request.
+fn ended(p: &Process, rank: &str, id: &str, failure: Option<&Failure>, took: Duration) {
+    let outcome = failure.map_or(Outcome::Done, |f| f.outcome).as_str();
+    let m = &p.metrics;
+    m.requests.with_label_values(&[rank, outcome]).inc();
+    m.request_seconds
+        .with_label_values(&[rank])
+        .observe(took.as_secs_f64());
+    let reason = failure.map_or("none", |f| f.reason.as_str());
+    // Only a single request's own trace; refusals in an overload would fill the log at a higher level.
+    spdlog::debug!("event=request_ended", kv: {
+        request = id,
+        rank,
+        outcome,
+        reason,
+        ms = took.as_millis() as u64
+    });
 }
 
 async fn answer(p: &Arc<Process>, mut job: Job) -> Result<Response<Body>, Failure> {
@@ -41,10 +92,8 @@
         Way::Answered(res) => res,
     };
     context::strip_internal(res.headers_mut());
-    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
-    res.headers_mut().insert(OUTCOME, done);
     let left = deadline.saturating_sub(p.clock.now());
-    Ok(guard(res, left, permits))
+    Ok(guard(mark_done(res), left, permits))
 }
 
 /// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
@@ -84,6 +133,10 @@
             Decision::After(delay) => tokio::time::sleep(delay).await,
         }
         p.metrics.retried(f.reason);
+        spdlog::debug!("event=request_retried", kv: {
+            request = job.ctx.id.as_str(),
+            reason = f.reason.as_str()
+        });
         job.ctx.retries = job.ctx.retries.saturating_sub(1);
     }
 }
@@ -119,6 +172,7 @@
     if p.is_cut_off(node) {
         return Err(Failure::not_run(Reason::NotSent));
     }
+    p.metrics.attempts.inc();
     let mut sent = p.routing.sent(node, &job.ctx.rank);
     let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
     let out = out.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
@@ -142,6 +196,9 @@
     left: Duration,
 ) -> Result<Response<Body>, Failure> {
     let mut res = p.upstream.send(job.relay_request(p, address)?).await?;
+    if job.ctx.is_crossed(res.headers()) {
+        return Err(Failure::unknown(Reason::BadAnswer));
+    }
     if let Some(f) = Failure::read(res.headers()) {
         return Err(f);
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,5 +6,7 @@
 pub mod entry;
 pub mod gate;
 pub mod job;
+pub mod key;
+pub mod owner;
 pub mod reason;
 pub mod retry;
