--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -66,6 +66,24 @@
     Lost,
     /// The request is malformed or exceeds a limit.
     BadRequest,
+    /// A non-idempotent route needs an idempotency key.
+    KeyRequired,
+    /// The idempotency key is not a UUIDv7.
+    KeyInvalid,
+    /// The idempotency key was used with other content.
+    KeyReused,
+    /// The key is older than its owner remembers.
+    KeyExpired,
+    /// The answer of the first request with this key was too large to keep.
+    AnswerNotKept,
+    /// The owner of the key is dead, unreachable or not known.
+    OwnerUnreachable,
+    /// The request has crashed backend servers.
+    Quarantined,
+    /// Another suspected request runs at the target.
+    SuspectBusy,
+    /// The node takes no new work because of a planned stop.
+    Draining,
     /// The request body is larger than the limit.
     TooLarge,
     /// The request did not arrive in time.
@@ -86,7 +104,7 @@
 
 impl Reason {
     /// Every reason, to read one from a header.
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 26] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
@@ -104,6 +122,15 @@
         Self::Declined,
         Self::BadAnswer,
         Self::Unproven,
+        Self::KeyRequired,
+        Self::KeyInvalid,
+        Self::KeyReused,
+        Self::KeyExpired,
+        Self::AnswerNotKept,
+        Self::OwnerUnreachable,
+        Self::Quarantined,
+        Self::SuspectBusy,
+        Self::Draining,
     ];
 
     /// Reads the value of the header.
@@ -131,6 +158,15 @@
             Self::NotSent => "not-sent",
             Self::Lost => "lost",
             Self::BadRequest => "bad-request",
+            Self::KeyRequired => "key-required",
+            Self::KeyInvalid => "key-invalid",
+            Self::KeyReused => "key-reused",
+            Self::KeyExpired => "key-expired",
+            Self::AnswerNotKept => "answer-not-kept",
+            Self::OwnerUnreachable => "owner-unreachable",
+            Self::Quarantined => "quarantined",
+            Self::SuspectBusy => "suspect-busy",
+            Self::Draining => "draining",
             Self::TooLarge => "too-large",
             Self::SlowCaller => "slow-caller",
             Self::CallerLimit => "caller-limit",
@@ -183,7 +219,10 @@
     pub fn status(&self) -> StatusCode {
         match (self.reason, self.outcome) {
             (Reason::NoRoute, _) => StatusCode::NOT_FOUND,
-            (Reason::BadRequest, _) => StatusCode::BAD_REQUEST,
+            (Reason::BadRequest | Reason::KeyRequired | Reason::KeyInvalid, _) => {
+                StatusCode::BAD_REQUEST
+            }
+            (Reason::KeyReused, _) => StatusCode::UNPROCESSABLE_ENTITY,
             (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
             (Reason::SlowCaller, _) => StatusCode::REQUEST_TIMEOUT,
             (Reason::Unproven, _) => StatusCode::FORBIDDEN,
