--- a/examples/weigh_path.rs
+++ b/examples/weigh_path/sim.rs
@@ -1,8 +1,4 @@
-//! Weighs ways for a request to take, in simulated time, with the balancer and the admission of the node.
-//!
-//! Usage: cargo run --release --example weigh_path [SEED]
-//!
-//! Nothing but the waiting lines, delays and failures below is modelled; processor time is not.
+//! The simulated entry nodes, queues and backend servers.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -15,6 +11,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::{Again, Case, Place};
+
 const ENTRIES: usize = 10;
 const SLOTS: u32 = 6;
 const SERVICE_MS: f64 = 20.0;
@@ -22,66 +20,10 @@
 const ZONE: Duration = Duration::from_millis(1);
 /// Time until a failure or a recovery is known to all entry nodes.
 const SPREAD: Duration = Duration::from_secs(1);
-const RANKS: [&str; 2] = ["urgent", "bulk"];
+/// Ranks, the most urgent first.
+pub(crate) const RANKS: [&str; 2] = ["urgent", "bulk"];
 const DEADLINES: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(2000)];
 
-/// Where waiting requests are ordered.
-#[derive(Clone, Copy, PartialEq)]
-enum Place {
-    /// At the node beside the target, which knows its free slots.
-    Admitting,
-    /// At each entry node, with an equal part of each target's slots.
-    Divided,
-    /// Only at the backend server, first come, first served.
-    Backend,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Again {
-    Never,
-    AtOnce,
-    Jitter,
-    /// After the time that the refusing side named, or this fixed time when it could not name one.
-    Named(Duration),
-}
-
-#[derive(Clone)]
-struct Case {
-    name: &'static str,
-    place: Place,
-    again: Again,
-    /// Whether a recovered target gets its whole share at once.
-    strict: bool,
-    /// Longest wait of a request for a target to become usable.
-    wait: Duration,
-    /// Work of each rank against the capacity of all targets.
-    load: [f64; 2],
-    targets: usize,
-    /// Targets that fail, from and until.
-    outage: Option<(std::ops::Range<usize>, Now, Now)>,
-    /// Factor of the service time right after a recovery, gone after 10 s.
-    cold: f64,
-    /// Time from which results count, and the end of arrivals.
-    counted: (Now, Now),
-}
-
-impl Default for Case {
-    fn default() -> Self {
-        Self {
-            name: "",
-            place: Place::Admitting,
-            again: Again::AtOnce,
-            strict: false,
-            wait: Duration::ZERO,
-            load: [0.3, 0.3],
-            targets: 6,
-            outage: None,
-            cold: 1.0,
-            counted: (Duration::from_secs(5), Duration::from_secs(25)),
-        }
-    }
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
@@ -101,7 +43,8 @@
     target: usize,
 }
 
-struct Sim {
+/// One run.
+pub(crate) struct Sim {
     case: Case,
     now: Now,
     events: BinaryHeap<Reverse<(Now, u64, Event)>>,
@@ -127,7 +70,8 @@
 }
 
 impl Sim {
-    fn new(case: Case, seed: u64) -> Self {
+    /// A run of a case with this seed.
+    pub(crate) fn new(case: Case, seed: u64) -> Self {
         let mut s = Self {
             now: Duration::ZERO,
             events: BinaryHeap::new(),
@@ -177,7 +121,8 @@
         }
     }
 
-    fn run(mut self) -> Self {
+    /// Runs to the end.
+    pub(crate) fn run(mut self) -> Self {
         while let Some(Reverse((time, _, e))) = self.events.pop() {
             self.now = time;
             match e {
@@ -413,7 +358,8 @@
         !self.case.outage.as_ref().is_some_and(down)
     }
 
-    fn print(mut self) {
+    /// Prints the results in one line.
+    pub(crate) fn print(mut self) {
         print!("{:<44}", self.case.name);
         for r in 0..2 {
             let l = &mut self.latency[r];
@@ -439,104 +385,3 @@
         false => ZONE,
     }
 }
-
-fn cases() -> Vec<Case> {
-    let s = Duration::from_secs;
-    let mut out = Vec::new();
-    for load in [[0.3, 0.3], [0.3, 3.0], [3.0, 0.3]] {
-        for (name, place) in [
-            ("waits at the admitting node", Place::Admitting),
-            ("waits at the entry nodes, slots divided", Place::Divided),
-            ("waits at the backend server", Place::Backend),
-        ] {
-            out.push(Case {
-                name,
-                place,
-                load,
-                ..Case::default()
-            });
-        }
-    }
-    let dead = Some((0..1, s(6), s(9)));
-    for (name, again) in [
-        ("connection error: no retry", Again::Never),
-        ("connection error: retry at once", Again::AtOnce),
-        ("connection error: retry within 10 ms", Again::Jitter),
-        (
-            "connection error: retry after 100 ms",
-            Again::Named(Duration::from_millis(100)),
-        ),
-    ] {
-        out.push(Case {
-            name,
-            again,
-            outage: dead.clone(),
-            counted: (s(6), s(10)),
-            ..Case::default()
-        });
-    }
-    for (name, again) in [
-        ("overload: no retry", Again::Never),
-        ("overload: retry at once elsewhere", Again::AtOnce),
-        (
-            "overload: retry after the named time",
-            Again::Named(Duration::from_millis(10)),
-        ),
-    ] {
-        out.push(Case {
-            name,
-            again,
-            load: [0.3, 1.5],
-            ..Case::default()
-        });
-    }
-    for (name, strict) in [
-        ("recovered target: whole share at once", true),
-        ("recovered target: ramp", false),
-    ] {
-        let outage = Some((0..1, s(6), s(16)));
-        out.push(Case {
-            name,
-            strict,
-            outage,
-            cold: 8.0,
-            counted: (s(16), s(28)),
-            ..Case::default()
-        });
-    }
-    for (name, ms) in [
-        ("no usable target: fail at once", 0),
-        ("no usable target: wait up to 100 ms", 100),
-        ("no usable target: wait up to 300 ms", 300),
-        ("no usable target: wait to the deadline", 10_000),
-    ] {
-        let outage = Some((0..6, s(6), s(7)));
-        let wait = Duration::from_millis(ms);
-        out.push(Case {
-            name,
-            wait,
-            outage,
-            counted: (s(6), s(10)),
-            load: [0.3, 0.5],
-            ..Case::default()
-        });
-    }
-    out
-}
-
-fn main() {
-    let seed = std::env::args()
-        .nth(1)
-        .and_then(|s| s.parse().ok())
-        .unwrap_or(1);
-    println!("seed {seed}; for each rank: answered in time, p50 ms, p99 ms; then attempts for each request");
-    println!("{:<44}  {:<21}  {:<21}", "", RANKS[0], RANKS[1]);
-    let mut load = [0.0; 2];
-    for case in cases() {
-        if case.load != load {
-            load = case.load;
-            println!("urgent {:.1}, bulk {:.1} of capacity", load[0], load[1]);
-        }
-        Sim::new(case, seed).run().print();
-    }
-}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -116,6 +116,8 @@
         state: TargetState::Ready,
         incarnation: 1,
         floor: None,
+        healthy: None,
+        load_percent: None,
     };
     let body = serde_json::to_vec(&text).unwrap();
     let req = Request::post(format!("http://{}/announce", node.addresses.admin))
