Prefer targets that membership does not doubt and wait shortly for recovery

Cause: records of suspected and cut-off nodes were chosen like others, and a request failed at once while all targets of its service recovered. Change: the balancer takes the doubt of the membership view as a hint below its own observation; the entry node waits up to 300 ms, at most half of the remaining time, while a service has targets and none is usable. Conclusion: tests/balance.rs guards the order of doubt.

--- a/examples/weigh_path/sim.rs
+++ b/examples/weigh_path/sim.rs
@@ -116,6 +116,7 @@
                 hint,
                 age,
                 born: 1,
+                doubt: 0,
             };
             b.set(self.now, &node(t), info);
         }
--- a/src/process/balance.rs
+++ b/src/process/balance.rs
@@ -5,33 +5,21 @@
 
 use rand::{Rng, RngExt};
 
+use super::observed::{average, Group, Target};
+pub use super::observed::{COLD_WEIGHT, EJECT_PERCENT, LOAD_FRESH, OBSERVED_FOR, RAMP};
 use crate::prelude::*;
 use crate::settings::BalancePolicy;
 
 /// Mean use of the own zone's slots above which other zones are considered too.
 pub const SPILL_USE: f64 = 0.8;
-/// Time in which a cold target grows from [`COLD_WEIGHT`] to its whole weight.
-pub const RAMP: Duration = Duration::from_secs(10);
-/// Weight of a target that has just become ready.
-pub const COLD_WEIGHT: f64 = 0.1;
 /// Consecutive failures after which a target is ejected.
 pub const EJECT_FAILURES: u32 = 5;
 /// Length of a first ejection; it doubles with each further one.
 pub const EJECT_FIRST: Duration = Duration::from_secs(5);
 /// Longest ejection. A target that stays this long without another one starts again with the first length.
 pub const EJECT_LONGEST: Duration = Duration::from_secs(60);
-/// Largest part of a service's targets that may be ejected at once, in percent.
-pub const EJECT_PERCENT: usize = 30;
-/// Time during which an own observation outweighs a hint.
-pub const OBSERVED_FOR: Duration = Duration::from_secs(5);
-/// Age up to which a reported load is used.
-pub const LOAD_FRESH: Duration = Duration::from_secs(1);
-/// Weight of a new sample in the latency average.
-const LATENCY_WEIGHT: f64 = 0.2;
 /// Latency assumed before any sample, in seconds; only its ratio to other targets counts.
 const LATENCY_START: f64 = 0.01;
-/// Time in which the penalty for failures halves. Without a penalty, a target that fails fast would look fast.
-const PENALTY_HALVES: f64 = 5.0;
 
 /// What a target says about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +47,8 @@
     pub age: Duration,
     /// Distinguishes successive processes; a change discards what was observed.
     pub born: u64,
+    /// How doubtful it is that the node answers, 0 for no doubt; others are preferred.
+    pub doubt: u8,
 }
 
 /// How a request at a target ended.
@@ -90,114 +80,6 @@
     None,
 }
 
-#[derive(Debug)]
-struct Target {
-    info: TargetInfo,
-    seen: Now,
-    outstanding: u32,
-    latency: Option<f64>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Now,
-    penalty: f64,
-    penalty_at: Now,
-    answered: Option<Now>,
-    load: Option<(f64, Now)>,
-    held: BTreeMap<RankId, Now>,
-}
-
-impl Target {
-    fn new(info: TargetInfo, now: Now) -> Self {
-        Self {
-            info,
-            seen: now,
-            outstanding: 0,
-            latency: None,
-            failures: 0,
-            ejections: 0,
-            ejected_until: Now::ZERO,
-            penalty: 0.0,
-            penalty_at: now,
-            answered: None,
-            load: None,
-            held: BTreeMap::new(),
-        }
-    }
-
-    fn usable(&self, now: Now) -> bool {
-        let answers = self.failures == 0
-            && self
-                .answered
-                .is_some_and(|t| now.saturating_sub(t) < OBSERVED_FOR);
-        match self.info.hint {
-            Hint::Leaving => false,
-            Hint::Unready => answers,
-            Hint::Ready => self.ejected_until <= now,
-        }
-    }
-
-    fn stays(&self) -> bool {
-        self.info.hint != Hint::Leaving
-    }
-
-    fn weight(&self, now: Now) -> f64 {
-        let age = self.info.age + now.saturating_sub(self.seen);
-        let grown = age.as_secs_f64() / RAMP.as_secs_f64();
-        (COLD_WEIGHT + (1.0 - COLD_WEIGHT) * grown).min(1.0)
-    }
-
-    fn penalty(&self, now: Now) -> f64 {
-        let t = now.saturating_sub(self.penalty_at).as_secs_f64();
-        self.penalty * 0.5_f64.powf(t / PENALTY_HALVES)
-    }
-
-    fn score(&self, now: Now, usual: f64) -> f64 {
-        let latency = self.latency.unwrap_or(usual);
-        let work = f64::from(self.outstanding + 1);
-        work * latency * (1.0 + self.penalty(now)) / self.weight(now)
-    }
-
-    /// Work at the target: what this node sent, or what the admitting node counted a moment ago if that is more.
-    fn work(&self, now: Now) -> f64 {
-        let reported = self
-            .load
-            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_FRESH)
-            .map_or(0.0, |(part, _)| part * f64::from(self.info.slots));
-        reported.max(f64::from(self.outstanding))
-    }
-}
-
-#[derive(Debug, Default)]
-struct Group {
-    targets: BTreeMap<NodeId, Target>,
-    latency: Option<f64>,
-}
-
-impl Group {
-    fn ejected(&self, now: Now) -> usize {
-        let out = |t: &&Target| t.stays() && t.ejected_until > now;
-        self.targets.values().filter(out).count()
-    }
-
-    /// Targets that may be ejected at once: a part of those that stay, and never the last one.
-    fn ceiling(&self) -> usize {
-        let all = self.targets.values().filter(|t| t.stays()).count();
-        (all * EJECT_PERCENT / 100).min(all.saturating_sub(1))
-    }
-
-    /// Ends ejections above the ceiling, which falls when other targets leave.
-    fn trim(&mut self, now: Now) {
-        while self.ejected(now) > self.ceiling() {
-            let out = |t: &&mut Target| t.stays() && t.ejected_until > now;
-            let first = self.targets.values_mut().filter(out);
-            match first.min_by_key(|t| t.ejected_until) {
-                Some(t) => t.ejected_until = now,
-                None => return,
-            }
-        }
-    }
-}
-
 /// Balancer state of one node.
 #[derive(Debug)]
 pub struct Balance {
@@ -207,10 +89,6 @@
     services: BTreeMap<NodeId, ServiceId>,
 }
 
-fn average(old: Option<f64>, sample: f64) -> Option<f64> {
-    Some(old.map_or(sample, |o| o + LATENCY_WEIGHT * (sample - o)))
-}
-
 impl Balance {
     /// A balancer of a node in this zone.
     pub fn new(policy: BalancePolicy, az: Az) -> Self {
@@ -288,21 +166,36 @@
         if open.iter().any(|(n, _)| !tried.contains(n)) {
             open.retain(|(n, _)| !tried.contains(n));
         }
+        let least = open.iter().map(|(_, t)| t.doubt(now)).min();
+        open.retain(|(_, t)| Some(t.doubt(now)) == least);
         if self.policy == BalancePolicy::LeastLoaded {
             self.prefer_own_zone(now, &mut open);
         }
+        let usual = group.latency.unwrap_or(LATENCY_START);
+        Choice::Target(self.pick(now, open, usual, rng).clone())
+    }
+
+    /// A random target, or the better of two random ones.
+    fn pick<'a, R>(
+        &self,
+        now: Now,
+        mut open: Vec<(&'a NodeId, &'a Target)>,
+        usual: f64,
+        rng: &mut R,
+    ) -> &'a NodeId
+    where
+        R: Rng,
+    {
         let first = open[rng.random_range(0..open.len())];
         if self.policy == BalancePolicy::Random || open.len() == 1 {
-            return Choice::Target(first.0.clone());
+            return first.0;
         }
         open.retain(|(n, _)| *n != first.0);
         let second = open[rng.random_range(0..open.len())];
-        let usual = group.latency.unwrap_or(LATENCY_START);
-        let better = match second.1.score(now, usual) < first.1.score(now, usual) {
-            true => second,
-            false => first,
-        };
-        Choice::Target(better.0.clone())
+        match second.1.score(now, usual) < first.1.score(now, usual) {
+            true => second.0,
+            false => first.0,
+        }
     }
 
     fn prefer_own_zone(&self, now: Now, open: &mut Vec<(&NodeId, &Target)>) {
@@ -351,11 +244,11 @@
                 }
             }
             End::Failed => self.failed(now, node),
-            End::Refused(time) if !time.is_zero() => {
+            End::Refused(time) => {
                 t.held.retain(|_, until| *until > now);
                 t.held.insert(rank.clone(), now + time);
             }
-            End::Refused(_) | End::Cancelled => {}
+            End::Cancelled => {}
         }
     }
 
@@ -377,6 +270,12 @@
         }
     }
 
+    /// Whether a service has targets that may become usable again.
+    pub fn may_recover(&self, service: &str) -> bool {
+        let group = self.groups.get(service);
+        group.is_some_and(|g| g.targets.values().any(Target::stays))
+    }
+
     /// Number of targets of a service that are ejected now.
     pub fn ejected(&self, now: Now, service: &str) -> usize {
         self.groups.get(service).map_or(0, |g| g.ejected(now))
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod node;
 pub mod notices;
+mod observed;
 pub mod operate;
 pub mod ownership;
 pub mod quarantine;
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -4,11 +4,14 @@
 use std::sync::{Mutex, MutexGuard};
 
 use rand::rngs::SmallRng;
+use rand::RngExt;
 
 use super::balance::{Balance, Choice, End, Hint, TargetInfo};
 use super::budget::Bucket;
 use super::clock::Clock;
-use super::record::{Record, TargetState};
+use super::node::Process;
+use super::record::{Record, Target, TargetState};
+use super::view::{Members, Usable};
 use crate::prelude::*;
 use crate::request::reason::{Failure, Reason};
 use crate::request::retry::{self, Decision, Failed};
@@ -22,6 +25,7 @@
     bucket: Bucket,
     rng: SmallRng,
     records: Records,
+    members: Arc<Members>,
 }
 
 /// Shared state of the entry node's choices.
@@ -41,32 +45,19 @@
 }
 
 impl State {
-    /// Takes over the records that changed since the last call.
-    fn sync(&mut self, now: Now, records: &Records) {
-        if Arc::ptr_eq(&self.records, records) {
+    /// Takes over the records and marks that changed since the last call.
+    fn sync(&mut self, now: Now, p: &Process) {
+        let (records, members) = (p.records.load_full(), p.view.members.load_full());
+        if Arc::ptr_eq(&self.records, &records) && Arc::ptr_eq(&self.members, &members) {
             return;
         }
         let old = std::mem::replace(&mut self.records, records.clone());
+        let marks = std::mem::replace(&mut self.members, members);
         for (node, r) in records.iter() {
             let same = old.get(node).is_some_and(|o| o.order() == r.order());
             match &r.target {
-                _ if same => {}
-                Some(t) => self.balance.set(
-                    now,
-                    node,
-                    TargetInfo {
-                        service: t.service.clone(),
-                        az: r.az.clone(),
-                        slots: t.slots,
-                        hint: match t.state {
-                            TargetState::Ready => Hint::Ready,
-                            TargetState::Draining => Hint::Leaving,
-                            TargetState::Starting | TargetState::Gone => Hint::Unready,
-                        },
-                        age: Duration::from_millis(t.age_ms),
-                        born: r.incarnation,
-                    },
-                ),
+                _ if same && marks.usable(node) == self.members.usable(node) => {}
+                Some(t) => self.balance.set(now, node, info(p, r, t)),
                 None => self.balance.remove(now, node),
             }
         }
@@ -76,6 +67,26 @@
     }
 }
 
+fn info(p: &Process, r: &Record, t: &Target) -> TargetInfo {
+    TargetInfo {
+        service: t.service.clone(),
+        az: r.az.clone(),
+        slots: t.slots,
+        hint: match t.state {
+            TargetState::Ready => Hint::Ready,
+            TargetState::Draining => Hint::Leaving,
+            TargetState::Starting | TargetState::Gone => Hint::Unready,
+        },
+        age: Duration::from_millis(t.age_ms),
+        born: r.incarnation,
+        doubt: match p.usable(r) {
+            Usable::Yes => 0,
+            Usable::Doubtful => 1,
+            Usable::LastResort | Usable::No => 2,
+        },
+    }
+}
+
 impl Routing {
     /// State of a node with these settings. `seed` starts the random generator.
     pub fn new(s: &Settings, clock: Arc<dyn Clock>, seed: u64) -> Self {
@@ -85,6 +96,7 @@
                 bucket: Bucket::default(),
                 rng: rand::SeedableRng::seed_from_u64(seed),
                 records: Records::default(),
+                members: Arc::default(),
             }),
             policy: s.policy.retries,
             clock,
@@ -107,15 +119,20 @@
     /// No target is usable, or all of them want no work of this rank.
     pub fn choose(
         &self,
-        records: &Records,
+        p: &Process,
         service: &str,
         rank: &str,
         tried: &[NodeId],
     ) -> Result<(NodeId, SocketAddr), Failure> {
         let now = self.clock.now();
         let mut s = self.state();
-        s.sync(now, records);
-        let State { balance, rng, .. } = &mut *s;
+        s.sync(now, p);
+        let State {
+            balance,
+            rng,
+            records,
+            ..
+        } = &mut *s;
         match balance.choose(now, service, rank, tried, rng) {
             Choice::Target(node) => match records.get(&node) {
                 Some(r) => Ok((node, r.addresses.relay)),
@@ -129,6 +146,16 @@
         }
     }
 
+    /// Whether a service without a usable target has one that may become usable again.
+    pub fn may_recover(&self, service: &str) -> bool {
+        self.state().balance.may_recover(service)
+    }
+
+    /// A random time up to this one.
+    pub fn jitter(&self, most: Duration) -> Duration {
+        most.mul_f64(self.state().rng.random::<f64>())
+    }
+
     /// Counts a request at a target from now on.
     pub fn sent(self: &Arc<Self>, node: &NodeId, rank: &RankId) -> Sent {
         self.state().balance.started(node);
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -19,6 +19,12 @@
 /// Time beyond the deadline in which the admitting node can still report that it never ran the request.
 const REPORT_GRACE: Duration = Duration::from_millis(20);
 
+/// Longest wait for a target to recover, at most half of the remaining time. In the simulation of
+/// docs/decisions/0004-recovery-wait.md a longer wait hardly served more requests.
+const RECOVERY_WAIT: Duration = Duration::from_millis(300);
+/// Least pause between two looks for a recovered target; up to as much again is added at random.
+const RECOVERY_LOOK: Duration = Duration::from_millis(10);
+
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
     // Without a job it is not known whether the route is idempotent.
@@ -89,11 +95,8 @@
         false => f,
     };
     loop {
-        let records = p.records.load_full();
-        let (service, rank) = (&job.route.service, &job.ctx.rank);
-        let (node, address) = p
-            .routing
-            .choose(&records, service, rank, &tried)
+        let (node, address) = choose(p, job, &tried)
+            .await
             .map_err(|f| report(f, may_have_run))?;
         let f = match attempt(p, job, &node, address).await {
             Ok(res) => return Ok(res),
@@ -111,11 +114,28 @@
     }
 }
 
+/// Chooses a target. While a service has targets and none is usable, waits a short time for one to recover.
+async fn choose(p: &Process, job: &Job, tried: &[NodeId]) -> Result<(NodeId, SocketAddr), Failure> {
+    let (service, rank) = (&job.route.service, &job.ctx.rank);
+    let start = p.clock.now();
+    let end = start + RECOVERY_WAIT.min(job.deadline.saturating_sub(start) / 2);
+    loop {
+        let f = match p.routing.choose(p, service, rank, tried) {
+            Ok(found) => return Ok(found),
+            Err(f) => f,
+        };
+        let waits = f.reason == Reason::NoTarget && p.routing.may_recover(service);
+        if !waits || p.clock.now() >= end {
+            return Err(f);
+        }
+        tokio::time::sleep(RECOVERY_LOOK + p.routing.jitter(RECOVERY_LOOK)).await;
+    }
+}
+
 fn failed(p: &Process, job: &Job, failure: Failure, tried: &[NodeId], overloads: u32) -> Failed {
-    let records = p.records.load_full();
     let other = p
         .routing
-        .choose(&records, &job.route.service, &job.ctx.rank, tried);
+        .choose(p, &job.route.service, &job.ctx.rank, tried);
     Failed {
         failure,
         idempotent: job.route.idempotent,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -26,6 +26,7 @@
         hint,
         age,
         born: 1,
+        doubt: 0,
     }
 }
 
@@ -188,3 +189,25 @@
     assert_eq!(ask(40, "other"), Choice::Target("n0".into()));
     assert_eq!(ask(100, "r"), Choice::Target("n0".into()));
 }
+
+/// Guards against work for nodes that membership doubts while others serve, and against giving up when only such
+/// nodes are left.
+#[test]
+fn doubtful_nodes_come_last() {
+    let mut b = Balance::new(BalancePolicy::LeastLoaded, "a".into());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let doubted = |az, doubt| TargetInfo {
+        doubt,
+        ..info(az, Hint::Ready, OLD)
+    };
+    b.set(at(0), &"own".into(), doubted("a", 2));
+    b.set(at(0), &"near".into(), doubted("a", 1));
+    b.set(at(0), &"far".into(), doubted("b", 0));
+    let mut only = |b: &Balance| (0..50).filter_map(|_| pick(b, at(1), &mut rng)).collect();
+    let got: std::collections::BTreeSet<NodeId> = only(&b);
+    assert_eq!(got.into_iter().collect::<Vec<_>>(), ["far"]);
+    b.remove(at(0), &"far".into());
+    b.remove(at(0), &"near".into());
+    let got: std::collections::BTreeSet<NodeId> = only(&b);
+    assert_eq!(got.into_iter().collect::<Vec<_>>(), ["own"]);
+}
