--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -20,7 +20,7 @@
 mod behavior;
 
 pub use behavior::Behavior;
-use behavior::Server;
+use behavior::{pause, Server};
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -178,7 +178,7 @@
         let _ = stream.set_nodelay(true);
         let (server, delay) = (server.clone(), a.connect_delay);
         tokio::spawn(async move {
-            tokio::time::sleep(delay).await;
+            pause(delay).await;
             let service = service_fn(move |req| {
                 let answer = server.clone().answer(req);
                 async move { Ok::<_, Infallible>(answer.await) }
--- a/src/cmd/devbackend/behavior.rs
+++ b/src/cmd/devbackend/behavior.rs
@@ -107,6 +107,13 @@
     }
 }
 
+/// Sleeps unless the time is zero: the timer rounds even an empty sleep up to its next tick of 1 ms.
+pub(super) async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn text(status: StatusCode, body: String) -> Response<Body> {
     let mut res = Response::new(full(body));
     *res.status_mut() = status;
@@ -156,13 +163,13 @@
         if let Some(rest) = req.uri().path().strip_prefix("/.dev/") {
             return self.control(req.method().as_str(), rest);
         }
-        tokio::time::sleep(self.behavior.zone_delay).await;
+        pause(self.behavior.zone_delay).await;
         let id = req.headers().get(context::REQUEST_ID).cloned();
         let mut res = self.work(req).await;
         if let Some(id) = id {
             res.headers_mut().insert(context::REQUEST_ID, id);
         }
-        tokio::time::sleep(self.behavior.zone_delay).await;
+        pause(self.behavior.zone_delay).await;
         res
     }
 
@@ -267,7 +274,7 @@
         let line = format!("{} {}\n", req.method(), req.uri().path());
         let deadline: u64 = context::header(req.headers(), &DEADLINE).unwrap_or(0);
         let body = req.into_body().collect().await.map(|b| b.to_bytes());
-        tokio::time::sleep(time).await;
+        pause(time).await;
         if fault == "late" {
             tokio::time::sleep(Duration::from_millis(deadline) + LATE).await;
         }
