--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,9 +1,12 @@
 //! Prometheus metrics of a node.
 
 use prometheus::{
-    Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
+use super::node::Process;
+use super::sample::Sampled;
 use crate::request::reason::Reason;
 
 /// Counters and gauges of a node.
@@ -27,19 +30,34 @@
     pub store_waiting: IntGauge,
     /// Crashes of the backend server beside this node.
     pub crashes: IntCounter,
+    /// Attempts at a target; divided by the requests they give the retry amplification.
+    pub attempts: IntCounter,
+    /// Time from the arrival of a request to the head of its answer, by rank.
+    pub request_seconds: HistogramVec,
     /// Number of the version in force.
     pub version: IntGauge,
+    sampled: Sampled,
 }
 
 fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(r, IntCounterVec::new(Opts::new(name, help), labels))
 }
 
-fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+/// Upper bounds of the histogram buckets, in seconds: from below the added latency aimed at to the longest deadlines.
+const BUCKETS: [f64; 14] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0,
+];
+
+fn histograms(r: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    register(r, HistogramVec::new(opts, labels))
+}
+
+pub(super) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     register(r, IntGaugeVec::new(Opts::new(name, help), labels))
 }
 
-fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+pub(super) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
     register(r, IntGauge::new(name, help))
 }
 
@@ -107,7 +125,21 @@
                     "Crashes of the backend server beside this node",
                 ),
             ),
+            attempts: register(
+                &r,
+                IntCounter::new(
+                    "dq_attempts_total",
+                    "Attempts at a target by the entry node",
+                ),
+            ),
+            request_seconds: histograms(
+                &r,
+                "dq_request_seconds",
+                "Time from the arrival of a request to the head of its answer",
+                &["rank"],
+            ),
             version: gauge(&r, "dq_version_number", "Number of the version in force"),
+            sampled: Sampled::new(&r),
             registry: r,
         }
     }
@@ -124,8 +156,9 @@
         self.retries.with_label_values(&[reason.as_str()]).inc();
     }
 
-    /// Metrics in the Prometheus text format.
-    pub fn render(&self) -> String {
+    /// Metrics in the Prometheus text format, with the state of the process as it is now.
+    pub fn render(&self, p: &Process) -> String {
+        self.sampled.read(p);
         let mut out = Vec::new();
         // Writing into a vector cannot fail.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
