--- a/src/process/balance.rs
+++ b/src/process/balance.rs
@@ -246,7 +246,9 @@
             End::Failed => self.failed(now, node),
             End::Refused(time) => {
                 t.held.retain(|_, until| *until > now);
-                t.held.insert(rank.clone(), now + time);
+                let until = t.held.entry(rank.clone()).or_default();
+                // A refusal without a back-off does not end an earlier one.
+                *until = (*until).max(now + time);
             }
             End::Cancelled => {}
         }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -184,6 +184,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     b.set(at(0), &"n0".into(), info("a", Hint::Ready, OLD));
     b.ended(at(0), &"n0".into(), &"r".into(), End::Refused(at(100)));
+    b.ended(at(10), &"n0".into(), &"r".into(), End::Refused(at(0)));
     let mut ask = |now, rank: &str| b.choose(at(now), "s", rank, &[], &mut rng);
     assert_eq!(ask(40, "r"), Choice::HeldOff(at(60)));
     assert_eq!(ask(40, "other"), Choice::Target("n0".into()));
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -118,8 +118,6 @@
         healthy: None,
         load_percent: None,
         floor: None,
-        healthy: None,
-        load_percent: None,
     };
     let body = serde_json::to_vec(&text).unwrap();
     let req = Request::post(format!("http://{}/announce", node.addresses.admin))
