--- a/examples/weigh_path/main.rs
+++ b/examples/weigh_path/main.rs
@@ -68,9 +68,7 @@
     }
 }
 
-fn cases() -> Vec<Case> {
-    let s = Duration::from_secs;
-    let mut out = Vec::new();
+fn place_cases(out: &mut Vec<Case>) {
     for load in [[0.3, 0.3], [0.3, 3.0], [3.0, 0.3]] {
         for (name, place) in [
             ("waits at the admitting node", Place::Admitting),
@@ -85,6 +83,10 @@
             });
         }
     }
+}
+
+fn retry_cases(out: &mut Vec<Case>) {
+    let s = Duration::from_secs;
     let dead = Some((0..1, s(6), s(9)));
     for (name, again) in [
         ("connection error: no retry", Again::Never),
@@ -118,6 +120,10 @@
             ..Case::default()
         });
     }
+}
+
+fn recovery_cases(out: &mut Vec<Case>) {
+    let s = Duration::from_secs;
     for (name, strict) in [
         ("recovered target: whole share at once", true),
         ("recovered target: ramp", false),
@@ -149,6 +155,13 @@
             ..Case::default()
         });
     }
+}
+
+fn cases() -> Vec<Case> {
+    let mut out = Vec::new();
+    place_cases(&mut out);
+    retry_cases(&mut out);
+    recovery_cases(&mut out);
     out
 }
 
