Add a measurement of duplicate runs and of crashes

Change: examples/measure_once.rs drives separate processes: duplicates at once, callers that go away, broken, late and refused answers, while nodes are killed or frozen and the store is down, slow or loses answers. A second stop of a stopping node does nothing, and a suspect waits for half of its time only, so that another target can be tried.

--- /dev/null
+++ b/examples/measure_once.rs
@@ -0,0 +1,462 @@
+//! Measures at-most-once execution and quarantine under faults, with separate processes.
+//!
+//! `cargo build --release && cargo run --release --example measure_once`
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dragonflyquay::version::manifest::{self, Manifest};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use lexopt::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use support::fleet::Fleet;
+use support::{Result, Running, PATIENCE};
+
+const USAGE: &str = "\
+Sends faulted non-idempotent requests while nodes are killed, frozen and cut from the store, and counts runs of each key.
+Then sends one crashing request again and again through all nodes and counts crashes.
+
+Usage: measure_once [OPTIONS]
+
+  --requests N     non-idempotent requests, each with a fault (default 10000)
+  --nodes N        nodes, each with a backend server (default 8)
+  --callers N      callers at the same time (default 16)
+  --resends N      times that the crashing request is sent (default 200)
+  --seed N         seed of all choices (default 1)
+  --out FILE       write the JSON results to a file instead of the output
+";
+
+/// Longest wait of a caller for an answer; a frozen node does not answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// Deadline of requests whose answer is late on purpose.
+const SHORT_DEADLINE: &str = "300";
+const MANIFEST: &str = include_str!("trust.toml");
+
+struct Args {
+    requests: usize,
+    nodes: usize,
+    callers: usize,
+    resends: usize,
+    seed: u64,
+    out: Option<String>,
+}
+
+/// Results of the non-idempotent requests.
+#[derive(Debug, Default, Serialize)]
+struct Once {
+    requests: usize,
+    faults: BTreeMap<String, usize>,
+    disturbances: BTreeMap<String, usize>,
+    /// Outcome and reason of the last attempt with each key, which is made without a fault of its own.
+    last_answers: BTreeMap<String, usize>,
+    keys_run: usize,
+    keys_run_twice: usize,
+    /// Keys whose last attempt was reported as not run although the key ran at some time.
+    not_run_but_ran: usize,
+    /// Keys whose last attempt was reported as done although the key never ran.
+    done_but_not_run: usize,
+    seconds: f64,
+}
+
+/// Results of the crashing request.
+#[derive(Debug, Default, Serialize)]
+struct Crashes {
+    backend_servers: usize,
+    sends: usize,
+    crashed: usize,
+    sends_before_quarantine: usize,
+    answers: BTreeMap<String, usize>,
+    innocent_answers: BTreeMap<String, usize>,
+    innocent_answers_after_quarantine: BTreeMap<String, usize>,
+}
+
+#[derive(Debug, Serialize)]
+struct Results {
+    seed: u64,
+    nodes: usize,
+    once: Once,
+    crashes: Crashes,
+}
+
+fn parse() -> Result<Option<Args>> {
+    let mut a = Args {
+        requests: 10_000,
+        nodes: 8,
+        callers: 16,
+        resends: 200,
+        seed: 1,
+        out: None,
+    };
+    let mut p = lexopt::Parser::from_env();
+    let text = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = p.next().map_err(text)? {
+        match arg {
+            Long("help") | Short('h') => return Ok(None),
+            Long("requests") => a.requests = p.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("nodes") => a.nodes = p.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("callers") => a.callers = p.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("resends") => a.resends = p.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("seed") => a.seed = p.value().and_then(|v| v.parse()).map_err(text)?,
+            Long("out") => a.out = Some(p.value().and_then(|v| v.string()).map_err(text)?),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    Ok(Some(a))
+}
+
+/// Client of the callers.
+#[derive(Clone)]
+struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    nodes: Arc<Vec<SocketAddr>>,
+}
+
+type Headers<'a> = &'a [(&'a str, &'a str)];
+
+impl Caller {
+    fn new(nodes: Vec<SocketAddr>) -> Self {
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            nodes: Arc::new(nodes),
+        }
+    }
+
+    /// Outcome with reason, and the body, of one request; an outcome of its own when no whole answer comes.
+    async fn send(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        headers: Headers<'_>,
+    ) -> (String, String) {
+        let to = self.nodes[i % self.nodes.len()];
+        let req = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"));
+        let req = headers.iter().fold(req, |r, (k, v)| r.header(*k, *v));
+        let Ok(req) = req.body(Full::new(Bytes::from_static(b"desk 4"))) else {
+            return ("invalid".into(), String::new());
+        };
+        let answer = async {
+            let res = self.client.request(req).await.ok()?;
+            let get = |name| {
+                let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+                value.unwrap_or("-").to_owned()
+            };
+            let outcome = match get("dq-reason").as_str() {
+                "-" => get("dq-outcome"),
+                reason => format!("{} {reason}", get("dq-outcome")),
+            };
+            let body = res.into_body().collect().await.ok()?.to_bytes();
+            Some((outcome, String::from_utf8_lossy(&body).trim().to_owned()))
+        };
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        answer
+            .ok()
+            .flatten()
+            .unwrap_or(("no answer".into(), String::new()))
+    }
+
+    /// A key from a node, or one that the caller makes itself.
+    async fn key(&self, rng: &mut StdRng) -> String {
+        for _ in 0..8 {
+            if rng.random_bool(0.3) {
+                return uuid::Uuid::now_v7().to_string();
+            }
+            let (outcome, key) = self
+                .send(rng.random_range(0..64), "POST", "/.dq/key", &[])
+                .await;
+            if outcome == "done" || outcome == "-" {
+                return key;
+            }
+        }
+        uuid::Uuid::now_v7().to_string()
+    }
+
+    /// One request with a fault, then an attempt without one through any node. Returns the fault and the last answer.
+    async fn faulted(&self, key: &str, rng: &mut StdRng) -> (&'static str, String) {
+        let (a, b) = (rng.random_range(0..64), rng.random_range(0..64));
+        let plain = [("idempotency-key", key)];
+        let mut short = vec![("idempotency-key", key), ("dq-deadline-ms", SHORT_DEADLINE)];
+        let fault = match rng.random_range(0..100) {
+            0..35 => {
+                let first = self.send(a, "POST", "/bookings", &plain);
+                let second = self.send(b, "POST", "/bookings", &plain);
+                futures_util::future::join(first, second).await;
+                "duplicates at once"
+            }
+            35..65 => {
+                let wait = Duration::from_millis(rng.random_range(0..30));
+                let sent = self.send(a, "POST", "/bookings", &plain);
+                let _ = tokio::time::timeout(wait, sent).await;
+                "caller gone"
+            }
+            n => {
+                let name = match n {
+                    65..75 => "truncate",
+                    75..85 => "truncate-chunked",
+                    85..93 => "shed",
+                    93..96 => "late",
+                    _ => "error",
+                };
+                short.push(("x-test-fault", name));
+                self.send(a, "POST", "/bookings", &short).await;
+                name
+            }
+        };
+        let mut last = self.send(b, "POST", "/bookings", &plain).await.0;
+        if last == "no answer" {
+            last = self.send(b + 1, "POST", "/bookings", &plain).await.0;
+        }
+        (fault, last)
+    }
+}
+
+fn signal(pid: u32, name: &str) {
+    let _ = Command::new("kill")
+        .args(["-s", name, &pid.to_string()])
+        .status();
+}
+
+/// Disturbs the fleet until told to stop: one disturbance at a time, over any number of requests.
+fn disturb(fleet: &mut Fleet, seed: u64, over: &AtomicBool) -> BTreeMap<String, usize> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut counts = BTreeMap::new();
+    let sleep = |ms| std::thread::sleep(Duration::from_millis(ms));
+    let faults = |f: &Fleet, text: &str| {
+        f.http
+            .rt
+            .block_on(f.http.call("PUT", f.store, "/v1/faults", text))
+    };
+    while !over.load(Ordering::Relaxed) {
+        let i = rng.random_range(0..fleet.nodes.len());
+        let name = match rng.random_range(0..5) {
+            0 => {
+                fleet.kill(i);
+                sleep(rng.random_range(100..3000));
+                if let Err(e) = fleet.restart(i) {
+                    eprintln!("restart: {e}");
+                }
+                "node killed and restarted"
+            }
+            1 => {
+                let pid = fleet.nodes[i].run.pid();
+                signal(pid, "STOP");
+                sleep(rng.random_range(500..9000));
+                signal(pid, "CONT");
+                "node frozen"
+            }
+            2 => {
+                faults(fleet, "{\"down\":true}");
+                sleep(rng.random_range(500..4000));
+                faults(fleet, "{}");
+                "store down"
+            }
+            3 => {
+                faults(fleet, "{\"lose_writes\":4}");
+                sleep(2000);
+                "store answers lost"
+            }
+            _ => {
+                faults(fleet, "{\"slow_ms\":900}");
+                sleep(2000);
+                faults(fleet, "{}");
+                "store slow"
+            }
+        };
+        *counts.entry(name.to_owned()).or_default() += 1;
+        sleep(rng.random_range(200..1500));
+    }
+    counts
+}
+
+/// A fleet with a backend server beside each node, and a version.
+fn start(n: usize, service: &str, extra: &[&str]) -> Result<(Fleet, Vec<Backend>)> {
+    let fleet = Fleet::start("trust", n, "")?;
+    let mut backends = Vec::new();
+    for node in &fleet.nodes {
+        let admin = node.ports.admin.to_string();
+        let mut args = vec!["devbackend", "--service", service, "--node", &admin];
+        args.extend(extra);
+        let run = Running::start(&args)?;
+        let (_, line) = run.wait_line("listening ", Instant::now() + PATIENCE)?;
+        let address = line.trim_start_matches("listening ").parse::<SocketAddr>();
+        backends.push(Backend {
+            address: address.map_err(|e| e.to_string())?,
+            _run: run,
+        });
+    }
+    let m: Manifest = manifest::parse(MANIFEST).map_err(|f| f.to_string())?;
+    fleet.commit(&m, 0)?;
+    fleet.wait_status("version", 1);
+    let end = Instant::now() + PATIENCE;
+    let ready = |f: &Fleet| {
+        let members = f.http.get_all(&f.admin(), "/members").into_iter().flatten();
+        members
+            .map(|m| m.matches("\"target\":\"ready\"").count())
+            .sum::<usize>()
+            == n * n
+    };
+    while !ready(&fleet) {
+        if Instant::now() > end {
+            return Err("targets are not ready".into());
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    // Time for all shards to get an owner.
+    std::thread::sleep(Duration::from_secs(5));
+    Ok((fleet, backends))
+}
+
+struct Backend {
+    address: SocketAddr,
+    _run: Running,
+}
+
+async fn call_all(caller: &Caller, args: &Args, once: &Mutex<Once>) -> Vec<(String, String)> {
+    let mut tasks = Vec::new();
+    for c in 0..args.callers {
+        let caller = caller.clone();
+        let share = args.requests / args.callers + usize::from(c < args.requests % args.callers);
+        let mut rng = StdRng::seed_from_u64(args.seed.wrapping_mul(1000) + c as u64);
+        tasks.push(async move {
+            let mut done = Vec::new();
+            for _ in 0..share {
+                let key = caller.key(&mut rng).await;
+                let (fault, last) = caller.faulted(&key, &mut rng).await;
+                let mut o = once.lock().unwrap_or_else(|e| e.into_inner());
+                *o.faults.entry(fault.to_owned()).or_default() += 1;
+                *o.last_answers.entry(last.clone()).or_default() += 1;
+                done.push((key, last));
+            }
+            done
+        });
+    }
+    futures_util::future::join_all(tasks).await.concat()
+}
+
+fn measure_once(args: &Args) -> Result<Once> {
+    let (mut fleet, backends) = start(
+        args.nodes,
+        "parcel-hall",
+        &["--work-ms", "3", "--jitter-ms", "10"],
+    )?;
+    let caller = Caller::new(fleet.nodes.iter().map(|n| n.ports.caller).collect());
+    let rt = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    let once = Mutex::new(Once::default());
+    let over = AtomicBool::new(false);
+    let began = Instant::now();
+    let (sent, disturbances) = std::thread::scope(|s| {
+        let chaos = s.spawn(|| disturb(&mut fleet, args.seed, &over));
+        let sent = rt.block_on(call_all(&caller, args, &once));
+        over.store(true, Ordering::Relaxed);
+        (sent, chaos.join().unwrap_or_default())
+    });
+    let seconds = began.elapsed().as_secs_f64();
+    // What a frozen or slow node still holds may run late.
+    std::thread::sleep(ANSWER_TIMEOUT);
+    let mut runs: BTreeMap<String, u64> = BTreeMap::new();
+    for b in &backends {
+        let stats = fleet
+            .http
+            .get(b.address, "/.dev/stats")
+            .ok_or("no counters")?;
+        let stats: serde_json::Value = serde_json::from_str(&stats).map_err(|e| e.to_string())?;
+        for (key, n) in stats["by_key"].as_object().into_iter().flatten() {
+            *runs.entry(key.clone()).or_default() += n.as_u64().unwrap_or(0);
+        }
+    }
+    let mut out = once.into_inner().unwrap_or_default();
+    out.requests = sent.len();
+    out.disturbances = disturbances;
+    out.seconds = seconds;
+    out.keys_run = runs.len();
+    out.keys_run_twice = runs.values().filter(|n| **n > 1).count();
+    for (key, last) in &sent {
+        let ran = runs.contains_key(key);
+        out.not_run_but_ran += usize::from(ran && last.starts_with("not-run"));
+        out.done_but_not_run += usize::from(!ran && last.starts_with("done"));
+    }
+    Ok(out)
+}
+
+fn measure_crashes(args: &Args) -> Result<Crashes> {
+    let (fleet, backends) = start(
+        args.nodes,
+        "catalogue-desk",
+        &["--crash-path", "/catalogue/boom"],
+    )?;
+    let caller = Caller::new(fleet.nodes.iter().map(|n| n.ports.caller).collect());
+    let mut out = Crashes {
+        backend_servers: args.nodes,
+        sends: args.resends,
+        ..Crashes::default()
+    };
+    let rt = &fleet.http.rt;
+    for i in 0..args.resends {
+        let boom = caller.send(i, "GET", "/catalogue/boom", &[]);
+        let innocents = (0..8).map(|n| {
+            let (caller, path) = (&caller, format!("/catalogue/{n}"));
+            async move { caller.send(i + n, "GET", &path, &[]).await.0 }
+        });
+        let (boom, rest) = rt.block_on(async {
+            futures_util::future::join(boom, futures_util::future::join_all(innocents)).await
+        });
+        let quarantined = out.answers.contains_key("not-run quarantined");
+        if boom.0 == "not-run quarantined" && !quarantined {
+            out.sends_before_quarantine = i;
+        }
+        for answer in rest {
+            let counts = match quarantined {
+                true => &mut out.innocent_answers_after_quarantine,
+                false => &mut out.innocent_answers,
+            };
+            *counts.entry(answer).or_default() += 1;
+        }
+        *out.answers.entry(boom.0).or_default() += 1;
+    }
+    let alive = |b: &&Backend| fleet.http.get(b.address, "/.dev/stats").is_some();
+    out.crashed = args.nodes - backends.iter().filter(alive).count();
+    Ok(out)
+}
+
+fn run() -> Result<()> {
+    let Some(args) = parse()? else {
+        print!("{USAGE}");
+        return Ok(());
+    };
+    let results = Results {
+        seed: args.seed,
+        nodes: args.nodes,
+        once: measure_once(&args)?,
+        crashes: measure_crashes(&args)?,
+    };
+    support::figures::output(&results, args.out.as_deref())?;
+    match results.once.keys_run_twice + results.once.not_run_but_ran {
+        0 => Ok(()),
+        n => Err(format!("{n} keys broke the guarantee")),
+    }
+}
+
+fn main() {
+    if let Err(e) = run() {
+        eprintln!("measure_once: {e}");
+        std::process::exit(1);
+    }
+}
--- a/src/process/backend.rs
+++ b/src/process/backend.rs
@@ -133,11 +133,13 @@
         sent: false,
     };
     let now = p.clock.now();
-    let left = lock(&p.beside.monitor).leaving(now);
-    let gone = left.is_some_and(|t| t >= drain::SPREAD_TIME);
+    let leaving = lock(&p.beside.monitor).leaving(now);
+    let gone = leaving.is_some_and(|t| t >= drain::SPREAD_TIME);
     if gone || !lock(&p.beside.drain).accepts() {
         return Err(Failure::not_run(Reason::Draining));
     }
+    // The other half of the time is left for another target.
+    let half = deadline.saturating_sub(now) / 2;
     loop {
         let freed = p.beside.freed.notified();
         tokio::pin!(freed);
@@ -153,7 +155,7 @@
             Start::Refused => return Err(Failure::not_run(Reason::Quarantined)),
             Start::Wait => {}
         }
-        let left = deadline.saturating_sub(p.clock.now());
+        let left = (now + half).saturating_sub(p.clock.now());
         if tokio::time::timeout(left, freed).await.is_err() {
             return Err(Failure::not_run(Reason::SuspectBusy));
         }
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use super::backend;
-use super::drain::{plan, Candidate, Stop, Stops};
+use super::drain::{plan, Candidate, Phase, Stop, Stops};
 use super::node::Process;
 use super::record::TargetState;
 use crate::prelude::*;
@@ -109,12 +109,15 @@
     Ok(matches!(done, Swap::Done(_)))
 }
 
-/// Plans a stop of this node's target in the store and starts it.
+/// Plans a stop of this node's target in the store and starts it; does nothing when one is under way or finished.
 ///
 /// # Errors
 ///
 /// See [`StopError`]. Only [`StopError::Unknown`] leaves the plan open; it is then removed in the background.
 pub async fn begin(p: &Arc<Process>, force: bool) -> Result<(), StopError> {
+    if p.beside.phase() != Phase::Serving {
+        return Ok(());
+    }
     let target = p.own_record().target.ok_or(StopError::NoTarget)?;
     let key = key(p, &target.service);
     let mut open = false;
