--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -19,7 +19,8 @@
 
 mod behavior;
 
-use behavior::{Behavior, Server};
+pub use behavior::Behavior;
+use behavior::Server;
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -56,42 +57,40 @@
 /// Settings of a sample backend server.
 #[derive(Clone)]
 pub struct Args {
-    service: String,
-    node: SocketAddr,
-    listen: SocketAddr,
-    slots: u32,
-    connections: u32,
-    refuse: bool,
-    connect_delay: Duration,
-    behavior: Behavior,
+    /// Service that it runs.
+    pub service: String,
+    /// Admin address of its node.
+    pub node: SocketAddr,
+    /// Address that takes requests.
+    pub listen: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time that each request takes.
+    pub work: Duration,
+    /// Open connections.
+    pub connections: u32,
+    /// Whether connections over the limit are closed instead of waiting.
+    pub refuse: bool,
+    /// Time that a new connection costs.
+    pub connect_delay: Duration,
+    /// Faults and delays.
+    pub behavior: Behavior,
 }
 
-impl Args {
-    /// A server of this service beside the node with this admin address, without faults.
-    pub fn new(service: &str, node: SocketAddr) -> Self {
+impl Default for Args {
+    fn default() -> Self {
         Self {
-            service: service.to_owned(),
-            node,
+            service: String::new(),
+            node: SocketAddr::from(([0, 0, 0, 0], 0)),
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             slots: 6,
+            work: Duration::from_millis(5),
             connections: 100,
             refuse: false,
             connect_delay: Duration::ZERO,
-            behavior: Behavior {
-                work: Duration::from_millis(5),
-                seed: 1,
-                ..Behavior::default()
-            },
+            behavior: Behavior::default(),
         }
     }
-
-    /// Sets the address, the slots and the time that each request takes.
-    pub fn with(mut self, listen: SocketAddr, slots: u32, work: Duration) -> Self {
-        self.listen = listen;
-        self.slots = slots;
-        self.behavior.work = work;
-        self
-    }
 }
 
 fn value<T>(args: &mut lexopt::Parser) -> CmdResult<T>
@@ -107,7 +106,7 @@
 }
 
 fn parse(mut args: lexopt::Parser) -> CmdResult<Option<Args>> {
-    let mut a = Args::new("", SocketAddr::from(([0, 0, 0, 0], 0)));
+    let mut a = Args::default();
     while let Some(arg) = args.next().map_err(usage)? {
         match arg {
             Long("help") | Short('h') => return Ok(None),
@@ -118,7 +117,7 @@
             Long("connections") => a.connections = value(&mut args)?,
             Long("refuse-connections") => a.refuse = true,
             Long("connect-delay-ms") => a.connect_delay = time(&mut args)?,
-            Long("work-ms") => a.behavior.work = time(&mut args)?,
+            Long("work-ms") => a.work = time(&mut args)?,
             Long("jitter-ms") => a.behavior.jitter = time(&mut args)?,
             Long("cold-ms") => a.behavior.cold = time(&mut args)?,
             Long("shed-percent") => a.behavior.shed_percent = value(&mut args)?,
@@ -159,7 +158,7 @@
         Err(e) => return fail(Exit::Failed, format!("{}: {e}", a.listen)),
     };
     let address = listener.local_addr().unwrap_or(a.listen);
-    let server = Arc::new(Server::new(a.behavior.clone(), a.slots));
+    let server = Arc::new(Server::new(a.behavior.clone(), a.work, a.slots));
     tokio::spawn(serve(listener, a.clone(), server.clone()));
     tokio::spawn(announce(a, address, server));
     Ok(address)
