--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -5,6 +5,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
 use super::body::{Body, BodyError, BodyLimits, HeldBody};
 use super::context::{self, Context};
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -115,6 +115,8 @@
         connections: 100,
         state: TargetState::Ready,
         incarnation: 1,
+        healthy: None,
+        load_percent: None,
         floor: None,
     };
     let body = serde_json::to_vec(&text).unwrap();
