--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -28,6 +28,7 @@
 pub mod reconnect;
 pub mod record;
 pub mod routing;
+pub mod sample;
 pub mod shutdown;
 pub mod slots;
 pub mod spread;
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -103,8 +103,8 @@
 }
 
 impl Reason {
-    /// Every reason, to read one from a header.
-    const ALL: [Self; 26] = [
+    /// Every reason.
+    pub const ALL: [Self; 26] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
