--- a/tests/dedup.rs
+++ b/tests/dedup.rs
@@ -173,6 +173,7 @@
                 }
             }
         }
+        println!("writes={calls} seconds={seconds} nodes={nodes} store_down={down}");
         assert!(
             calls < seconds,
             "{calls} writes in {seconds} s with {nodes} nodes"
