--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -13,6 +13,7 @@
 use super::node::Process;
 use super::notices::{Grant, KeyRange, Notice, Shard};
 use super::record::{Record, TargetState};
+use super::view::Usable;
 use crate::digest::Digest;
 use crate::prelude::*;
 use crate::request::body::{full, Body};
@@ -247,11 +248,12 @@
 
 /// Makes a key whose owner is alive, in the own zone if possible; `None` when no living owner is known.
 ///
-/// The key time may lie after the present time: it is a logical order, and only a range with a living owner is useful.
+/// An owner that some node got no answer from is taken only while there is no other. The key time may lie after the present time: it is a logical order, and only a range with a living owner is useful.
 pub fn issue(p: &Process) -> Option<Key> {
     let members = members(p);
     let wall = wall_ms();
     let zone = &p.settings.node.az;
+    let records = p.records.load();
     let mut found: Vec<(u8, Shard, u64)> = Vec::new();
     for g in p.notices.grants() {
         let usable = |r: &&KeyRange| r.until_ms > wall + ISSUE_MARGIN_MS;
@@ -261,7 +263,10 @@
             let Some(m) = members.get(&r.owner).filter(alive) else {
                 continue;
             };
-            let far = u8::from(m.az != *zone) + 2 * u8::from(r.from_ms > wall);
+            let record = records.get(&r.owner);
+            let doubtful = record.is_none_or(|r| p.usable(r) > Usable::Yes);
+            let far =
+                u8::from(m.az != *zone) + 2 * u8::from(r.from_ms > wall) + 4 * u8::from(doubtful);
             found.push((far, g.shard, wall.max(r.from_ms)));
         }
     }
