--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -142,6 +142,9 @@
     if left.is_zero() {
         return Err(Failure::not_run(Reason::Deadline));
     }
+    if p.is_cut_off(node) {
+        return Err(Failure::not_run(Reason::NotSent));
+    }
     p.metrics.attempts.inc();
     let mut sent = p.routing.sent(node, &job.ctx.rank);
     let out = tokio::time::timeout(left + REPORT_GRACE, exchange(p, job, address, left)).await;
@@ -166,6 +169,9 @@
     left: Duration,
 ) -> Result<Response<Body>, Failure> {
     let mut res = p.upstream.send(job.relay_request(p, address)?).await?;
+    if job.ctx.is_crossed(res.headers()) {
+        return Err(Failure::unknown(Reason::BadAnswer));
+    }
     if let Some(f) = Failure::read(res.headers()) {
         return Err(f);
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,6 +26,16 @@
     pub policy: PolicySettings,
     /// Logs.
     pub log: LogSettings,
+    /// Injection of faults by tests.
+    pub faults: FaultSettings,
+}
+
+/// Injection of faults by tests.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FaultSettings {
+    /// Whether the admin API takes `PUT /faults`.
+    pub enabled: bool,
 }
 
 /// Logs, which go to standard error.
@@ -175,6 +185,17 @@
     }
 }
 
+impl LimitSettings {
+    /// Limits for relayed requests: entry nodes add headers to what they accepted.
+    pub fn for_relay(&self) -> Self {
+        Self {
+            header_bytes: 2 * self.header_bytes,
+            headers: 2 * self.headers,
+            ..self.clone()
+        }
+    }
+}
+
 /// Choice of policies; the baselines serve comparison measurements.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
