Sample the control plane for metrics and time adoptions

Convergence lag, links, members, forks and the watcher could only be read from the status of a node. They are sampled from the view of the control task when metrics are read. The time from first hearing of a version to its adoption is a histogram, so that slow nodes show without comparing clocks. A test reads them from a running site.

--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -234,6 +234,10 @@
                     });
                 }
                 Action::Adopt(s) => {
+                    if let Some(at) = self.spread.heard_at(s.version.number) {
+                        let took = self.now().saturating_sub(at);
+                        self.p.metrics.adopt_seconds.observe(took.as_secs_f64());
+                    }
                     self.p.adopt(s);
                     self.wake();
                 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of a node.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use super::node::Process;
@@ -32,6 +32,8 @@
     pub attempts: IntCounter,
     /// Time from the arrival of a request to the head of its answer, by rank.
     pub request_seconds: HistogramVec,
+    /// Time from first hearing of a version to its adoption.
+    pub adopt_seconds: Histogram,
     /// Number of the version in force.
     pub version: IntGauge,
     sampled: Sampled,
@@ -51,6 +53,11 @@
     register(r, HistogramVec::new(opts, labels))
 }
 
+fn histogram(r: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+    register(r, Histogram::with_opts(opts))
+}
+
 pub(super) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     register(r, IntGaugeVec::new(Opts::new(name, help), labels))
 }
@@ -129,6 +136,11 @@
                 "Time from the arrival of a request to the head of its answer",
                 &["rank"],
             ),
+            adopt_seconds: histogram(
+                &r,
+                "dq_adopt_seconds",
+                "Time from first hearing of a version to its adoption",
+            ),
             version: gauge(&r, "dq_version_number", "Number of the version in force"),
             sampled: Sampled::new(&r),
             registry: r,
--- a/src/process/sample.rs
+++ b/src/process/sample.rs
@@ -5,9 +5,22 @@
 use super::metrics::{gauge, gauges};
 use super::node::Process;
 use super::record::TargetState;
+use crate::connection::entry::Mark;
 
 /// Gauges of the process's state.
 pub struct Sampled {
+    /// Versions that this node has heard of and does not run yet.
+    lag: IntGauge,
+    /// Lowest version number that may be adopted.
+    floor: IntGauge,
+    /// Versions rejected because another one with the same number is held.
+    forks: IntGauge,
+    /// Whether this node watches the store's head.
+    watcher: IntGauge,
+    /// Links to other nodes, by the side that opened them.
+    links: IntGaugeVec,
+    /// Known nodes, by state.
+    members: IntGaugeVec,
     /// Targets that this node knows, by state.
     targets: IntGaugeVec,
     /// Running and waiting requests of the backend server in percent of its slots.
@@ -20,6 +33,33 @@
     /// Registers the gauges.
     pub fn new(r: &Registry) -> Self {
         Self {
+            lag: gauge(
+                r,
+                "dq_version_lag",
+                "Versions heard of and not in force yet",
+            ),
+            floor: gauge(
+                r,
+                "dq_version_floor",
+                "Lowest version number that may be adopted",
+            ),
+            forks: gauge(
+                r,
+                "dq_version_forks",
+                "Versions rejected because another one has their number",
+            ),
+            watcher: gauge(
+                r,
+                "dq_watcher",
+                "1 while this node watches the store's head",
+            ),
+            links: gauges(
+                r,
+                "dq_links",
+                "Links by the side that opened them",
+                &["opened_by"],
+            ),
+            members: gauges(r, "dq_members", "Known nodes by state", &["state"]),
             targets: gauges(r, "dq_known_targets", "Known targets by state", &["state"]),
             load: gauge(
                 r,
@@ -36,20 +76,45 @@
 
     /// Reads the state.
     pub fn read(&self, p: &Process) {
-        p.metrics.version.set(as_gauge(p.version().number));
+        let version = p.version().number;
+        p.metrics.version.set(as_gauge(version));
+        let status = p.view.status.load();
+        self.lag
+            .set(as_gauge(status.heard.number.saturating_sub(version)));
+        self.floor.set(as_gauge(status.floor));
+        self.forks.set(as_gauge(status.forks));
+        self.watcher.set(status.watcher.into());
+        for (side, n) in [("own", status.opened), ("peer", status.accepted)] {
+            set(&self.links, side, n);
+        }
+        let members = p.view.members.load();
+        let ended = members.count(Mark::Dead) + members.count(Mark::Expired);
+        for (state, n) in [
+            ("alive", members.count(Mark::Alive)),
+            ("suspect", members.count(Mark::Suspect)),
+            ("unreachable", members.count(Mark::Unreachable)),
+            ("dead", ended),
+        ] {
+            set(&self.members, state, n);
+        }
+        let records = p.records.load();
         for state in TargetState::ALL {
-            let records = p.records.load();
             let targets = records.values().filter_map(|r| r.target.as_ref());
-            let n = targets.filter(|t| t.state == state).count();
-            self.targets
-                .with_label_values(&[state.as_str()])
-                .set(as_gauge(n as u64));
+            set(
+                &self.targets,
+                state.as_str(),
+                targets.filter(|t| t.state == state).count(),
+            );
         }
         self.load.set(p.slots.load_percent().into());
         self.uptime.set(as_gauge(p.clock.now().as_secs()));
     }
 }
 
+fn set(gauges: &IntGaugeVec, label: &str, n: usize) {
+    gauges.with_label_values(&[label]).set(as_gauge(n as u64));
+}
+
 fn as_gauge(n: u64) -> i64 {
     i64::try_from(n).unwrap_or(i64::MAX)
 }
--- a/src/process/spread.rs
+++ b/src/process/spread.rs
@@ -64,6 +64,7 @@
     /// Version whose content is being checked; it is not asked for meanwhile.
     checking: Option<VersionRef>,
     heard: VersionRef,
+    heard_at: Now,
     bad: VecDeque<(NodeId, VersionRef)>,
     next_compare: Now,
     packed: Option<(Digest, Digest, Form, Vec<u8>)>,
@@ -80,6 +81,7 @@
             wanted: None,
             checking: None,
             heard: VersionRef::default(),
+            heard_at: now,
             bad: VecDeque::new(),
             next_compare: now + jitter(COMPARE, rng),
             packed: None,
@@ -101,6 +103,11 @@
         self.heard
     }
 
+    /// Time at which this version was first heard of; `None` when a newer one was heard of since.
+    pub fn heard_at(&self, number: VersionNumber) -> Option<Now> {
+        (self.heard.number == number).then_some(self.heard_at)
+    }
+
     /// Rules of the selection.
     pub fn selection(&self) -> &Selection {
         &self.selection
@@ -113,13 +120,14 @@
 
     /// Compares the store's head with the held version.
     pub fn compare_head(&mut self, head: VersionRef, now: Now) -> HeadAction {
-        self.hear(head);
+        self.hear(now, head);
         self.selection.compare_head(head, now)
     }
 
-    fn hear(&mut self, v: VersionRef) {
+    fn hear(&mut self, now: Now, v: VersionRef) {
         if v.number > self.heard.number {
             self.heard = v;
+            self.heard_at = now;
         }
     }
 
@@ -178,7 +186,7 @@
 
     fn offered(&mut self, now: Now, id: LinkId, v: VersionRef) -> Vec<Action> {
         self.note(id, v);
-        self.hear(v);
+        self.hear(now, v);
         let verdict = self.selection.judge(v, now);
         let held = self.ready.as_ref().is_some_and(|s| s.version == v);
         match verdict {
@@ -317,7 +325,7 @@
 
     /// Takes content that is complete and valid, from a peer or from the store.
     pub fn fetched(&mut self, now: Now, s: Arc<Snapshot>) -> Vec<Action> {
-        self.hear(s.version);
+        self.hear(now, s.version);
         match self.selection.adopt(s.version, s.parent, now) {
             Verdict::Adopt => {}
             Verdict::Wait(_) => {
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -2,7 +2,7 @@
 
 mod workdir;
 
-use workdir::{http, repo_file, Workdir};
+use workdir::{http, repo_file, wait_until, Workdir};
 
 /// Guards against a first command of the README that does not run a request and a commit.
 #[test]
@@ -45,3 +45,23 @@
     assert!(out.status.success(), "{out:?}");
     dev.wait_line("version 2 is in force on 10 of 10 nodes");
 }
+
+/// Guards against gauges that are registered but never set from the state of the node.
+#[test]
+fn metrics_show_the_site() {
+    let dev = Workdir::new().start(&["dev"]);
+    let line = dev.wait_line("a1 ");
+    let admin = line.split_whitespace().last().unwrap().parse().unwrap();
+    dev.wait_line("version 1 is in force on 10 of 10 nodes");
+    for wanted in [
+        "dq_version_number 1\n",
+        "dq_version_lag 0\n",
+        "dq_members{state=\"alive\"} 10\n",
+        "dq_known_targets{state=\"ready\"} 10\n",
+        "dq_adopt_seconds_count 1\n",
+    ] {
+        wait_until(wanted, || {
+            http(admin, "GET", "/metrics", &[], "").is_some_and(|a| a.body.contains(wanted))
+        });
+    }
+}
