--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -28,6 +28,8 @@
     pub store_calls: IntCounterVec,
     /// Watches that wait at the store now.
     pub store_waiting: IntGauge,
+    /// Crashes of the backend server beside this node.
+    pub crashes: IntCounter,
     /// Attempts at a target; divided by the requests they give the retry amplification.
     pub attempts: IntCounter,
     /// Time from the arrival of a request to the head of its answer, by rank.
@@ -123,6 +125,13 @@
                 "dq_store_waiting_watches",
                 "Watches that wait at the store",
             ),
+            crashes: register(
+                &r,
+                IntCounter::new(
+                    "dq_backend_crashes_total",
+                    "Crashes of the backend server beside this node",
+                ),
+            ),
             attempts: register(
                 &r,
                 IntCounter::new(
--- a/src/process/notices.rs
+++ b/src/process/notices.rs
@@ -6,8 +6,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::clock::{Clock, ProcessClock};
+use super::quarantine::{Suspects, Verdict};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::request::reason::Reason;
 
 /// Index of a shard of idempotency keys.
 pub type Shard = u16;
@@ -30,6 +33,8 @@
     pub epoch: u64,
     /// Crashes counted in this epoch, in order.
     pub crashes: Vec<Crash>,
+    /// Time since the first crash, in milliseconds, when the notice was sent.
+    pub age_ms: u64,
 }
 
 /// Part of a shard that one node incarnation owns for ever.
@@ -43,6 +48,8 @@
     pub owner: NodeId,
     /// Incarnation of the owner.
     pub incarnation: Incarnation,
+    /// Random number of the owner's process.
+    pub token: u64,
 }
 
 /// Ownership of a shard, as read from the store.
@@ -50,7 +57,8 @@
 pub struct Grant {
     /// Shard.
     pub shard: Shard,
-    /// Revision of the store's entry; a higher one replaces a lower one.
+    /// Number of changes; a higher one replaces a lower one. It is part of the stored value, so that it does not
+    /// fall back with the revisions of a store that was restored to an older state.
     pub revision: u64,
     /// Ranges in order of time; they never overlap.
     pub ranges: Vec<KeyRange>,
@@ -67,41 +75,92 @@
 
 #[derive(Default)]
 struct State {
-    suspects: BTreeMap<Digest, Suspect>,
+    suspects: Suspects,
     grants: BTreeMap<Shard, Grant>,
 }
 
 /// All notices known to a node.
-#[derive(Default)]
 pub struct Notices {
     state: Mutex<State>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Default for Notices {
+    fn default() -> Self {
+        Self::new(Arc::new(ProcessClock::default()))
+    }
 }
 
 impl Notices {
+    /// An empty table.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Mutex::default(),
+            clock,
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
     /// Adds notices and returns those that changed something, which are to be sent on.
     pub fn merge(&self, list: Vec<Notice>) -> Vec<Notice> {
+        let now = self.clock.now();
         let mut s = self.state();
-        list.into_iter().filter_map(|n| s.merge(n)).collect()
+        list.into_iter().filter_map(|n| s.merge(n, now)).collect()
     }
 
     /// All notices, for a new link.
     pub fn all(&self) -> Vec<Notice> {
+        let now = self.clock.now();
         let s = self.state();
-        let suspects = s.suspects.values().cloned().map(Notice::Suspect);
+        let suspects = s.suspects.list(now).into_iter().map(Notice::Suspect);
         suspects
             .chain(s.grants.values().cloned().map(Notice::Grant))
             .collect()
     }
+
+    /// Calls `f` with the suspects and the present time.
+    pub fn suspects<F, T>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut Suspects, Now) -> T,
+    {
+        f(&mut self.state().suspects, self.clock.now())
+    }
+
+    /// What is known about a request.
+    pub fn verdict(&self, fingerprint: &Digest) -> Verdict {
+        self.suspects(|s, now| s.verdict(fingerprint, now))
+    }
+
+    /// Ownership of all shards.
+    pub fn grants(&self) -> Vec<Grant> {
+        self.state().grants.values().cloned().collect()
+    }
+
+    /// The range that holds a key time.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::KeyExpired`] for a time before all ranges, [`Reason::OwnerUnreachable`] for one that no known range
+    /// holds. An owner that is not known here may have run the key.
+    pub fn owner(&self, shard: Shard, key_ms: u64) -> Result<KeyRange, Reason> {
+        let s = self.state();
+        let ranges = s.grants.get(&shard).map_or(&[][..], |g| &g.ranges);
+        let holds = |r: &&KeyRange| (r.from_ms..r.until_ms).contains(&key_ms);
+        match ranges.iter().find(holds) {
+            Some(r) => Ok(r.clone()),
+            None if ranges.first().is_some_and(|r| key_ms < r.from_ms) => Err(Reason::KeyExpired),
+            None => Err(Reason::OwnerUnreachable),
+        }
+    }
 }
 
 impl State {
-    fn merge(&mut self, n: Notice) -> Option<Notice> {
+    fn merge(&mut self, n: Notice, now: Now) -> Option<Notice> {
         match n {
-            Notice::Suspect(s) => self.merge_suspect(s).map(Notice::Suspect),
+            Notice::Suspect(s) => self.suspects.merge(s, now).map(Notice::Suspect),
             Notice::Grant(g) => match self.grants.get(&g.shard) {
                 Some(held) if held.revision >= g.revision => None,
                 _ => {
@@ -111,21 +170,4 @@
             },
         }
     }
-
-    fn merge_suspect(&mut self, s: Suspect) -> Option<Suspect> {
-        match self.suspects.get_mut(&s.fingerprint) {
-            Some(held) if held.epoch > s.epoch => None,
-            Some(held) if held.epoch == s.epoch => {
-                let before = held.crashes.len();
-                held.crashes.extend(s.crashes);
-                held.crashes.sort();
-                held.crashes.dedup();
-                (held.crashes.len() > before).then(|| held.clone())
-            }
-            _ => {
-                self.suspects.insert(s.fingerprint, s.clone());
-                Some(s)
-            }
-        }
-    }
 }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -9,6 +9,8 @@
 use super::context;
 use super::gate::{self, Way};
 use super::job::Job;
+use super::key::Key;
+use super::owner;
 use super::reason::{Failure, Outcome, Reason, OUTCOME};
 use super::retry::{Decision, Failed};
 use crate::prelude::*;
@@ -20,19 +22,46 @@
 /// Serves one request of a caller.
 pub async fn serve(p: Arc<Process>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
     let start = p.clock.now();
-    let (rank, id, out) = match Job::accept(&p, req, from).await {
-        Ok(job) => {
-            let (rank, id) = (job.ctx.rank.clone(), job.ctx.id.clone());
-            (rank, id, answer(&p, job).await)
-        }
-        Err(f) => (RankId::default(), SmolStr::default(), Err(f)),
+    // Without a job it is not known whether the route is idempotent.
+    let keyed = Key::read(req.headers()).is_ok();
+    let (rank, id, out) = match owner::asks_for_key(&req) {
+        true => (RankId::default(), SmolStr::default(), owner::issue(&p)),
+        false => match Job::accept(&p, req, from).await {
+            Ok(job) => {
+                let (rank, id) = (job.ctx.rank.clone(), job.ctx.id.clone());
+                (rank, id, answer(&p, job).await)
+            }
+            Err(f) if keyed => (
+                RankId::default(),
+                SmolStr::default(),
+                Err(owner::before_owner(f)),
+            ),
+            Err(f) => (RankId::default(), SmolStr::default(), Err(f)),
+        },
     };
     let took = p.clock.now().saturating_sub(start);
     ended(&p, &rank, &id, out.as_ref().err(), took);
-    out.unwrap_or_else(|f| {
+    let mut res = out.unwrap_or_else(|f| {
         p.metrics.refused(f.reason);
         f.response()
-    })
+    });
+    close_when_leaving(&p, &mut res);
+    res
+}
+
+/// Marks the answer of a backend server.
+pub fn mark_done(mut res: Response<Body>) -> Response<Body> {
+    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
+    res.headers_mut().insert(OUTCOME, done);
+    res
+}
+
+/// Asks the client to open its next connection elsewhere once a planned stop finishes work.
+pub fn close_when_leaving(p: &Process, res: &mut Response<Body>) {
+    if p.beside.closing() {
+        let close = http::HeaderValue::from_static("close");
+        res.headers_mut().insert(http::header::CONNECTION, close);
+    }
 }
 
 /// Counts and logs the end of a request.
@@ -63,10 +92,8 @@
         Way::Answered(res) => res,
     };
     context::strip_internal(res.headers_mut());
-    let done = http::HeaderValue::from_static(Outcome::Done.as_str());
-    res.headers_mut().insert(OUTCOME, done);
     let left = deadline.saturating_sub(p.clock.now());
-    Ok(guard(res, left, permits))
+    Ok(guard(mark_done(res), left, permits))
 }
 
 /// Runs a request at one target of its service, or at several one after the other when the rules for retries allow it.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,10 +24,10 @@
     pub limits: LimitSettings,
     /// Choice of policies.
     pub policy: PolicySettings,
-    /// Logs.
-    pub log: LogSettings,
     /// Injection of faults by tests.
     pub faults: FaultSettings,
+    /// Logs.
+    pub log: LogSettings,
 }
 
 /// Injection of faults by tests.
