Sample planned stops, suspects and remembered keys for metrics

The step of a planned stop, suspected requests and the keys that a node remembers were visible in the admin API of single nodes only, so no alarm could be set on them.

--- a/src/process/drain.rs
+++ b/src/process/drain.rs
@@ -98,6 +98,28 @@
     Drained,
 }
 
+impl Phase {
+    /// Every step.
+    pub const ALL: [Self; 5] = [
+        Self::Serving,
+        Self::Announced,
+        Self::Finishing,
+        Self::Closing,
+        Self::Drained,
+    ];
+
+    /// Value of the metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Announced => "announced",
+            Self::Finishing => "finishing",
+            Self::Closing => "closing",
+            Self::Drained => "drained",
+        }
+    }
+}
+
 /// What the driver has to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Action {
--- a/src/process/ownership.rs
+++ b/src/process/ownership.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Keys whose requests run or whose results are remembered.
+    pub fn remembered(&self) -> usize {
+        lock(&self.dedup).len()
+    }
+
     /// Whether this process may run a key that the sender looked up under this incarnation.
     pub fn accept(&self, key: Key, incarnation: Incarnation) -> bool {
         lock(&self.grants).accept(key.shard(), key.time_ms(), incarnation)
--- a/src/process/sample.rs
+++ b/src/process/sample.rs
@@ -2,8 +2,10 @@
 
 use prometheus::{IntGauge, IntGaugeVec, Registry};
 
+use super::drain::Phase;
 use super::metrics::{gauge, gauges};
 use super::node::Process;
+use super::quarantine::convicted;
 use super::record::TargetState;
 use crate::connection::entry::Mark;
 
@@ -23,6 +25,14 @@
     members: IntGaugeVec,
     /// Targets that this node knows, by state.
     targets: IntGaugeVec,
+    /// Step of the planned stop: 1 for the present one.
+    stop: IntGaugeVec,
+    /// Accepted requests that have not finished.
+    busy: IntGauge,
+    /// Suspected and quarantined requests.
+    suspects: IntGaugeVec,
+    /// Idempotency keys that this node remembers.
+    keys: IntGauge,
     /// Running and waiting requests of the backend server in percent of its slots.
     load: IntGauge,
     /// Time since the start of the process.
@@ -61,6 +71,28 @@
             ),
             members: gauges(r, "dq_members", "Known nodes by state", &["state"]),
             targets: gauges(r, "dq_known_targets", "Known targets by state", &["state"]),
+            stop: gauges(
+                r,
+                "dq_stop_phase",
+                "1 for the step of the planned stop",
+                &["phase"],
+            ),
+            busy: gauge(
+                r,
+                "dq_busy_requests",
+                "Accepted requests that have not finished",
+            ),
+            suspects: gauges(
+                r,
+                "dq_suspects",
+                "Suspected and quarantined requests",
+                &["state"],
+            ),
+            keys: gauge(
+                r,
+                "dq_remembered_keys",
+                "Idempotency keys that this node remembers",
+            ),
             load: gauge(
                 r,
                 "dq_backend_load_percent",
@@ -106,6 +138,20 @@
                 targets.filter(|t| t.state == state).count(),
             );
         }
+        for phase in Phase::ALL {
+            set(
+                &self.stop,
+                phase.as_str(),
+                usize::from(p.beside.phase() == phase),
+            );
+        }
+        self.busy.set(as_gauge(p.beside.busy() as u64));
+        let suspects = p.notices.suspects(|s, now| s.list(now));
+        let counted = suspects.iter().filter(|s| !s.crashes.is_empty());
+        let (bad, doubtful): (Vec<_>, Vec<_>) = counted.partition(|s| convicted(s));
+        set(&self.suspects, "quarantined", bad.len());
+        set(&self.suspects, "suspect", doubtful.len());
+        self.keys.set(as_gauge(p.ownership.remembered() as u64));
         self.load.set(p.slots.load_percent().into());
         self.uptime.set(as_gauge(p.clock.now().as_secs()));
     }
