Give the nodes of dev a shared key

Without one every node logged that peers are not authenticated, and the first command of a newcomer did not exercise the proofs. The key is random, in a file readable by the user only, which is removed once the nodes have read it. Tests set TMPDIR to their own folder, so that a killed dev leaves nothing behind.

--- a/src/devsite.rs
+++ b/src/devsite.rs
@@ -1,6 +1,9 @@
 //! A small whole site in one process: store stand-in, nodes and sample backend servers on loopback addresses.
 
+use std::io::Write;
 use std::net::SocketAddr;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::PathBuf;
 use std::time::Instant;
 
 use dropshot::HttpServer;
@@ -76,6 +79,32 @@
     _store: HttpServer<Arc<StandIn>>,
 }
 
+/// A file with a random shared key, readable by this user only. Nodes read it at their start; it is removed after that.
+struct KeyFile(PathBuf);
+
+impl KeyFile {
+    fn create() -> CmdResult<Self> {
+        let name = format!("dragonflyquay-{}.key", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        let mut options = std::fs::OpenOptions::new();
+        options.write(true).create_new(true).mode(0o600);
+        let key = format!("{:032x}", rand::random::<u128>());
+        let written = options
+            .open(&path)
+            .and_then(|mut f| f.write_all(key.as_bytes()));
+        match written {
+            Ok(()) => Ok(Self(path)),
+            Err(e) => fail(Exit::Failed, format!("{}: {e}", path.display())),
+        }
+    }
+}
+
+impl Drop for KeyFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
 fn services() -> impl Iterator<Item = &'static str> {
     SERVICES
         .iter()
@@ -104,6 +133,7 @@
         .or_else(|e| fail(Exit::Failed, format!("{}: {e}", ports.store())))?;
     let store = server.local_addr();
     let opened = open(ports).await?;
+    let key = KeyFile::create()?;
     let peers: Vec<_> = opened
         .iter()
         .filter_map(|(_, l)| l.peer.local_addr().ok())
@@ -112,7 +142,8 @@
     let mut members = Vec::new();
     for (i, ((listen, listeners), service)) in opened.into_iter().zip(services()).enumerate() {
         let az = ZONES[i % ZONES.len()];
-        let settings = node_settings(&name, i, az, listen, &peers, store);
+        let mut settings = node_settings(&name, i, az, listen, &peers, store);
+        settings.peers.key_file = Some(key.0.clone());
         let client = HttpStore::new(store, Duration::from_millis(settings.store.timeout_ms));
         let node = node::start(settings, Arc::new(client), listeners)
             .or_else(|e| fail(Exit::Failed, format!("{e:?}")))?;
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -49,7 +49,8 @@
 /// Guards against gauges that are registered but never set from the state of the node.
 #[test]
 fn metrics_show_the_site() {
-    let dev = Workdir::new().start(&["dev"]);
+    let dir = Workdir::new();
+    let dev = dir.start(&["dev"]);
     let line = dev.wait_line("a1 ");
     let admin = line.split_whitespace().last().unwrap().parse().unwrap();
     dev.wait_line("version 1 is in force on 10 of 10 nodes");
@@ -57,6 +58,7 @@
         "dq_version_number 1\n",
         "dq_version_lag 0\n",
         "dq_members{state=\"alive\"} 10\n",
+        "dq_stop_phase{phase=\"serving\"} 1\n",
         "dq_known_targets{state=\"ready\"} 10\n",
         "dq_adopt_seconds_count 1\n",
     ] {
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -69,7 +69,9 @@
 
     pub fn command(&self, args: &[&str]) -> Command {
         let mut c = Command::new(env!("CARGO_BIN_EXE_dragonflyquay"));
-        c.args(args).current_dir(self.dir.path());
+        c.args(args)
+            .current_dir(self.dir.path())
+            .env("TMPDIR", self.dir.path());
         c
     }
 
