Inject zone and connection delays in the policy measurement

The deployments in shape have delays between zones and for each new connection; devbackend injects them now. It takes whole milliseconds, so the 1.5 ms of the second deployment become 2.

--- a/examples/support/site.rs
+++ b/examples/support/site.rs
@@ -17,6 +17,10 @@
     pub slots: u32,
     /// Work time of a request, chosen so that the whole site has a capacity of 500 requests/s.
     pub work_ms: u64,
+    /// Connections of each target.
+    connections: u64,
+    /// Delay of each way between zones; the stand-in takes whole milliseconds, so 1.5 ms become 2.
+    zone_ms: u64,
     /// Route whose flood is the least urgent work that shares a service with urgent work.
     pub least: &'static str,
     /// Route whose flood is urgent work.
@@ -30,6 +34,8 @@
         services: [("catalogue-desk", 6), ("parcel-hall", 4)],
         slots: 6,
         work_ms: 120,
+        connections: 100,
+        zone_ms: 1,
         least: "sample-request",
         urgent: "catalogue-lookup",
     },
@@ -39,6 +45,8 @@
         services: [("catalogo", 8), ("liquidacao", 4)],
         slots: 12,
         work_ms: 288,
+        connections: 130,
+        zone_ms: 2,
         least: "standing-order",
         urgent: "price-check",
     },
@@ -46,6 +54,8 @@
 
 /// Part of a service's capacity that each kind of work takes outside a flood.
 const NORMAL: f64 = 0.2;
+/// Time that a new connection costs.
+const CONNECT_MS: u64 = 1;
 /// Caller identities of each kind, above the number at which limits for one caller take effect.
 const CALLERS: u64 = 40;
 
@@ -65,13 +75,25 @@
         targets as f64 * f64::from(self.slots) * 1000.0 / work_ms as f64
     }
 
+    /// Options of a backend server. Without work there are no delays either, to measure what nodes add.
+    fn options(&self, work_ms: u64) -> Vec<(&'static str, u64)> {
+        let zone = if work_ms == 0 { 0 } else { self.zone_ms };
+        vec![
+            ("--slots", self.slots.into()),
+            ("--work-ms", work_ms),
+            ("--connections", self.connections),
+            ("--zone-delay-ms", zone),
+            ("--connect-delay-ms", CONNECT_MS),
+        ]
+    }
+
     /// Starts nodes and backend servers and commits the manifest.
     pub fn start(&self, policy: &str, work_ms: u64) -> Result<Fleet> {
         let n = self.services.iter().map(|s| s.1).sum();
         let mut f = Fleet::start(self.name, n, policy)?;
         for (name, targets) in self.services {
             for _ in 0..targets {
-                f.start_backend(name, self.slots, work_ms)?;
+                f.start_backend(name, &self.options(work_ms))?;
             }
         }
         f.commit(&self.manifest()?, 0)?;
