--- a/examples/measure_fleet.rs
+++ b/examples/measure_fleet.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use dragonflyquay::version::manifest::{Manifest, Rank, Route, Service};
@@ -128,6 +129,8 @@
 struct Window {
     at: Instant,
     bytes: f64,
+    /// Sent and received bytes by kind of message.
+    kinds: BTreeMap<String, f64>,
     store: StoreStats,
     cpu: Duration,
 }
@@ -137,6 +140,7 @@
     Window {
         at: Instant::now(),
         bytes: m.sum("dq_control_bytes_total", &["direction=\"sent\""]),
+        kinds: m.by("dq_control_bytes_total", "kind"),
         store: f.store_stats(),
         cpu: f.pids().into_iter().filter_map(usage).map(|u| u.cpu).sum(),
     }
@@ -198,6 +202,8 @@
     missing: usize,
     /// Beyond what the idle fleet sends in the same time.
     bytes: f64,
+    /// By kind of message, with the idle traffic.
+    kinds: BTreeMap<String, f64>,
     calls: f64,
 }
 
@@ -219,6 +225,12 @@
     let after = window(f);
     let span = (after.at - before.at).as_secs_f64();
     out.bytes = (after.bytes - before.bytes - idle.bytes_per_s * span).max(0.0);
+    // Each message is counted at both ends.
+    let sent = |(kind, n): (&String, &f64)| {
+        let before = before.kinds.get(kind).copied().unwrap_or(0.0);
+        (kind.clone(), (n - before) / 2.0)
+    };
+    out.kinds = after.kinds.iter().map(sent).collect();
     out.calls = (after.store.calls() - before.store.calls()) as f64 - idle.calls_per_s * span;
     Ok(out)
 }
@@ -236,6 +248,11 @@
         churn_restarted_ms: Summary::of(churn.restarted),
         not_converged: changes.missing + churn.missing,
         control_bytes_per_change_node: changes.bytes / commits / nodes,
+        kinds: changes
+            .kinds
+            .into_iter()
+            .map(|(k, n)| (k, n / commits / nodes))
+            .collect(),
         manifest_bytes: canonical(&manifest(a.routes, 0)).len(),
         store_calls_per_change: changes.calls / commits,
         store_calls_per_s_idle: idle.calls_per_s,
--- a/examples/support/fleet_table.rs
+++ b/examples/support/fleet_table.rs
@@ -18,6 +18,8 @@
     /// Nodes that did not reach a version within the limit, over all commits.
     pub not_converged: usize,
     pub control_bytes_per_change_node: f64,
+    /// Sent bytes for each change and node by kind of message, with the idle traffic between the commits.
+    pub kinds: std::collections::BTreeMap<String, f64>,
     pub manifest_bytes: usize,
     pub store_calls_per_change: f64,
     pub store_calls_per_s_idle: f64,
@@ -83,6 +85,20 @@
         ]
     }));
     table("Control traffic, store and idle cost", &rows);
+    show_kinds(sizes);
+}
+
+fn show_kinds(sizes: &[Size]) {
+    let mut rows = vec![row![
+        "nodes",
+        "bytes for each change and node by kind, with idle traffic"
+    ]];
+    rows.extend(sizes.iter().map(|s| {
+        let kinds = s.kinds.iter().filter(|(_, n)| **n > 0.0);
+        let kinds: Vec<_> = kinds.map(|(k, n)| format!("{k}={n:.0}")).collect();
+        row![s.nodes, kinds.join(" ")]
+    }));
+    table("Control bytes by kind", &rows);
 }
 
 pub fn show_fits(fits: &[(&str, Fit)]) {
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -218,6 +218,24 @@
     }
 }
 
+impl Metrics {
+    /// Sums of a metric by the value of one label.
+    pub fn by(&self, name: &str, label: &str) -> std::collections::BTreeMap<String, f64> {
+        let mut out = std::collections::BTreeMap::new();
+        for (series, value) in &self.0 {
+            let (n, labels) = series.split_once('{').unwrap_or((series, ""));
+            let found = labels
+                .split(&format!("{label}=\""))
+                .nth(1)
+                .and_then(|l| l.split('"').next());
+            if let (true, Some(found)) = (n == name, found) {
+                *out.entry(found.to_owned()).or_default() += value;
+            }
+        }
+        out
+    }
+}
+
 /// CPU time and resident memory of an own child.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Usage {
