--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -81,78 +81,43 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let r = Registry::new();
+        let r = &Registry::new();
+        let many = |name: &str, help: &str, labels: &[&str]| counters(r, name, help, labels);
+        let one = |name: &str, help: &str| register(r, IntCounter::new(name, help));
+        let state = |name: &str, help: &str| gauge(r, name, help);
+        let reason = &["reason"];
         Self {
-            requests: counters(
-                &r,
-                "dq_requests_total",
-                "Requests by rank and outcome",
-                &["rank", "outcome"],
-            ),
-            refusals: counters(
-                &r,
-                "dq_refusals_total",
-                "Refused or failed requests by reason",
-                &["reason"],
-            ),
-            retries: counters(&r, "dq_retries_total", "Retries by reason", &["reason"]),
-            queued: gauges(
-                &r,
-                "dq_queued_requests",
-                "Waiting requests by rank",
-                &["rank"],
-            ),
-            control_bytes: counters(
-                &r,
+            requests: many("dq_requests_total", "Requests", &["rank", "outcome"]),
+            refusals: many("dq_refusals_total", "Refused or failed requests", reason),
+            retries: many("dq_retries_total", "Repeated attempts", reason),
+            queued: gauges(r, "dq_queued_requests", "Waiting requests", &["rank"]),
+            control_bytes: many(
                 "dq_control_bytes_total",
                 "Bytes on links between nodes",
                 &["direction", "kind"],
             ),
-            rejected: counters(
-                &r,
-                "dq_rejected_inputs_total",
-                "Rejected inputs from peers",
-                &["kind"],
-            ),
-            store_calls: counters(
-                &r,
-                "dq_store_calls_total",
-                "Calls to the store",
-                &["kind", "result"],
-            ),
-            store_waiting: gauge(
-                &r,
-                "dq_store_waiting_watches",
-                "Watches that wait at the store",
-            ),
-            crashes: register(
-                &r,
-                IntCounter::new(
-                    "dq_backend_crashes_total",
-                    "Crashes of the backend server beside this node",
-                ),
-            ),
-            attempts: register(
-                &r,
-                IntCounter::new(
-                    "dq_attempts_total",
-                    "Attempts at a target by the entry node",
-                ),
+            rejected: many("dq_rejected_inputs_total", "Rejected inputs", &["kind"]),
+            store_calls: many("dq_store_calls_total", "Store calls", &["kind", "result"]),
+            store_waiting: state("dq_store_waiting_watches", "Watches waiting at the store"),
+            crashes: one("dq_backend_crashes_total", "Crashes of the backend server"),
+            attempts: one(
+                "dq_attempts_total",
+                "Attempts at a target by the entry node",
             ),
             request_seconds: histograms(
-                &r,
+                r,
                 "dq_request_seconds",
                 "Time from the arrival of a request to the head of its answer",
                 &["rank"],
             ),
             adopt_seconds: histogram(
-                &r,
+                r,
                 "dq_adopt_seconds",
                 "Time from first hearing of a version to its adoption",
             ),
-            version: gauge(&r, "dq_version_number", "Number of the version in force"),
-            sampled: Sampled::new(&r),
-            registry: r,
+            version: state("dq_version_number", "Number of the version in force"),
+            sampled: Sampled::new(r),
+            registry: r.clone(),
         }
     }
 }
--- a/src/process/sample.rs
+++ b/src/process/sample.rs
@@ -42,67 +42,30 @@
 impl Sampled {
     /// Registers the gauges.
     pub fn new(r: &Registry) -> Self {
+        let one = |name: &str, help: &str| gauge(r, name, help);
+        let by = |name: &str, help: &str, label: &str| gauges(r, name, help, &[label]);
         Self {
-            lag: gauge(
-                r,
-                "dq_version_lag",
-                "Versions heard of and not in force yet",
-            ),
-            floor: gauge(
-                r,
-                "dq_version_floor",
-                "Lowest version number that may be adopted",
-            ),
-            forks: gauge(
-                r,
-                "dq_version_forks",
-                "Versions rejected because another one has their number",
-            ),
-            watcher: gauge(
-                r,
-                "dq_watcher",
-                "1 while this node watches the store's head",
-            ),
-            links: gauges(
-                r,
+            lag: one("dq_version_lag", "Versions heard of and not in force yet"),
+            floor: one("dq_version_floor", "Lowest version that may be adopted"),
+            forks: one("dq_version_forks", "Rejected versions with a held number"),
+            watcher: one("dq_watcher", "1 while this node watches the store's head"),
+            links: by(
                 "dq_links",
                 "Links by the side that opened them",
-                &["opened_by"],
+                "opened_by",
             ),
-            members: gauges(r, "dq_members", "Known nodes by state", &["state"]),
-            targets: gauges(r, "dq_known_targets", "Known targets by state", &["state"]),
-            stop: gauges(
-                r,
+            members: by("dq_members", "Known nodes by state", "state"),
+            targets: by("dq_known_targets", "Known targets by state", "state"),
+            stop: by(
                 "dq_stop_phase",
                 "1 for the step of the planned stop",
-                &["phase"],
-            ),
-            busy: gauge(
-                r,
-                "dq_busy_requests",
-                "Accepted requests that have not finished",
-            ),
-            suspects: gauges(
-                r,
-                "dq_suspects",
-                "Suspected and quarantined requests",
-                &["state"],
-            ),
-            keys: gauge(
-                r,
-                "dq_remembered_keys",
-                "Idempotency keys that this node remembers",
-            ),
-            load: gauge(
-                r,
-                "dq_backend_load_percent",
-                "Running and waiting requests of the backend server in percent of its slots",
-            ),
-            uptime: gauge(
-                r,
-                "dq_uptime_seconds",
-                "Time since the start of the process",
+                "phase",
             ),
+            busy: one("dq_busy_requests", "Accepted requests that have not ended"),
+            suspects: by("dq_suspects", "Suspected and rejected requests", "state"),
+            keys: one("dq_remembered_keys", "Idempotency keys remembered here"),
+            load: one("dq_backend_load_percent", "Work in percent of the slots"),
+            uptime: one("dq_uptime_seconds", "Time since the start of the process"),
         }
     }
 
