--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -195,6 +195,12 @@
         manifest.path.display(),
         site.store
     );
+    println!(
+        "See what a node runs, or book a courier, which runs at most once for each key:\n  \
+         {program} status --node {}\n  \
+         curl -i -X POST -H \"idempotency-key: $(curl -s -X POST http://{1}/.dq/key)\" http://{1}/bookings",
+        first.admin, first.caller
+    );
     println!("Ctrl-C stops the site.");
     loop {
         let next = tokio::select! {
--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -43,6 +43,30 @@
     let args: Vec<_> = commit.split_whitespace().skip(1).collect();
     let out = dir.run(&args);
     assert!(out.status.success(), "{out:?}");
+    let status = dev.wait_line(" status ");
+    let args: Vec<_> = status.split_whitespace().skip(1).collect();
+    assert!(dir.run(&args).status.success());
+    let booking = dev.wait_line("/bookings");
+    let caller = booking
+        .rsplit("http://")
+        .next()
+        .unwrap()
+        .trim_end_matches("/bookings")
+        .parse()
+        .unwrap();
+    let mut key = String::new();
+    wait_until("key issued", || {
+        let answer = http(caller, "POST", "/.dq/key", &[], "").unwrap();
+        key = answer.body;
+        answer.status == 200
+    });
+    let headers = [("idempotency-key", key.trim())];
+    let answer = http(caller, "POST", "/bookings", &headers, "").unwrap();
+    assert_eq!(
+        (answer.status, answer.header("dq-outcome")),
+        (200, "done"),
+        "{key}"
+    );
     dev.wait_line("version 2 is in force on 10 of 10 nodes");
 }
 
