--- a/tests/dev.rs
+++ b/tests/dev.rs
@@ -2,7 +2,7 @@
 
 mod workdir;
 
-use workdir::{http, repo_file, Workdir};
+use workdir::{http, repo_file, wait_until, Workdir};
 
 /// Guards against a first command of the README that does not run a request and a commit.
 #[test]
@@ -43,5 +43,51 @@
     let args: Vec<_> = commit.split_whitespace().skip(1).collect();
     let out = dir.run(&args);
     assert!(out.status.success(), "{out:?}");
+    let status = dev.wait_line(" status ");
+    let args: Vec<_> = status.split_whitespace().skip(1).collect();
+    assert!(dir.run(&args).status.success());
+    let booking = dev.wait_line("/bookings");
+    let caller = booking
+        .rsplit("http://")
+        .next()
+        .unwrap()
+        .trim_end_matches("/bookings")
+        .parse()
+        .unwrap();
+    let mut key = String::new();
+    wait_until("key issued", || {
+        let answer = http(caller, "POST", "/.dq/key", &[], "").unwrap();
+        key = answer.body;
+        answer.status == 200
+    });
+    let headers = [("idempotency-key", key.trim())];
+    let answer = http(caller, "POST", "/bookings", &headers, "").unwrap();
+    assert_eq!(
+        (answer.status, answer.header("dq-outcome")),
+        (200, "done"),
+        "{key}"
+    );
     dev.wait_line("version 2 is in force on 10 of 10 nodes");
 }
+
+/// Guards against gauges that are registered but never set from the state of the node.
+#[test]
+fn metrics_show_the_site() {
+    let dir = Workdir::new();
+    let dev = dir.start(&["dev"]);
+    let line = dev.wait_line("a1 ");
+    let admin = line.split_whitespace().last().unwrap().parse().unwrap();
+    dev.wait_line("version 1 is in force on 10 of 10 nodes");
+    for wanted in [
+        "dq_version_number 1\n",
+        "dq_version_lag 0\n",
+        "dq_members{state=\"alive\"} 10\n",
+        "dq_stop_phase{phase=\"serving\"} 1\n",
+        "dq_known_targets{state=\"ready\"} 10\n",
+        "dq_adopt_seconds_count 1\n",
+    ] {
+        wait_until(wanted, || {
+            http(admin, "GET", "/metrics", &[], "").is_some_and(|a| a.body.contains(wanted))
+        });
+    }
+}
