Send the first version of a node's record at once

Cause: after records with changed versions were held back, a node that had adopted its first version stayed at version 0 in the member lists for up to 10 minutes; seven process tests that wait for it failed. Change: the step from no version to the first one is sent at once. Conclusion: whether a node serves at all is a change of state, not of version.

--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -115,7 +115,8 @@
         record.incarnation = self.own.incarnation;
         record.sequence = self.own.sequence;
         let version = std::mem::replace(&mut record.version, self.own.version);
-        let due = version != self.own.version && self.next_version <= now;
+        let first = self.own.version.number == 0;
+        let due = version != self.own.version && (first || self.next_version <= now);
         if due || record != self.own {
             self.next_version = now + self.version_interval();
             self.own = record;
