--- a/src/process/watch_calls.rs
+++ b/src/process/watch_calls.rs
@@ -6,15 +6,14 @@
 use super::watch::{correct_list, Call, Reply, LEASE_TTL, WATCHERS, WATCH_WAIT};
 use crate::prelude::*;
 use crate::store::{Revision, StoreError, Swap};
-use crate::version::pack::deflate;
-use crate::version::publish::{commit_id, read_content, read_head, Head, Keys, CHUNK_BYTES};
-use crate::version::snapshot::{Snapshot, VersionRef};
+use crate::version::publish::{publish_again, read_content, read_watched_head, Head, Keys};
+use crate::version::snapshot::Snapshot;
 
 /// Result of a call.
 pub enum Outcome {
     /// Result that the state machine takes as it is.
     Reply(Reply),
-    /// Head, its revision, and its content when it is newer than the version in force.
+    /// Head, the revision to watch from, and its content when it is newer than the version in force.
     Head(Box<Head>, Revision, Option<Arc<Snapshot>>),
     /// Addresses of first contacts.
     Seeds(Vec<SocketAddr>),
@@ -40,7 +39,7 @@
             Err(e) => return Err(e),
         })),
         Call::Head => {
-            let (head, revision) = read_head(p.store.as_ref(), &keys).await?;
+            let (head, revision) = read_watched_head(p.store.as_ref(), &keys).await?;
             // A peer may have delivered the version in the meantime.
             let content = match head.version.number > p.version().number {
                 true => Some(Arc::new(
@@ -53,7 +52,7 @@
         Call::Wait(from) => Outcome::Reply(wait(p, &keys, *from).await?),
         Call::Republish => {
             if let Some(s) = held {
-                republish(p, &keys, &s).await?;
+                republish(p, &s).await?;
             }
             Outcome::Reply(Reply::Republish)
         }
@@ -99,34 +98,12 @@
     }
 }
 
-/// Publishes an accepted version that a restored store has lost. The content is stored before the head names it.
-async fn republish(p: &Process, keys: &Keys, s: &Snapshot) -> Result<(), StoreError> {
-    let (head, revision) = read_head(p.store.as_ref(), keys).await?;
-    if head.version.number >= s.version.number {
-        return Ok(());
-    }
-    let packed = deflate(&s.content);
-    let mut chunks = 0;
-    for part in packed.chunks(CHUNK_BYTES) {
-        let key = keys.chunk(&s.version.hash, chunks);
-        p.store.swap(&key, 0, Some(part.to_vec()), None).await?;
-        chunks += 1;
-    }
-    let base = VersionRef {
-        number: s.version.number - 1,
-        hash: s.parent,
-    };
-    let again = Head {
-        version: s.version,
-        parent: s.parent,
-        commit: commit_id(&p.settings.node.site, base, &s.version.hash),
-        chunks,
-    };
-    let value = serde_json::to_vec(&again).unwrap_or_default();
-    // After a conflict the head is read and compared again.
-    let key = keys.head();
-    let swap = p.store.swap(&key, revision, Some(value), None);
-    swap.await.map(drop)
+async fn republish(p: &Process, s: &Snapshot) -> Result<(), StoreError> {
+    let out = publish_again(p.store.as_ref(), &p.settings.node.site, s).await?;
+    spdlog::info!("event=published_again", kv: {
+        number = s.version.number, hash = s.version.hash.to_string(), outcome = format!("{out:?}")
+    });
+    Ok(())
 }
 
 fn read_list(value: &[u8]) -> Vec<SocketAddr> {
