--- a/src/process/watch_calls.rs
+++ b/src/process/watch_calls.rs
@@ -6,14 +6,14 @@
 use super::watch::{correct_list, Call, Reply, LEASE_TTL, WATCHERS, WATCH_WAIT};
 use crate::prelude::*;
 use crate::store::{Revision, StoreError, Swap};
-use crate::version::publish::{read_content, read_head, Head, Keys};
+use crate::version::publish::{publish_again, read_content, read_watched_head, Head, Keys};
 use crate::version::snapshot::Snapshot;
 
 /// Result of a call.
 pub enum Outcome {
     /// Result that the state machine takes as it is.
     Reply(Reply),
-    /// Head, its revision, and its content when it is newer than the version in force.
+    /// Head, the revision to watch from, and its content when it is newer than the version in force.
     Head(Box<Head>, Revision, Option<Arc<Snapshot>>),
     /// Addresses of first contacts.
     Seeds(Vec<SocketAddr>),
@@ -39,9 +39,9 @@
             Err(e) => return Err(e),
         })),
         Call::Head => {
-            let (head, revision) = read_head(p.store.as_ref(), &keys).await?;
-            let number = held.map_or(0, |s| s.version.number);
-            let content = match head.version.number > number {
+            let (head, revision) = read_watched_head(p.store.as_ref(), &keys).await?;
+            // A peer may have delivered the version in the meantime.
+            let content = match head.version.number > p.version().number {
                 true => Some(Arc::new(
                     read_content(p.store.as_ref(), &keys, &head).await?,
                 )),
@@ -99,7 +99,10 @@
 }
 
 async fn republish(p: &Process, s: &Snapshot) -> Result<(), StoreError> {
-    let _ = (p, s);
+    let out = publish_again(p.store.as_ref(), &p.settings.node.site, s).await?;
+    spdlog::info!("event=published_again", kv: {
+        number = s.version.number, hash = s.version.hash.to_string(), outcome = format!("{out:?}")
+    });
     Ok(())
 }
 
