--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -175,8 +175,8 @@
                 let others: Vec<_> = self.links.keys().copied().filter(|l| *l != id).collect();
                 self.send_notices(now, &others, changed);
             }
-            Frame::Announce(..) | Frame::Held(_) | Frame::Ask(..) | Frame::Content(..) => {
-                if let Frame::Announce(v, _) | Frame::Held(v) | Frame::Ask(v, _) = &frame {
+            Frame::Announce(_) | Frame::Held(_) | Frame::Ask(..) | Frame::Content(..) => {
+                if let Frame::Announce(v) | Frame::Held(v) | Frame::Ask(v, _) = &frame {
                     self.membership.peer_holds(id, *v);
                 }
                 let out = self.membership.frame(now, id, Frame::Ping);
@@ -234,6 +234,10 @@
                     });
                 }
                 Action::Adopt(s) => {
+                    if let Some(at) = self.spread.heard_at(s.version.number) {
+                        let took = self.now().saturating_sub(at);
+                        self.p.metrics.adopt_seconds.observe(took.as_secs_f64());
+                    }
                     self.p.adopt(s);
                     self.wake();
                 }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -62,8 +62,8 @@
             .request(req)
             .await
             .map_err(|e| match e.is_connect() {
-                true => StoreError::Unavailable(e.to_string()),
-                false => StoreError::Unknown(e.to_string()),
+                true => StoreError::Unavailable(with_causes(&e)),
+                false => StoreError::Unknown(with_causes(&e)),
             })?;
         let status = res.status();
         let data = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
@@ -72,15 +72,30 @@
             .map_err(|e| StoreError::Unknown(e.to_string()))?
             .to_bytes();
         match status {
-            s if s.is_success() => {
-                serde_json::from_slice(&data).map_err(|e| StoreError::Unknown(e.to_string()))
-            }
+            s if s.is_success() => decode_answer(&data),
             s if s.is_client_error() => Err(StoreError::Invalid(format!("status {s}"))),
             s => Err(StoreError::Unknown(format!("status {s}"))),
         }
     }
 }
 
+/// Text of an error and its causes; the outer one only says "client error".
+fn with_causes(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(cause) => format!("{e}: {}", with_causes(cause)),
+        None => e.to_string(),
+    }
+}
+
+/// Decodes the body of an answer.
+///
+/// # Errors
+///
+/// [`StoreError::Unknown`], because a write with a damaged answer may have taken effect.
+pub fn decode_answer(data: &[u8]) -> Result<Answer, StoreError> {
+    serde_json::from_slice(data).map_err(|e| StoreError::Unknown(e.to_string()))
+}
+
 fn unexpected<T>() -> Result<T, StoreError> {
     Err(StoreError::Unknown("answer of another kind".into()))
 }
