Split the start of a node and name states by the terms of the field

Change: start.rs opens listeners, builds the shared state and starts tasks in short functions; connections are served by a function of their own; quarantined replaces convicted, local_backend replaces beside; tests are renamed, their assertions are unchanged. Conclusion: behaviour unchanged.

--- a/examples/measure_once.rs
+++ b/examples/measure_once.rs
@@ -78,8 +78,8 @@
     crashed: usize,
     sends_before_quarantine: usize,
     answers: BTreeMap<String, usize>,
-    innocent_answers: BTreeMap<String, usize>,
-    innocent_answers_after_quarantine: BTreeMap<String, usize>,
+    other_answers: BTreeMap<String, usize>,
+    other_answers_after_quarantine: BTreeMap<String, usize>,
 }
 
 #[derive(Debug, Serialize)]
@@ -411,12 +411,12 @@
     let rt = &fleet.http.rt;
     for i in 0..args.resends {
         let boom = caller.send(i, "GET", "/catalogue/boom", &[]);
-        let innocents = (0..8).map(|n| {
+        let others = (0..8).map(|n| {
             let (caller, path) = (&caller, format!("/catalogue/{n}"));
             async move { caller.send(i + n, "GET", &path, &[]).await.0 }
         });
         let (boom, rest) = rt.block_on(async {
-            futures_util::future::join(boom, futures_util::future::join_all(innocents)).await
+            futures_util::future::join(boom, futures_util::future::join_all(others)).await
         });
         let quarantined = out.answers.contains_key("not-run quarantined");
         if boom.0 == "not-run quarantined" && !quarantined {
@@ -424,8 +424,8 @@
         }
         for answer in rest {
             let counts = match quarantined {
-                true => &mut out.innocent_answers_after_quarantine,
-                false => &mut out.innocent_answers,
+                true => &mut out.other_answers_after_quarantine,
+                false => &mut out.other_answers,
             };
             *counts.entry(answer).or_default() += 1;
         }
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -6,7 +6,7 @@
 
 use super::{block_on, fail, refused, usage, CmdError, CmdResult, Exit};
 use crate::prelude::*;
-use crate::process::node;
+use crate::process::start;
 use crate::store::http::HttpStore;
 use crate::{logging, settings};
 
@@ -42,7 +42,7 @@
         Duration::from_millis(s.store.timeout_ms),
     ));
     block_on(s.node.threads, async {
-        node::run(s, store).await.map_err(|e| {
+        start::run(s, store).await.map_err(|e| {
             let message = format!("{e:?}");
             e.change_context(CmdError {
                 exit: Exit::Failed,
--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -2,12 +2,13 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::IpAddr;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
 use crate::prelude::*;
@@ -27,7 +28,7 @@
 /// Serves HTTP/1.1 connections for ever; connections above the limit wait in the listen queue.
 pub async fn serve<H, F>(listener: TcpListener, limits: LimitSettings, handler: H)
 where
-    H: Fn(Request<Incoming>, std::net::IpAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (_open, closing) = watch::channel(false);
@@ -43,7 +44,7 @@
     closing: watch::Receiver<bool>,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>, std::net::IpAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let free = Arc::new(Semaphore::new(limits.connections));
@@ -60,29 +61,15 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let mut closing = closing.clone();
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let limits = limits.clone();
+        let serve = serve_connection(
+            stream,
+            from.ip(),
+            limits.clone(),
+            closing.clone(),
+            handler.clone(),
+        );
         tokio::spawn(async move {
-            let service = service_fn(move |req| {
-                let answer = handler(req, from.ip());
-                async move { Ok::<_, Infallible>(answer.await) }
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
-                .max_buf_size(limits.header_bytes.max(8192))
-                .max_headers(limits.headers)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                _ = connection.as_mut() => {}
-                () = closed(&mut closing) => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
-            }
+            serve.await;
             drop(permit);
         });
     }
@@ -90,3 +77,34 @@
     let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
     let _ = free.acquire_many(all).await;
 }
+
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    from: IpAddr,
+    limits: LimitSettings,
+    mut closing: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req, from);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
+        .max_buf_size(limits.header_bytes.max(8192))
+        .max_headers(limits.headers)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = closed(&mut closing) => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
--- a/src/devsite.rs
+++ b/src/devsite.rs
@@ -11,7 +11,7 @@
 use crate::cmd::devbackend;
 use crate::cmd::{fail, CmdResult, Exit};
 use crate::prelude::*;
-use crate::process::node::{self, Listeners, Running};
+use crate::process::start::{self, Listeners, Running};
 use crate::settings::{ListenSettings, NodeSettings, PeerSettings, Settings, StoreSettings};
 use crate::store::http::HttpStore;
 use crate::store::mem::MemStore;
@@ -145,7 +145,7 @@
         let mut settings = node_settings(&name, i, az, listen, &peers, store);
         settings.peers.key_file = Some(key.0.clone());
         let client = HttpStore::new(store, Duration::from_millis(settings.store.timeout_ms));
-        let node = node::start(settings, Arc::new(client), listeners)
+        let node = start::start(settings, Arc::new(client), listeners)
             .or_else(|e| fail(Exit::Failed, format!("{e:?}")))?;
         let backend = devbackend::Args {
             service: service.into(),
--- a/src/process/backend.rs
+++ b/src/process/backend.rs
@@ -78,10 +78,10 @@
 pub fn announced(p: &Arc<Process>, a: Announced) -> bool {
     let now = p.clock.now();
     let (address, incarnation) = (a.address, a.incarnation);
-    let mut m = lock(&p.beside.monitor);
+    let mut m = lock(&p.local_backend.monitor);
     let fresh = m.incarnation().is_some_and(|i| i != incarnation);
     let mut out = Vec::new();
-    if fresh && lock(&p.beside.drain).resume(now) {
+    if fresh && lock(&p.local_backend.drain).resume(now) {
         out.extend(m.drain(false, now));
         p.ownership.resume();
         spdlog::info!("event=drain_ended", kv: { incarnation });
@@ -90,7 +90,7 @@
     drop(m);
     p.set_backend(address);
     apply(p, out);
-    p.beside.phase() == Phase::Drained
+    p.local_backend.phase() == Phase::Drained
 }
 
 fn apply(p: &Arc<Process>, actions: Vec<target::Action>) {
@@ -118,7 +118,7 @@
             break;
         }
     }
-    let out = lock(&p.beside.monitor).probed(address, opened, p.clock.now());
+    let out = lock(&p.local_backend.monitor).probed(address, opened, p.clock.now());
     apply(&p, out);
 }
 
@@ -126,14 +126,14 @@
     let node = p.settings.node.id.as_bytes();
     let id = Digest::of_parts(&[node, &incarnation.to_be_bytes()]).short();
     let notices: Vec<_> = p.notices.suspects(|s, now| {
-        let found = lock(&p.beside.flights).crashed(id, s, now);
+        let found = lock(&p.local_backend.flights).crashed(id, s, now);
         let merged = found.into_iter().filter_map(|(f, c)| s.crashed(f, c, now));
         merged.map(Notice::Suspect).collect()
     });
     spdlog::warn!("event=backend_crashed", kv: { incarnation, in_flight = notices.len() });
     p.metrics.crashes.inc();
     p.spread(notices);
-    p.beside.freed.notify_waiters();
+    p.local_backend.freed.notify_waiters();
 }
 
 /// Admitting node: accepts a request, or waits while another suspect runs here and this one is a suspect.
@@ -142,7 +142,7 @@
 ///
 /// A planned stop, a quarantined request, or the deadline while waiting. It was not run.
 pub async fn admit(p: &Arc<Process>, f: Digest, deadline: Now) -> Result<Pass, Failure> {
-    p.beside.busy.fetch_add(1, Ordering::SeqCst);
+    p.local_backend.busy.fetch_add(1, Ordering::SeqCst);
     // From here on the drop of `pass` undoes the count, so that a stop cannot miss a request between check and count.
     let mut pass = Pass {
         p: p.clone(),
@@ -150,20 +150,20 @@
         sent: false,
     };
     let now = p.clock.now();
-    let leaving = lock(&p.beside.monitor).leaving(now);
+    let leaving = lock(&p.local_backend.monitor).leaving(now);
     let gone = leaving.is_some_and(|t| t >= drain::SPREAD_TIME);
-    if gone || !lock(&p.beside.drain).accepts() {
+    if gone || !lock(&p.local_backend.drain).accepts() {
         return Err(Failure::not_run(Reason::Draining));
     }
     // The other half of the time is left for another target.
     let half = deadline.saturating_sub(now) / 2;
     loop {
-        let freed = p.beside.freed.notified();
+        let freed = p.local_backend.freed.notified();
         tokio::pin!(freed);
         freed.as_mut().enable();
         let start = p
             .notices
-            .suspects(|s, now| lock(&p.beside.flights).start(f, s, now));
+            .suspects(|s, now| lock(&p.local_backend.flights).start(f, s, now));
         match start {
             Start::Run(id) => {
                 pass.id = Some(id);
@@ -190,7 +190,7 @@
         let p = &self.p;
         let start = p
             .notices
-            .suspects(|s, now| lock(&p.beside.flights).sent(id, s, now));
+            .suspects(|s, now| lock(&p.local_backend.flights).sent(id, s, now));
         match start {
             Start::Run(_) => {
                 self.sent = true;
@@ -208,7 +208,7 @@
         let now = p.clock.now();
         match result {
             Ok(()) => {
-                lock(&p.beside.monitor).answered(now);
+                lock(&p.local_backend.monitor).answered(now);
                 self.end(FlightEnd::Completed);
             }
             Err(f) => {
@@ -218,9 +218,9 @@
                 };
                 self.end(end);
                 if matches!(f.reason, Reason::Lost | Reason::NotSent | Reason::BadAnswer) {
-                    let out = lock(&p.beside.monitor).broke(now);
+                    let out = lock(&p.local_backend.monitor).broke(now);
                     apply(&p, out);
-                    while lock(&p.beside.monitor).is_probing() {
+                    while lock(&p.local_backend.monitor).is_probing() {
                         tokio::time::sleep(PROBE_POLL).await;
                     }
                 }
@@ -234,13 +234,13 @@
         };
         let p = &self.p;
         let cleared = p.notices.suspects(|s, now| {
-            let fingerprint = lock(&p.beside.flights).end(id, end, s, now)?;
+            let fingerprint = lock(&p.local_backend.flights).end(id, end, s, now)?;
             s.clear(&fingerprint, now)
         });
         if let Some(s) = cleared {
             p.spread(vec![Notice::Suspect(s)]);
         }
-        p.beside.freed.notify_waiters();
+        p.local_backend.freed.notify_waiters();
     }
 }
 
@@ -252,13 +252,13 @@
             false => FlightEnd::Open,
         };
         self.end(end);
-        self.p.beside.busy.fetch_sub(1, Ordering::SeqCst);
+        self.p.local_backend.busy.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 /// Starts a planned stop.
 pub fn begin_drain(p: &Arc<Process>) {
-    let actions = lock(&p.beside.drain).begin(p.clock.now());
+    let actions = lock(&p.local_backend.drain).begin(p.clock.now());
     if !actions.is_empty() {
         spdlog::info!("event=drain_started");
     }
@@ -269,7 +269,7 @@
     for a in actions {
         match a {
             drain::Action::MarkDraining => {
-                let out = lock(&p.beside.monitor).drain(true, p.clock.now());
+                let out = lock(&p.local_backend.monitor).drain(true, p.clock.now());
                 apply(p, out);
             }
             drain::Action::HandOver => p.ownership.retire(),
@@ -284,7 +284,7 @@
 
 /// Waits until the planned stop has finished.
 pub async fn drained(p: &Arc<Process>) {
-    while p.beside.phase() != Phase::Drained {
+    while p.local_backend.phase() != Phase::Drained {
         tokio::time::sleep(TICK).await;
     }
 }
@@ -293,12 +293,12 @@
 pub async fn run(p: Arc<Process>) {
     loop {
         let now = p.clock.now();
-        let out = lock(&p.beside.monitor).tick(now);
+        let out = lock(&p.local_backend.monitor).tick(now);
         apply(&p, out);
-        lock(&p.beside.flights).expire(now);
-        if p.beside.phase() != Phase::Serving {
+        lock(&p.local_backend.flights).expire(now);
+        if p.local_backend.phase() != Phase::Serving {
             let handed = p.ownership.handed_over();
-            let out = lock(&p.beside.drain).tick(now, p.beside.busy(), handed);
+            let out = lock(&p.local_backend.drain).tick(now, p.local_backend.busy(), handed);
             perform(&p, out);
         }
         tokio::time::sleep(TICK).await;
@@ -307,10 +307,10 @@
 
 /// Lets suspects that wait look again, after one was cleared.
 pub fn wake(p: &Process) {
-    p.beside.freed.notify_waiters();
+    p.local_backend.freed.notify_waiters();
 }
 
 /// State of the target for operators.
 pub fn target_state(p: &Process) -> TargetState {
-    lock(&p.beside.monitor).state(p.clock.now())
+    lock(&p.local_backend.monitor).state(p.clock.now())
 }
--- a/src/process/links.rs
+++ b/src/process/links.rs
@@ -109,16 +109,16 @@
 
 /// Decides between a new link and one to the same node: whether to keep the new one, and which one it replaces. `ours`
 /// says that this node opened the new one.
-pub fn resolve_twin(
+pub fn resolve_duplicate(
     links: &BTreeMap<LinkId, Link>,
     own: &NodeId,
     remote: &Remote,
     ours: bool,
 ) -> (bool, Option<LinkId>) {
-    let twin = links.iter().find(|(_, l)| l.peer == remote.node);
+    let duplicate = links.iter().find(|(_, l)| l.peer == remote.node);
     // When both ends opened a link at the same time, both keep the one that the smaller id opened.
     let first = *own < remote.node;
-    match twin {
+    match duplicate {
         _ if remote.node == *own => (false, None),
         Some((_, l))
             if l.incarnation == remote.incarnation && l.dialed != ours && l.dialed == first =>
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -5,7 +5,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 
-use super::links::{resolve_twin, Dialer, Link, LinkId};
+use super::links::{resolve_duplicate, Dialer, Link, LinkId};
 use super::reconnect::{around, jitter};
 use super::record::Record;
 use super::table::{version_wait, Table, RETURN};
@@ -166,7 +166,7 @@
             self.dialer.opened(a);
         }
         let ours = dialed.is_some();
-        let (keep, replaced) = resolve_twin(&self.links, &self.own.node, &remote, ours);
+        let (keep, replaced) = resolve_duplicate(&self.links, &self.own.node, &remote, ours);
         if !keep {
             return vec![Action::Send(id, Frame::Bye), Action::Close(id)];
         }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -33,6 +33,7 @@
 pub mod shutdown;
 pub mod slots;
 pub mod spread;
+pub mod start;
 pub mod stop;
 pub mod table;
 pub mod target;
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -1,38 +1,28 @@
-//! The node process: owns the shared state and starts the listeners and control tasks.
+//! State that a node's tasks share for as long as the process lives.
 
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use dropshot::HttpServer;
-use tokio::net::TcpListener;
-use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
-use super::backend::{self, Backend};
+use super::backend::Backend;
 use super::callers::Callers;
-use super::clock::{Clock, ProcessClock};
-use super::faults::{BlockableStore, Faults};
+use super::clock::Clock;
+use super::faults::Faults;
+use super::floor;
 use super::metrics::Metrics;
 use super::notices::{Notice, Notices};
-use super::ownership::{self, Ownership};
+use super::ownership::Ownership;
 use super::record::{Addresses, Record, Target, TargetState};
 use super::routing::Routing;
 use super::slots::Slots;
 use super::view::{Post, Usable, View};
-use super::{admin, control, floor, shutdown};
-use crate::connection::handshake::Identity;
-use crate::connection::listen;
-use crate::connection::peer::WsTransport;
-use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
+use crate::connection::upstream::Upstream;
 use crate::key::SharedKey;
 use crate::prelude::*;
 use crate::request::reason::Reason;
-use crate::request::{admit, entry};
-use crate::settings::{ListenSettings, Settings};
-use crate::store::counted::Counted;
+use crate::settings::Settings;
 use crate::store::Store;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
@@ -75,14 +65,14 @@
     /// Ownership of idempotency keys.
     pub ownership: Ownership,
     /// The backend server beside this node.
-    pub beside: Backend,
+    pub local_backend: Backend,
     /// The site's shared key, when the settings name one.
     pub key: Option<SharedKey>,
     /// What the control task knows, and messages to it.
     pub view: View,
     /// Injected faults.
     pub faults: Arc<Faults>,
-    own: Mutex<(Record, Option<SocketAddr>)>,
+    pub(super) own: Mutex<(Record, Option<SocketAddr>)>,
 }
 
 impl Process {
@@ -105,6 +95,11 @@
         }
     }
 
+    /// Puts the addresses of the listeners into the own record.
+    pub fn set_addresses(&self, addresses: Addresses) {
+        self.change_own(|r, _| r.addresses = addresses);
+    }
+
     /// Address of the backend server, as it announced it.
     pub fn set_backend(&self, address: SocketAddr) {
         self.change_own(|_, a| *a = Some(address));
@@ -121,7 +116,7 @@
 
     /// Address of the backend server while it can run requests.
     pub fn backend(&self) -> Option<SocketAddr> {
-        self.beside.address(self.clock.now())
+        self.local_backend.address(self.clock.now())
     }
 
     /// How far the record of a node may be used; a record of an earlier process may not.
@@ -219,196 +214,3 @@
         (v.number > 0).then(|| floor::issue(v, &self.settings.node.site, self.key.as_ref()))
     }
 }
-
-fn identity(settings: &Settings, record: &Record, key: Option<SharedKey>) -> Identity {
-    if key.is_none() {
-        spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
-    }
-    Identity {
-        site: settings.node.site.clone(),
-        node: record.node.clone(),
-        incarnation: record.incarnation,
-        az: record.az.clone(),
-        key,
-    }
-}
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
-    TcpListener::bind(address)
-        .await
-        .change_context(NodeError)
-        .attach_with(|| format!("cannot listen on {address}"))
-}
-
-/// Listeners of a node, opened before its settings are complete when several nodes start together.
-pub struct Listeners {
-    /// Requests of callers.
-    pub caller: TcpListener,
-    /// Requests relayed by other nodes.
-    pub relay: TcpListener,
-    /// Links of other nodes.
-    pub peer: TcpListener,
-}
-
-impl Listeners {
-    /// Opens the listeners.
-    ///
-    /// # Errors
-    ///
-    /// An address could not be listened on.
-    pub async fn open(s: &ListenSettings) -> Result<Self, Report<NodeError>> {
-        Ok(Self {
-            caller: bind(s.caller).await?,
-            relay: bind(s.relay).await?,
-            peer: bind(s.peer).await?,
-        })
-    }
-}
-
-/// A running node; its admin API stops when this is dropped.
-pub struct Running {
-    /// Shared state.
-    pub process: Arc<Process>,
-    /// Addresses taken.
-    pub addresses: Addresses,
-    /// Ends the listeners for requests once it is set; requests in progress are answered first.
-    pub close: watch::Sender<bool>,
-    /// Tasks of these listeners.
-    pub listeners: Vec<JoinHandle<()>>,
-    _admin: HttpServer<Arc<Process>>,
-}
-
-/// Runs a node until the process is told to stop.
-///
-/// # Errors
-///
-/// A listener could not be opened.
-pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
-    let listeners = Listeners::open(&settings.listen).await?;
-    let node = start(settings, store, listeners)?;
-    shutdown::wait(node).await.change_context(NodeError)
-}
-
-/// Starts a node on open listeners.
-///
-/// # Errors
-///
-/// The admin API could not listen.
-pub fn start(
-    settings: Settings,
-    store: Arc<dyn Store>,
-    listeners: Listeners,
-) -> Result<Running, Report<NodeError>> {
-    let upstream = HttpUpstream::new(&UpstreamSettings::default());
-    start_with(settings, store, listeners, Arc::new(upstream))
-}
-
-/// Starts a node that sends requests through this client.
-///
-/// # Errors
-///
-/// The admin API could not listen.
-pub fn start_with(
-    settings: Settings,
-    store: Arc<dyn Store>,
-    listeners: Listeners,
-    upstream: Arc<dyn Upstream>,
-) -> Result<Running, Report<NodeError>> {
-    let key = match &settings.peers.key_file {
-        Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
-        None => None,
-    };
-    let Listeners {
-        caller,
-        relay,
-        peer,
-    } = listeners;
-    let local = |l: &TcpListener| l.local_addr().change_context(NodeError);
-    let mut addresses = Addresses {
-        caller: local(&caller)?,
-        relay: local(&relay)?,
-        peer: local(&peer)?,
-        admin: settings.listen.admin,
-    };
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let record = Record {
-        node: settings.node.id.clone(),
-        incarnation: since.as_millis() as u64,
-        sequence: 0,
-        az: settings.node.az.clone(),
-        region: settings.node.region.clone(),
-        addresses,
-        version: VersionRef::default(),
-        watcher: false,
-        target: None,
-    };
-    let identity = identity(&settings, &record, key.clone());
-    let faults = Arc::new(Faults::new(settings.faults.enabled));
-    let store: Arc<dyn Store> = match settings.faults.enabled {
-        true => Arc::new(BlockableStore::new(store, faults.clone())),
-        false => store,
-    };
-    let limits = settings.limits.clone();
-    let metrics = Metrics::default();
-    let store = Arc::new(Counted::new(store, &metrics));
-    let admin_address = settings.listen.admin;
-    let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
-    let p = Arc::new(Process {
-        config: ArcSwapOption::empty(),
-        records: ArcSwap::from_pointee(BTreeMap::new()),
-        upstream,
-        store,
-        notices: Notices::new(clock.clone()),
-        routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
-        slots: Arc::new(Slots::new(
-            settings.policy.queue,
-            clock.clone(),
-            metrics.queued.clone(),
-        )),
-        clock,
-        callers: Arc::default(),
-        metrics,
-        key,
-        ownership: Ownership::new(&settings.node.id, record.incarnation),
-        beside: Backend::default(),
-        view: View::default(),
-        faults,
-        own: Mutex::new((record, None)),
-        settings,
-    });
-    let admin =
-        admin::start(admin_address, p.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
-    addresses.admin = admin.local_addr();
-    p.change_own(|r, _| r.addresses = addresses);
-    spdlog::info!("event=listening", kv: {
-        caller = addresses.caller.to_string(),
-        relay = addresses.relay.to_string(),
-        peer = addresses.peer.to_string(),
-        admin = addresses.admin.to_string()
-    });
-    tokio::spawn(ownership::run(p.clone()));
-    tokio::spawn(backend::run(p.clone()));
-    let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
-    tokio::spawn(control::run(p.clone(), identity, transport));
-    let (close, closing) = watch::channel(false);
-    let q = p.clone();
-    let serve = move |req, _| admit::serve(q.clone(), req);
-    let relay = tokio::spawn(listen::serve_until(
-        relay,
-        limits.for_relay(),
-        closing.clone(),
-        serve,
-    ));
-    let q = p.clone();
-    let serve = move |req, from| entry::serve(q.clone(), req, from);
-    let caller = tokio::spawn(listen::serve_until(caller, limits, closing, serve));
-    Ok(Running {
-        process: p,
-        addresses,
-        close,
-        listeners: vec![caller, relay],
-        _admin: admin,
-    })
-}
--- a/src/process/operate.rs
+++ b/src/process/operate.rs
@@ -14,7 +14,7 @@
 use super::drain::Phase;
 use super::node::Process;
 use super::notices::Notice;
-use super::quarantine::convicted;
+use super::quarantine::is_quarantined;
 use super::record::TargetState;
 use super::stop::{self, StopError};
 use crate::digest::Digest;
@@ -90,8 +90,8 @@
 fn stop_status(p: &Process) -> StopStatus {
     StopStatus {
         node: p.settings.node.id.to_string(),
-        phase: p.beside.phase(),
-        busy: p.beside.busy(),
+        phase: p.local_backend.phase(),
+        busy: p.local_backend.busy(),
     }
 }
 
@@ -172,7 +172,7 @@
     let each = list.iter().filter(|s| !s.crashes.is_empty());
     let each = each.map(|s| SuspectStatus {
         fingerprint: s.fingerprint.to_string(),
-        quarantined: convicted(s),
+        quarantined: is_quarantined(s),
         crashes: s.crashes.len(),
         age_ms: s.age_ms,
     });
--- a/src/process/quarantine.rs
+++ b/src/process/quarantine.rs
@@ -12,9 +12,9 @@
 /// Age above which a notice is not taken any more. It is below [`EXPIRY`], so that nodes which forget a suspect at
 /// slightly different times do not keep handing it to each other.
 pub const OLDEST_NOTICE: Duration = Duration::from_secs(570);
-/// Most suspects that are kept; the oldest leaves first, one that is not convicted before one that is.
+/// Most suspects that are kept; the oldest leaves first, one that is not quarantined before one that is.
 pub const MAX_SUSPECTS: usize = 1024;
-/// Crashes that convict a request whatever else was in flight.
+/// Crashes that quarantine a request whatever else was in flight.
 pub const MAX_CRASHES: usize = 3;
 /// Time for which a lost request counts for the crash that broke its connection. A restarted backend server announces
 /// its new incarnation within a second or two.
@@ -28,11 +28,11 @@
     /// It was in flight during a crash.
     Suspect,
     /// It is quarantined.
-    Convicted,
+    Quarantined,
 }
 
-/// Whether the crashes of one epoch convict: a second crash with the request as the only suspect, or a third.
-pub fn convicted(s: &Suspect) -> bool {
+/// Whether the crashes of one epoch put the request into quarantine: a second crash with the request as the only suspect, or a third.
+pub fn is_quarantined(s: &Suspect) -> bool {
     let n = s.crashes.len();
     n >= MAX_CRASHES || (n >= 2 && s.crashes.iter().any(|c| c.alone))
 }
@@ -83,7 +83,7 @@
         if self.held.len() <= MAX_SUSPECTS {
             return;
         }
-        let order = |h: &Held| (convicted(&h.suspect), h.born);
+        let order = |h: &Held| (is_quarantined(&h.suspect), h.born);
         let oldest = self.held.iter().min_by_key(|(_, h)| order(h));
         if let Some(f) = oldest.map(|(f, _)| *f) {
             self.held.remove(&f);
@@ -99,7 +99,7 @@
     pub fn verdict(&self, fingerprint: &Digest, now: Now) -> Verdict {
         match self.held.get(fingerprint) {
             Some(h) if h.suspect.crashes.is_empty() || now >= h.born + EXPIRY => Verdict::Clean,
-            Some(h) if convicted(&h.suspect) => Verdict::Convicted,
+            Some(h) if is_quarantined(&h.suspect) => Verdict::Quarantined,
             Some(_) => Verdict::Suspect,
             None => Verdict::Clean,
         }
@@ -212,7 +212,7 @@
             f.lost.is_none() && suspects.verdict(&f.fingerprint, now) != Verdict::Clean
         };
         match suspects.verdict(&fingerprint, now) {
-            Verdict::Convicted => return Start::Refused,
+            Verdict::Quarantined => return Start::Refused,
             Verdict::Suspect if self.running.values().any(busy) => return Start::Wait,
             _ => {}
         }
@@ -239,7 +239,7 @@
                 && suspects.verdict(&f.fingerprint, now) != Verdict::Clean
         };
         match suspects.verdict(&fingerprint, now) {
-            Verdict::Convicted => return Start::Refused,
+            Verdict::Quarantined => return Start::Refused,
             Verdict::Suspect if self.running.iter().any(busy) => return Start::Wait,
             _ => {}
         }
--- a/src/process/sample.rs
+++ b/src/process/sample.rs
@@ -5,7 +5,7 @@
 use super::drain::Phase;
 use super::metrics::{gauge, gauges};
 use super::node::Process;
-use super::quarantine::convicted;
+use super::quarantine::is_quarantined;
 use super::record::TargetState;
 use crate::connection::entry::Mark;
 
@@ -105,13 +105,13 @@
             set(
                 &self.stop,
                 phase.as_str(),
-                usize::from(p.beside.phase() == phase),
+                usize::from(p.local_backend.phase() == phase),
             );
         }
-        self.busy.set(as_gauge(p.beside.busy() as u64));
+        self.busy.set(as_gauge(p.local_backend.busy() as u64));
         let suspects = p.notices.suspects(|s, now| s.list(now));
         let counted = suspects.iter().filter(|s| !s.crashes.is_empty());
-        let (bad, doubtful): (Vec<_>, Vec<_>) = counted.partition(|s| convicted(s));
+        let (bad, doubtful): (Vec<_>, Vec<_>) = counted.partition(|s| is_quarantined(s));
         set(&self.suspects, "quarantined", bad.len());
         set(&self.suspects, "suspect", doubtful.len());
         self.keys.set(as_gauge(p.ownership.remembered() as u64));
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -3,7 +3,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 
 use super::backend;
-use super::node::Running;
+use super::start::Running;
 
 /// Waits for a signal. SIGINT ends the process at once. SIGTERM drains it first; a second signal ends it at once.
 ///
--- /dev/null
+++ b/src/process/start.rs
@@ -0,0 +1,254 @@
+//! Start of a node: opens the listeners, builds the shared state and starts the tasks.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use dropshot::HttpServer;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::backend::{self, Backend};
+use super::clock::{Clock, ProcessClock};
+use super::faults::{BlockableStore, Faults};
+use super::metrics::Metrics;
+use super::node::{NodeError, Process};
+use super::notices::Notices;
+use super::ownership::{self, Ownership};
+use super::record::{Addresses, Record};
+use super::routing::Routing;
+use super::slots::Slots;
+use super::view::View;
+use super::{admin, control, shutdown};
+use crate::connection::handshake::Identity;
+use crate::connection::listen;
+use crate::connection::peer::WsTransport;
+use crate::connection::upstream::{HttpUpstream, Upstream, UpstreamSettings};
+use crate::key::SharedKey;
+use crate::prelude::*;
+use crate::request::{admit, entry};
+use crate::settings::{ListenSettings, Settings};
+use crate::store::counted::Counted;
+use crate::store::Store;
+use crate::version::snapshot::VersionRef;
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(NodeError)
+        .attach_with(|| format!("cannot listen on {address}"))
+}
+
+/// Listeners of a node, opened before its settings are complete when several nodes start together.
+pub struct Listeners {
+    /// Requests of callers.
+    pub caller: TcpListener,
+    /// Requests relayed by other nodes.
+    pub relay: TcpListener,
+    /// Links of other nodes.
+    pub peer: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners.
+    ///
+    /// # Errors
+    ///
+    /// An address could not be listened on.
+    pub async fn open(s: &ListenSettings) -> Result<Self, Report<NodeError>> {
+        Ok(Self {
+            caller: bind(s.caller).await?,
+            relay: bind(s.relay).await?,
+            peer: bind(s.peer).await?,
+        })
+    }
+
+    fn addresses(&self, admin: SocketAddr) -> Result<Addresses, Report<NodeError>> {
+        let local = |l: &TcpListener| l.local_addr().change_context(NodeError);
+        Ok(Addresses {
+            caller: local(&self.caller)?,
+            relay: local(&self.relay)?,
+            peer: local(&self.peer)?,
+            admin,
+        })
+    }
+}
+
+/// A running node; its admin API stops when this is dropped.
+pub struct Running {
+    /// Shared state.
+    pub process: Arc<Process>,
+    /// Addresses taken.
+    pub addresses: Addresses,
+    /// Ends the listeners for requests once it is set; requests in progress are answered first.
+    pub close: watch::Sender<bool>,
+    /// Tasks of these listeners.
+    pub listeners: Vec<JoinHandle<()>>,
+    _admin: HttpServer<Arc<Process>>,
+}
+
+/// Runs a node until the process is told to stop.
+///
+/// # Errors
+///
+/// A listener could not be opened.
+pub async fn run(settings: Settings, store: Arc<dyn Store>) -> Result<(), Report<NodeError>> {
+    let listeners = Listeners::open(&settings.listen).await?;
+    let node = start(settings, store, listeners)?;
+    shutdown::wait(node).await.change_context(NodeError)
+}
+
+/// Starts a node on open listeners.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+) -> Result<Running, Report<NodeError>> {
+    let upstream = HttpUpstream::new(&UpstreamSettings::default());
+    start_with(settings, store, listeners, Arc::new(upstream))
+}
+
+fn identity(settings: &Settings, record: &Record, key: Option<SharedKey>) -> Identity {
+    if key.is_none() {
+        spdlog::warn!("event=no_key_file", kv: { effect = "peers are not authenticated" });
+    }
+    Identity {
+        site: settings.node.site.clone(),
+        node: record.node.clone(),
+        incarnation: record.incarnation,
+        az: record.az.clone(),
+        key,
+    }
+}
+
+/// Starts a node that sends requests through this client.
+///
+/// # Errors
+///
+/// The admin API could not listen.
+pub fn start_with(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    listeners: Listeners,
+    upstream: Arc<dyn Upstream>,
+) -> Result<Running, Report<NodeError>> {
+    let key = match &settings.peers.key_file {
+        Some(path) => Some(SharedKey::read(path).map_err(|e| Report::new(NodeError).attach(e))?),
+        None => None,
+    };
+    let mut addresses = listeners.addresses(settings.listen.admin)?;
+    let record = first_record(&settings, addresses);
+    let identity = identity(&settings, &record, key.clone());
+    let p = Arc::new(build(settings, store, upstream, key, record));
+    let admin =
+        admin::start(addresses.admin, p.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
+    addresses.admin = admin.local_addr();
+    p.set_addresses(addresses);
+    spdlog::info!("event=listening", kv: {
+        caller = addresses.caller.to_string(),
+        relay = addresses.relay.to_string(),
+        peer = addresses.peer.to_string(),
+        admin = addresses.admin.to_string()
+    });
+    let (close, closing) = watch::channel(false);
+    let Listeners {
+        caller,
+        relay,
+        peer,
+    } = listeners;
+    start_control(&p, identity, peer);
+    Ok(Running {
+        listeners: start_requests(&p, caller, relay, closing),
+        process: p,
+        addresses,
+        close,
+        _admin: admin,
+    })
+}
+
+/// Record of a node that has neither a version nor a backend server yet.
+fn first_record(settings: &Settings, addresses: Addresses) -> Record {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Record {
+        node: settings.node.id.clone(),
+        incarnation: since.as_millis() as u64,
+        sequence: 0,
+        az: settings.node.az.clone(),
+        region: settings.node.region.clone(),
+        addresses,
+        version: VersionRef::default(),
+        watcher: false,
+        target: None,
+    }
+}
+
+fn build(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    upstream: Arc<dyn Upstream>,
+    key: Option<SharedKey>,
+    record: Record,
+) -> Process {
+    let faults = Arc::new(Faults::new(settings.faults.enabled));
+    let store: Arc<dyn Store> = match settings.faults.enabled {
+        true => Arc::new(BlockableStore::new(store, faults.clone())),
+        false => store,
+    };
+    let metrics = Metrics::default();
+    let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
+    Process {
+        config: ArcSwapOption::empty(),
+        records: ArcSwap::from_pointee(BTreeMap::new()),
+        upstream,
+        store: Arc::new(Counted::new(store, &metrics)),
+        notices: Notices::new(clock.clone()),
+        routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
+        slots: Arc::new(Slots::new(
+            settings.policy.queue,
+            clock.clone(),
+            metrics.queued.clone(),
+        )),
+        clock,
+        callers: Arc::default(),
+        metrics,
+        key,
+        ownership: Ownership::new(&settings.node.id, record.incarnation),
+        local_backend: Backend::default(),
+        view: View::default(),
+        faults,
+        own: Mutex::new((record, None)),
+        settings,
+    }
+}
+
+fn start_control(p: &Arc<Process>, identity: Identity, peer: TcpListener) {
+    tokio::spawn(ownership::run(p.clone()));
+    tokio::spawn(backend::run(p.clone()));
+    let transport = Arc::new(WsTransport::new(peer, p.clock.clone()));
+    tokio::spawn(control::run(p.clone(), identity, transport));
+}
+
+/// Serves callers and relayed requests until `closing` is set.
+fn start_requests(
+    p: &Arc<Process>,
+    caller: TcpListener,
+    relay: TcpListener,
+    closing: watch::Receiver<bool>,
+) -> Vec<JoinHandle<()>> {
+    let limits = p.settings.limits.clone();
+    let q = p.clone();
+    let serve = move |req, _| admit::serve(q.clone(), req);
+    let relay = listen::serve_until(relay, limits.for_relay(), closing.clone(), serve);
+    let q = p.clone();
+    let serve = move |req, from| entry::serve(q.clone(), req, from);
+    let caller = listen::serve_until(caller, limits, closing, serve);
+    vec![tokio::spawn(caller), tokio::spawn(relay)]
+}
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -115,7 +115,7 @@
 ///
 /// See [`StopError`]. Only [`StopError::Unknown`] leaves the plan open; it is then removed in the background.
 pub async fn begin(p: &Arc<Process>, force: bool) -> Result<(), StopError> {
-    if p.beside.phase() != Phase::Serving {
+    if p.local_backend.phase() != Phase::Serving {
         return Ok(());
     }
     let target = p.own_record().target.ok_or(StopError::NoTarget)?;
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -37,7 +37,7 @@
         let work = check(&p, req).await?;
         admitted = Some(work.fingerprint);
         gate::read_suspect(&p, || work.fingerprint, &work.parts.headers);
-        let pass = gate::check_admit(&p, &work.ctx, &work.fingerprint, work.deadline).await?;
+        let pass = gate::check_admit(&p, &work.fingerprint, work.deadline).await?;
         forward(&p, work, pass).await
     };
     let mut res = out.await.unwrap_or_else(|f| f.response());
--- a/src/request/gate.rs
+++ b/src/request/gate.rs
@@ -3,7 +3,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
 
 use super::body::Body;
-use super::context::Context;
 use super::job::Job;
 use super::owner;
 use super::reason::{Failure, Reason};
@@ -59,7 +58,7 @@
 /// Entry node, after a failed attempt: the reason changes when the request is quarantined by now.
 pub fn check_again(p: &Process, job: &Job, f: Failure) -> Result<Failure, Failure> {
     let none = p.notices.suspects(|s, _| s.is_empty());
-    match !none && p.notices.verdict(&job.fingerprint()) == Verdict::Convicted {
+    match !none && p.notices.verdict(&job.fingerprint()) == Verdict::Quarantined {
         true => Err(Failure {
             reason: Reason::Quarantined,
             ..f
@@ -75,7 +74,7 @@
 ///
 /// The request must not run.
 pub fn check_entry(p: &Process, job: &Job) -> Result<(), Failure> {
-    match job.route.idempotent && p.notices.verdict(&job.fingerprint()) == Verdict::Convicted {
+    match job.route.idempotent && p.notices.verdict(&job.fingerprint()) == Verdict::Quarantined {
         true => Err(Failure::not_run(Reason::Quarantined)),
         false => Ok(()),
     }
@@ -97,7 +96,6 @@
 /// The request must not run here.
 pub async fn check_admit(
     p: &Arc<Process>,
-    _ctx: &Context,
     fingerprint: &Digest,
     deadline: Now,
 ) -> Result<Pass, Failure> {
--- a/src/request/owner.rs
+++ b/src/request/owner.rs
@@ -184,7 +184,7 @@
 async fn execute(mut run: Run, mut job: Job) -> Result<Response<Body>, Failure> {
     let p = run.p.clone();
     let sent = match p.notices.verdict(&job.fingerprint()) {
-        Verdict::Convicted => Err(Failure::not_run(Reason::Quarantined)),
+        Verdict::Quarantined => Err(Failure::not_run(Reason::Quarantined)),
         _ => entry::run(&p, &mut job).await,
     };
     let res = sent.inspect_err(|f| run.end = Some(end_of(*f)))?;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -64,7 +64,7 @@
 /// Guards against a request that is dispatched twice, after its refusal or after its caller went away, against more
 /// dispatches than slots, late dispatches, and queues above their bounds.
 #[test]
-fn each_request_has_one_fate() {
+fn each_request_ends_once() {
     run(256, &(steps(), any::<bool>()), |(steps, fifo)| {
         let policy = match fifo {
             true => QueuePolicy::Fifo,
@@ -225,7 +225,7 @@
 /// Guards against work that is accepted although it cannot be in time, against a back-off that is missing from a
 /// full queue's refusals, and against an estimate that refuses for ever after one slow sample.
 #[test]
-fn hopeless_work_is_refused_early() {
+fn late_work_is_refused_early() {
     let mut a = Admission::new(QueuePolicy::Ranked);
     a.set_ranks(&ranks(&[0.0]));
     a.set_slots(at(0), 1);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -160,7 +160,7 @@
     });
     for i in 0..100 {
         let r = http(site.node.caller, "PUT", "/put/x", &[], "").unwrap();
-        // A connection that closes while the request is under way leaves its fate unknown.
+        // A connection that closes while the request is under way leaves its outcome unknown.
         let unknown = r.status == 504 && r.header("dq-reason") == "lost";
         assert!(r.status == 200 || unknown, "{i}: {} {}", r.status, r.body);
         assert!(runs.load(Ordering::Relaxed) <= i + 1);
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -7,8 +7,9 @@
 use async_trait::async_trait;
 use dragonflyquay::connection::upstream::{SendError, Upstream};
 use dragonflyquay::process::admin::Announcement;
-use dragonflyquay::process::node::{self, Listeners, Process, Running};
+use dragonflyquay::process::node::Process;
 use dragonflyquay::process::record::TargetState;
+use dragonflyquay::process::start::{self, Listeners, Running};
 use dragonflyquay::request::body::{full, Body};
 use dragonflyquay::request::context::RETRIES;
 use dragonflyquay::request::entry;
@@ -104,7 +105,7 @@
 ) -> Running {
     let s = settings(id, seeds);
     let listeners = Listeners::open(&s.listen).await.unwrap();
-    node::start_with(s, store.clone(), listeners, fake.clone()).unwrap()
+    start::start_with(s, store.clone(), listeners, fake.clone()).unwrap()
 }
 
 async fn announce(node: &Running) {
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -212,7 +212,7 @@
 
 /// Guards against a node of another site or without the key that is taken for a peer.
 #[tokio::test]
-async fn handshake_refuses_strangers() {
+async fn handshake_refuses_unknown_peers() {
     let key = Some("0123456789abcdef");
     let other = Some("0123456789abcdeX");
     let (a, b) = meet(identity("s", key), identity("s", key)).await;
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -1,4 +1,4 @@
-//! Control plane over separate processes: crashes, pauses, outages, partitions, strangers and bad content.
+//! Control plane over separate processes: crashes, pauses, outages, partitions, unknown peers and bad content.
 
 mod workdir;
 
@@ -242,7 +242,7 @@
     let transport = WsTransport::new(listener, Arc::new(ProcessClock::default()));
     let me = Identity {
         site: "trust".into(),
-        node: "stranger".into(),
+        node: "unknown".into(),
         incarnation: 1,
         az: "a".into(),
         key: Some(SharedKey::new(key.as_bytes()).unwrap()),
@@ -252,10 +252,10 @@
     Ok(link)
 }
 
-/// Guards against a node that takes links of strangers, and against content that does not match its hash: it must be
+/// Guards against a node that takes links of unknown peers, and against content that does not match its hash: it must be
 /// refused and counted, and its sender must not be asked for that version again.
 #[tokio::test]
-async fn strangers_and_bad_content_are_refused() {
+async fn unknown_peers_and_bad_content_are_refused() {
     let dir = Workdir::new();
     let (_running, store) = dir.start_store();
     let key = dir.write("key", KEY);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -16,7 +16,7 @@
 use sites::{verdict, Site};
 use workdir::{http, wait_until};
 
-const CULPRIT: u8 = 0;
+const CRASHING: u8 = 0;
 
 fn print(n: u8) -> Digest {
     Digest::of(&[n])
@@ -58,9 +58,9 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// Guards against a culprit that crashes on and on, and against innocents that are quarantined or never run.
+    /// Guards against a request that keeps crashing backend servers, and against other requests that are quarantined or never run.
     #[test]
-    fn culprit_is_stopped_and_innocents_finish(
+    fn crashing_request_is_stopped_and_others_finish(
         places in prop::collection::vec(0..4_usize, 30),
         finish in prop::collection::vec(any::<bool>(), 400),
     ) {
@@ -68,8 +68,8 @@
         let mut targets: Vec<Target> = (0..4).map(|_| Target::default()).collect();
         let (mut crashes, mut done) = (0, BTreeSet::new());
         for (i, t) in places.iter().enumerate() {
-            // Every fifth arrival is the culprit again; the others are different requests.
-            let who = if i % 5 == 0 { CULPRIT } else { i as u8 };
+            // Every fifth arrival is the crashing request again; the others are different requests.
+            let who = if i % 5 == 0 { CRASHING } else { i as u8 };
             targets[*t].waiting.push(who);
         }
         for (step, finish) in finish.iter().enumerate() {
@@ -84,19 +84,19 @@
                 }
                 Start::Wait => true,
                 Start::Refused => {
-                    assert_eq!(*who, CULPRIT, "an innocent is quarantined");
+                    assert_eq!(*who, CRASHING, "a request that does not crash is quarantined");
                     false
                 }
             });
-            if t.running.iter().any(|(_, who)| *who == CULPRIT) {
+            if t.running.iter().any(|(_, who)| *who == CRASHING) {
                 crashes += 1;
                 for (f, c) in t.flights.crashed(step as u64, &suspects, now) {
                     suspects.crashed(f, c, now);
                 }
                 for (id, who) in t.running.drain(..) {
                     t.flights.end(id, FlightEnd::Lost, &suspects, now);
-                    if who != CULPRIT {
-                        // An idempotent innocent is sent again.
+                    if who != CRASHING {
+                        // Another idempotent request is sent again.
                         t.waiting.push(who);
                     }
                 }
@@ -110,7 +110,7 @@
             }
         }
         prop_assert!(crashes <= 3, "{} crashes", crashes);
-        prop_assert!(done.len() >= 24, "only {} innocents finished", done.len());
+        prop_assert!(done.len() >= 24, "only {} other requests finished", done.len());
     }
 
     /// Guards against tables that depend on the order, repetition or loss of notices.
@@ -137,7 +137,7 @@
     let mut a = Suspects::default();
     let at = |s| Duration::from_secs(s);
     a.merge(suspect(1, 0, &[1, 2, 3], 0), at(100));
-    assert_eq!(a.verdict(&print(1), at(100)), Verdict::Convicted);
+    assert_eq!(a.verdict(&print(1), at(100)), Verdict::Quarantined);
     let mut b = Suspects::default();
     for s in a.list(at(680)) {
         assert_eq!(b.merge(s, at(5)), None, "too old to be taken");
@@ -165,7 +165,7 @@
 }
 
 /// Guards against a request that keeps crashing backend servers when it is sent again through other nodes, and against
-/// innocent requests that suffer after it is known.
+/// other requests that are affected after it is known.
 #[test]
 fn crashing_request_resent_through_other_nodes() {
     let n = 6;
