Take changed records over outside the lock of the request path

Ruled out: a smaller interval of publication, which changes how often and not how long. Change: the control task compares the views after it has published them and holds the lock only to put in the targets that changed. The comparison at 8,100 nodes was not measured on processes.

--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -339,6 +339,7 @@
             self.p.records.store(Arc::new(records.collect()));
             let marks = members.iter().map(|(n, m)| (n.clone(), m.mark)).collect();
             self.p.view.members.store(Arc::new(Members::new(marks)));
+            self.p.routing.refresh(&self.p);
         }
         let links = self.membership.links().values();
         let opened = links.filter(|l| l.dialed).count();
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -24,6 +24,12 @@
     balance: Balance,
     bucket: Bucket,
     rng: SmallRng,
+    views: Views,
+}
+
+/// Records and marks that the balancer has taken over.
+#[derive(Clone, Default)]
+struct Views {
     records: Records,
     members: Arc<Members>,
 }
@@ -44,27 +50,18 @@
     end: Option<End>,
 }
 
-impl State {
-    /// Takes over the records and marks that changed since the last call.
-    fn sync(&mut self, now: Now, p: &Process) {
-        let (records, members) = (p.records.load_full(), p.view.members.load_full());
-        if Arc::ptr_eq(&self.records, &records) && Arc::ptr_eq(&self.members, &members) {
-            return;
-        }
-        let old = std::mem::replace(&mut self.records, records.clone());
-        let marks = std::mem::replace(&mut self.members, members);
-        for (node, r) in records.iter() {
-            let same = old.get(node).is_some_and(|o| o.order() == r.order());
-            match &r.target {
-                _ if same && marks.usable(node) == self.members.usable(node) => {}
-                Some(t) => self.balance.set(now, node, info(p, r, t)),
-                None => self.balance.remove(now, node),
-            }
-        }
-        for node in old.keys().filter(|n| !records.contains_key(*n)) {
-            self.balance.remove(now, node);
-        }
-    }
+/// Targets that changed between two views; `None` for a node that has no target any more.
+fn changes(p: &Process, old: &Views, new: &Views) -> Vec<(NodeId, Option<TargetInfo>)> {
+    let is_same = |node: &NodeId, r: &Record| {
+        old.records
+            .get(node)
+            .is_some_and(|o| o.order() == r.order())
+            && old.members.usable(node) == new.members.usable(node)
+    };
+    let changed = new.records.iter().filter(|(n, r)| !is_same(n, r));
+    let changed = changed.map(|(n, r)| (n.clone(), r.target.as_ref().map(|t| info(p, r, t))));
+    let removed = old.records.keys().filter(|n| !new.records.contains_key(*n));
+    changed.chain(removed.map(|n| (n.clone(), None))).collect()
 }
 
 fn info(p: &Process, r: &Record, t: &Target) -> TargetInfo {
@@ -95,8 +92,7 @@
                 balance: Balance::new(s.policy.balance, s.node.az.clone()),
                 bucket: Bucket::default(),
                 rng: rand::SeedableRng::seed_from_u64(seed),
-                records: Records::default(),
-                members: Arc::default(),
+                views: Views::default(),
             }),
             policy: s.policy.retries,
             clock,
@@ -107,6 +103,26 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Takes over the records and marks that the control task has published. The comparison of all records, about 1 ms
+    /// for 8,000 nodes, runs outside the lock, so that no request waits for it.
+    pub fn refresh(&self, p: &Process) {
+        let new = Views {
+            records: p.records.load_full(),
+            members: p.view.members.load_full(),
+        };
+        let old = self.state().views.clone();
+        let changes = changes(p, &old, &new);
+        let now = self.clock.now();
+        let mut s = self.state();
+        for (node, target) in changes {
+            match target {
+                Some(info) => s.balance.set(now, &node, info),
+                None => s.balance.remove(now, &node),
+            }
+        }
+        s.views = new;
+    }
+
     /// A new request arrived; it earns a part of a retry.
     pub fn earn(&self) {
         self.state().bucket.earn();
@@ -119,22 +135,20 @@
     /// No target is usable, or all of them want no work of this rank.
     pub fn choose(
         &self,
-        p: &Process,
         service: &str,
         rank: &str,
         tried: &[NodeId],
     ) -> Result<(NodeId, SocketAddr), Failure> {
         let now = self.clock.now();
         let mut s = self.state();
-        s.sync(now, p);
         let State {
             balance,
             rng,
-            records,
+            views,
             ..
         } = &mut *s;
         match balance.choose(now, service, rank, tried, rng) {
-            Choice::Target(node) => match records.get(&node) {
+            Choice::Target(node) => match views.records.get(&node) {
                 Some(r) => Ok((node, r.addresses.relay)),
                 None => Err(Failure::not_run(Reason::NoTarget)),
             },
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -151,7 +151,7 @@
     let start = p.clock.now();
     let end = start + RECOVERY_WAIT.min(job.deadline.saturating_sub(start) / 2);
     loop {
-        let f = match p.routing.choose(p, service, rank, tried) {
+        let f = match p.routing.choose(service, rank, tried) {
             Ok(found) => return Ok(found),
             Err(f) => f,
         };
@@ -164,9 +164,7 @@
 }
 
 fn failed(p: &Process, job: &Job, failure: Failure, tried: &[NodeId], overloads: u32) -> Failed {
-    let other = p
-        .routing
-        .choose(p, &job.route.service, &job.ctx.rank, tried);
+    let other = p.routing.choose(&job.route.service, &job.ctx.rank, tried);
     Failed {
         failure,
         idempotent: job.route.idempotent,
