--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,10 +1,6 @@
 //! `check`: reports every finding in a manifest.
 
-use std::path::PathBuf;
-
-use lexopt::prelude::*;
-
-use super::{fail, read_manifest, usage, CmdResult, Exit};
+use super::{only_path, read_manifest, CmdResult};
 
 /// Usage text.
 pub const USAGE: &str = "\
@@ -16,20 +12,9 @@
 ";
 
 /// Runs the command.
-pub fn run(mut args: lexopt::Parser) -> CmdResult {
-    let mut path = None;
-    while let Some(arg) = args.next().map_err(usage)? {
-        match arg {
-            Long("help") | Short('h') => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Value(v) if path.is_none() => path = Some(PathBuf::from(v)),
-            other => return Err(usage(other.unexpected())),
-        }
-    }
-    let Some(path) = path else {
-        return fail(Exit::Usage, "MANIFEST is missing; see --help");
+pub fn run(args: lexopt::Parser) -> CmdResult {
+    let Some(path) = only_path(args, USAGE, "MANIFEST")? else {
+        return Ok(());
     };
     let m = read_manifest(&path)?;
     println!(
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,7 +13,7 @@
 pub mod stop;
 
 use std::fmt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use error_stack::Report;
 
@@ -96,6 +96,35 @@
     })
 }
 
+/// Reads the only argument of a command, a path; `None` after the usage text was asked for and printed. `name` is the
+/// argument's name in the usage text.
+///
+/// # Errors
+///
+/// [`Exit::Usage`] when the argument is missing or followed by others.
+pub fn only_path(
+    mut args: lexopt::Parser,
+    usage_text: &str,
+    name: &str,
+) -> CmdResult<Option<PathBuf>> {
+    use lexopt::Arg::{Long, Short, Value};
+    let mut path = None;
+    while let Some(arg) = args.next().map_err(usage)? {
+        match arg {
+            Long("help") | Short('h') => {
+                print!("{usage_text}");
+                return Ok(None);
+            }
+            Value(v) if path.is_none() => path = Some(PathBuf::from(v)),
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    match path {
+        Some(path) => Ok(Some(path)),
+        None => fail(Exit::Usage, format!("{name} is missing; see --help")),
+    }
+}
+
 /// Reports the findings of an input file.
 pub fn refused<T>(path: &Path, f: &Findings) -> CmdResult<T> {
     let lines: Vec<_> = f
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -1,10 +1,6 @@
 //! `node`: the process on a backend server VM.
 
-use std::path::PathBuf;
-
-use lexopt::prelude::*;
-
-use super::{block_on, fail, refused, usage, CmdError, CmdResult, Exit};
+use super::{block_on, fail, only_path, refused, CmdError, CmdResult, Exit};
 use crate::prelude::*;
 use crate::process::start;
 use crate::store::http::HttpStore;
@@ -20,20 +16,9 @@
 ";
 
 /// Runs the command.
-pub fn run(mut args: lexopt::Parser) -> CmdResult {
-    let mut path = None;
-    while let Some(arg) = args.next().map_err(usage)? {
-        match arg {
-            Long("help") | Short('h') => {
-                print!("{USAGE}");
-                return Ok(());
-            }
-            Value(v) if path.is_none() => path = Some(PathBuf::from(v)),
-            other => return Err(usage(other.unexpected())),
-        }
-    }
-    let Some(path) = path else {
-        return fail(Exit::Usage, "SETTINGS.toml is missing; see --help");
+pub fn run(args: lexopt::Parser) -> CmdResult {
+    let Some(path) = only_path(args, USAGE, "SETTINGS.toml")? else {
+        return Ok(());
     };
     let s = settings::read(&path).or_else(|f| refused(&path, &f))?;
     logging::init(s.log.level).or_else(|e| fail(Exit::Failed, e))?;
--- /dev/null
+++ b/tests/sim/store.rs
@@ -0,0 +1,99 @@
+//! The simulated store: watchers' calls, leases and the head.
+
+use super::*;
+
+impl Sim {
+    pub(super) fn store(&mut self, n: usize, generation: u64, call: Call, until: u64) {
+        if self.nodes[n].generation != generation || self.nodes[n].proc.is_none() {
+            return;
+        }
+        let zone = self.zone(n);
+        if self.store.down_until > self.now || self.cuts.get(&zone).is_some_and(|t| *t > self.now) {
+            return self.with(n, generation, |p, now| {
+                p.watch.failed(now, &call, &mut p.rng);
+                (vec![], vec![])
+            });
+        }
+        let reply = match &call {
+            Call::Wait(from) if self.store.revision <= *from && until > self.now => {
+                return self.push(TICK, Event::Store(n, generation, call, until));
+            }
+            Call::Wait(from) => Reply::Wait(self.store.revision, self.store.revision != *from),
+            Call::Claim => Reply::Claim(self.claim(zone)),
+            Call::Keep(id) => Reply::Keep(self.keep(zone, *id)),
+            Call::Head => return self.read_head(n, generation),
+            Call::Republish => {
+                let held = self.nodes[n].token.number as usize;
+                if held > self.store.head {
+                    self.store.head = held;
+                    self.store.revision += 1;
+                }
+                Reply::Republish
+            }
+            Call::Rendezvous => {
+                let lists = self.store.lists.clone();
+                let p = self.nodes[n].proc.as_mut().unwrap();
+                p.membership.add_seeds(&lists);
+                Reply::Rendezvous
+            }
+            Call::Enlist => {
+                if !self.store.lists.contains(&address(n)) {
+                    self.store.lists.push(address(n));
+                }
+                Reply::Enlist
+            }
+        };
+        self.with(n, generation, |p, now| {
+            p.watch.done(now, reply, &mut p.rng);
+            (vec![], vec![])
+        });
+    }
+
+    pub(super) fn claim(&mut self, zone: usize) -> Option<u64> {
+        let now = self.now;
+        let slots = &mut self.store.slots;
+        let free = |s: &usize| slots.get(&(zone, *s)).is_none_or(|(_, end)| *end <= now);
+        let slot = (0..WATCHERS).find(free)?;
+        self.store.next_lease += 1;
+        let end = now + LEASE_TTL.as_millis() as u64;
+        slots.insert((zone, slot), (self.store.next_lease, end));
+        Some(self.store.next_lease)
+    }
+
+    pub(super) fn keep(&mut self, zone: usize, id: u64) -> bool {
+        let now = self.now;
+        let slots = self.store.slots.iter_mut();
+        let held = slots
+            .filter(|((z, _), (lease, end))| *z == zone && *lease == id && *end > now)
+            .map(|(_, slot)| slot)
+            .next();
+        match held {
+            Some(slot) => {
+                slot.1 = now + LEASE_TTL.as_millis() as u64;
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub(super) fn read_head(&mut self, n: usize, generation: u64) {
+        let head = match self.store.head {
+            0 => None,
+            i => Some(self.versions[i - 1].clone()),
+        };
+        let revision = self.store.revision;
+        self.with(n, generation, |p, now| {
+            let v = head
+                .as_ref()
+                .map_or_else(VersionRef::default, |s| s.version);
+            let action = p.spread.compare_head(v, now);
+            let again = matches!(action, HeadAction::Republish { .. });
+            p.watch.done(now, Reply::Head(revision, again), &mut p.rng);
+            let newer = head.filter(|s| s.version.number > p.spread.held().number);
+            (
+                vec![],
+                newer.map_or_else(Vec::new, |s| p.spread.fetched(now, s)),
+            )
+        });
+    }
+}
