Refuse announcements with impossible names or slots

Cause: an announcement without a service name or with 0 slots was put into the record and spread to every node. Conclusion: bad input to the announce API gets a clear error and changes nothing.

--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -19,6 +19,11 @@
 use crate::connection::frame::Mark;
 use crate::prelude::*;
 
+/// Longest name of a service in an announcement, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Most slots of a backend server.
+const MAX_SLOTS: u32 = 1 << 16;
+
 /// What a backend server announces, about once a second.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -116,6 +121,19 @@
     HttpError::for_client_error(None, ClientErrorStatusCode::BAD_REQUEST, message.to_owned())
 }
 
+/// Refuses values that would reach every node in a record and serve none.
+fn check_announcement(a: &Announcement) -> Result<(), HttpError> {
+    match a {
+        a if a.service.is_empty() || a.service.len() > MAX_NAME_BYTES => Err(bad_request(
+            "service: expected a name of 1 to 64 bytes, as the manifest declares it",
+        )),
+        a if !(1..=MAX_SLOTS).contains(&a.slots) => {
+            Err(bad_request("slots: expected a number from 1 to 65536"))
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Takes the announcement of the backend server beside this node.
 #[endpoint { method = POST, path = "/announce" }]
 async fn announce(
@@ -127,6 +145,7 @@
         .address
         .parse()
         .map_err(|_| bad_request("address: expected IP:PORT"))?;
+    check_announcement(&a)?;
     let p = ctx.context();
     p.returned_floor(a.floor.as_deref());
     let drained = backend::announced(
