Hold the refused port in a store test

Change: the port stays bound by a socket that does not listen. The assertion is unchanged. Conclusion: the test no longer depends on which port is free.

--- a/tests/store.rs
+++ b/tests/store.rs
@@ -259,9 +259,10 @@
 /// Guards against an absent server that is reported as an unknown outcome: nothing was sent.
 #[tokio::test]
 async fn refused_connection_is_unavailable() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // A bound socket that does not listen refuses connections, and no other test can take its port meanwhile.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let address = socket.local_addr().unwrap();
     let out = put(&HttpStore::new(address, LONG), "k", 0, "x").await;
     assert!(matches!(out, Err(StoreError::Unavailable(_))), "{out:?}");
 }
