Check the proof of a relayed request in one place

Cause: the admitting node and the owner of a key each read the context and checked the shared key in the same words; a change to one of these checks could have missed the other. Change: Context::read_proven does both; behaviour is unchanged. Conclusion: there is one check of the proof.

--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -55,14 +55,8 @@
 /// Checks the proof of the shared key and reads the first part of the body.
 async fn check(p: &Process, req: Request<Incoming>) -> Result<Work, Failure> {
     let start = p.clock.now();
-    let ctx = Context::read(req.headers()).ok_or(Failure::not_run(Reason::BadRequest))?;
     let (parts, body) = req.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-    if let Some(key) = &p.key {
-        if !ctx.proven(key, &parts.method, path, &parts.headers) {
-            return Err(Failure::not_run(Reason::Unproven));
-        }
-    }
+    let ctx = Context::read_proven(&parts, p.key.as_ref())?;
     let limits = BodyLimits::new(&p.settings.limits);
     let read = HeldBody::read(body.map_err(Into::into).boxed_unsync(), limits);
     let body = tokio::time::timeout(ctx.remaining, read)
--- a/src/request/context.rs
+++ b/src/request/context.rs
@@ -1,7 +1,10 @@
 //! What travels with a request from node to node.
 
+use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method};
 
+use super::reason::{Failure, Reason};
 use crate::key::SharedKey;
 use crate::prelude::*;
 
@@ -153,8 +156,23 @@
         }
     }
 
-    /// Checks the proof of the shared key.
-    pub fn proven(&self, key: &SharedKey, method: &Method, path: &str, h: &HeaderMap) -> bool {
+    /// Reads the headers that another node wrote and checks its proof when the site has a shared key.
+    ///
+    /// # Errors
+    ///
+    /// A header is absent or malformed, or the proof is. The request was not run.
+    pub fn read_proven(parts: &Parts, key: Option<&SharedKey>) -> Result<Self, Failure> {
+        let ctx = Self::read(&parts.headers).ok_or(Failure::not_run(Reason::BadRequest))?;
+        let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        match key {
+            Some(key) if !ctx.proven(key, &parts.method, path, &parts.headers) => {
+                Err(Failure::not_run(Reason::Unproven))
+            }
+            _ => Ok(ctx),
+        }
+    }
+
+    fn proven(&self, key: &SharedKey, method: &Method, path: &str, h: &HeaderMap) -> bool {
         let ms = self.remaining.as_millis().to_string();
         let proof = h.get(PROOF).and_then(|v| v.to_str().ok()).and_then(unhex);
         proof.is_some_and(|mac| key.verify(&self.parts(method, path, ms.as_bytes()), &mac))
--- a/src/request/job.rs
+++ b/src/request/job.rs
@@ -95,14 +95,8 @@
     /// No version or route here, or a malformed, unproven, slow or too large request. This attempt was not run.
     pub async fn relayed(p: &Process, req: Request<Incoming>) -> Result<Self, Failure> {
         let start = p.clock.now();
-        let ctx = Context::read(req.headers()).ok_or(Failure::not_run(Reason::BadRequest))?;
         let (parts, body) = req.into_parts();
-        let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-        if let Some(key) = &p.key {
-            if !ctx.proven(key, &parts.method, path, &parts.headers) {
-                return Err(Failure::not_run(Reason::Unproven));
-            }
-        }
+        let ctx = Context::read_proven(&parts, p.key.as_ref())?;
         let snapshot = p.config.load_full();
         let snapshot = snapshot.ok_or(Failure::not_run(Reason::NoVersion))?;
         let host = context::header::<String>(&parts.headers, &http::header::HOST);
