--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod node;
 pub mod quarantine;
+pub mod sidecar;
 pub mod status;
 pub mod stop;
 
@@ -153,10 +154,15 @@
 where
     F: std::future::Future<Output = CmdResult<T>>,
 {
-    let rt = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(threads.max(1))
-        .enable_all()
-        .build();
+    let rt = match threads {
+        0 | 1 => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build(),
+        n => tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(n)
+            .enable_all()
+            .build(),
+    };
     match rt {
         Ok(rt) => rt.block_on(f),
         Err(e) => fail(Exit::Failed, format!("cannot start the runtime: {e}")),
--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -32,22 +32,25 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (_open, closing) = watch::channel(false);
-    serve_until(listener, limits, closing, handler).await;
+    serve_until(listener, move || limits.clone(), closing, handler).await;
 }
 
 /// Serves HTTP/1.1 connections until `closing` is set and all requests in progress have been answered.
 ///
-/// Connections above the limit wait in the listen queue.
-pub async fn serve_until<H, F>(
+/// Connections above the limit wait in the listen queue. A new connection gets the limits of that moment; their number
+/// is that of the start.
+pub async fn serve_until<L, H, F>(
     listener: TcpListener,
-    limits: LimitSettings,
+    limits: L,
     closing: watch::Receiver<bool>,
     handler: H,
 ) where
+    L: Fn() -> LimitSettings,
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let free = Arc::new(Semaphore::new(limits.connections));
+    let most = limits().connections;
+    let free = Arc::new(Semaphore::new(most));
     let mut end = closing.clone();
     loop {
         let Ok(permit) = free.clone().acquire_owned().await else {
@@ -64,7 +67,7 @@
         let serve = serve_connection(
             stream,
             from.ip(),
-            limits.clone(),
+            limits(),
             closing.clone(),
             handler.clone(),
         );
@@ -74,7 +77,7 @@
         });
     }
     drop(listener);
-    let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
+    let all = u32::try_from(most).unwrap_or(u32::MAX);
     let _ = free.acquire_many(all).await;
 }
 
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,15 +1,23 @@
 //! Structured logs: one line of key=value pairs for each event.
 
 use std::fmt::Write;
+use std::num::NonZeroUsize;
+use std::sync::Mutex;
 use std::time::SystemTime;
 
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::{Sink, StdStreamSink};
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStreamSink};
 use spdlog::{Level, LevelFilter, Record, StringBuf};
 
 use crate::prelude::*;
+use crate::request::reason::Failure;
 use crate::settings::LogLevel;
 
+/// Lines that wait for a slow reader of standard output.
+const QUEUED_LINES: usize = 512;
+/// Lines of an [`EventLog`] in a second; a line costs processor time like any other work.
+const LINES_PER_SECOND: u32 = 40;
+
 /// Appends ` key=value`, with the value in quotes when it would not read as one word.
 pub fn write_pair<W>(out: &mut W, key: &str, value: &str) -> std::fmt::Result
 where
@@ -47,6 +55,10 @@
         let mut write = || {
             write_head(out, record.time(), record.level().as_str())?;
             match record.payload().split_once('=') {
+                // The pairs of an event log are already written.
+                Some(("event", rest)) if rest.contains(' ') => {
+                    write!(out, " event={rest}")?;
+                }
                 Some((key, value)) => write_pair(out, key, value)?,
                 None => write_pair(out, "event", record.payload())?,
             }
@@ -95,3 +107,97 @@
 pub fn dropshot_log() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
 }
+
+/// Sends logs to standard output from a thread of their own, one line an event. Lines that it cannot keep up with are
+/// dropped, so that a blocked reader never slows a request.
+///
+/// # Errors
+///
+/// A text that says which part of the logger could not be set up.
+pub fn init_stdout(level: LogLevel) -> Result<(), String> {
+    let sink = StdStreamSink::builder()
+        .stdout()
+        .formatter(PairFormatter)
+        .build()
+        .map_err(|e| e.to_string())?;
+    let pool = spdlog::ThreadPool::builder()
+        .capacity(NonZeroUsize::new(QUEUED_LINES).unwrap_or(NonZeroUsize::MIN))
+        .build()
+        .map_err(|e| e.to_string())?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(sink))
+        .thread_pool(Arc::new(pool))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build()
+        .map_err(|e| e.to_string())?;
+    let logger = spdlog::Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(filter(level))
+        .flush_level_filter(LevelFilter::All)
+        .build()
+        .map_err(|e| e.to_string())?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Log of events with a bounded rate: what exceeds it is counted and reported with the next line.
+#[derive(Default)]
+pub struct EventLog {
+    state: Mutex<Rate>,
+}
+
+#[derive(Default)]
+struct Rate {
+    second: u64,
+    lines: u32,
+    dropped: u64,
+}
+
+impl EventLog {
+    /// Whether a line may be written now, and how many were dropped before it.
+    fn admit(&self) -> Option<u64> {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let second = now.unwrap_or_default().as_secs();
+        let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        if s.second != second {
+            s.second = second;
+            s.lines = 0;
+        }
+        if s.lines >= LINES_PER_SECOND {
+            s.dropped += 1;
+            return None;
+        }
+        s.lines += 1;
+        Some(std::mem::take(&mut s.dropped))
+    }
+
+    /// Writes an event with its pairs.
+    pub fn event(&self, name: &str, pairs: &[(&str, &str)]) {
+        let Some(dropped) = self.admit() else { return };
+        let mut line = format!("event={name}");
+        for (key, value) in pairs {
+            // Writing into a string cannot fail.
+            let _ = write_pair(&mut line, key, value);
+        }
+        if dropped > 0 {
+            let _ = write_pair(&mut line, "dropped", &dropped.to_string());
+        }
+        spdlog::info!("{line}");
+    }
+
+    /// Writes the end of a request that got no answer of a target.
+    pub fn refused(&self, id: &str, route: &str, f: &Failure, attempts: &str) {
+        let back_off = f.back_off.as_millis().to_string();
+        self.event(
+            "request_failed",
+            &[
+                ("request", id),
+                ("route", route),
+                ("outcome", f.outcome.as_str()),
+                ("reason", f.reason.as_str()),
+                ("back_off_ms", &back_off),
+                ("attempts", attempts),
+            ],
+        );
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 
 Commands:
   node        run the node of a backend server VM
+  sidecar     run the node beside a target on the users' platform
   check       report every finding in a manifest
   commit      store a manifest and make it the next version
   stop        drain the backend server of a node
@@ -29,6 +30,7 @@
     match args.next().map_err(cmd::usage)? {
         Some(lexopt::Arg::Value(name)) => match name.to_str() {
             Some("node") => cmd::node::run(args),
+            Some("sidecar") => cmd::sidecar::run(args),
             Some("check") => cmd::check::run(args),
             Some("commit") => cmd::commit::run(args),
             Some("stop") => cmd::stop::run(args),
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,389 @@
+//! Client of the platform's metadata store.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::store::{
+    Changes, Entry, Event, LeaseId, Listing, Revision, Store, StoreError, Swap, MAX_VALUE_BYTES,
+};
+
+/// Largest answer that is read, in bytes; a watch may deliver a series of whole configurations.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an idle connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Client of the store's HTTP interface.
+pub struct PlatformStore {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+#[derive(Debug, Deserialize)]
+struct Item {
+    key: String,
+    /// Base64; absent where an event says that the key is gone.
+    #[serde(default)]
+    value: Option<String>,
+    revision: Revision,
+    #[serde(default)]
+    deleted: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    has_more: bool,
+    /// Revision of the store.
+    at: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct Watched {
+    events: Vec<Item>,
+    at: Revision,
+}
+
+#[derive(Debug, Serialize)]
+struct Condition<'a> {
+    key: &'a str,
+    revision: Revision,
+}
+
+#[derive(Debug, Serialize)]
+struct Write<'a> {
+    key: &'a str,
+    value: String,
+    lease: LeaseId,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Txn<'a> {
+    precondition: Vec<Condition<'a>>,
+    writes: Vec<Write<'a>>,
+    remove: Vec<&'a str>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Done {
+    revision: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct Conflict {
+    #[serde(default)]
+    items: Vec<Item>,
+}
+
+#[derive(Debug, Serialize)]
+struct Grant {
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Granted {
+    lease: LeaseId,
+}
+
+fn unknown<E>(e: E) -> StoreError
+where
+    E: std::fmt::Display,
+{
+    StoreError::Unknown(e.to_string())
+}
+
+fn decode<'a, T>(data: &'a [u8]) -> Result<T, StoreError>
+where
+    T: Deserialize<'a>,
+{
+    serde_json::from_slice(data).map_err(unknown)
+}
+
+impl Item {
+    fn bytes(&self) -> Result<Vec<u8>, StoreError> {
+        let text = self.value.as_deref().unwrap_or_default();
+        STANDARD.decode(text).map_err(unknown)
+    }
+
+    fn entry(self) -> Result<Entry, StoreError> {
+        Ok(Entry {
+            value: self.bytes()?,
+            key: self.key,
+            revision: self.revision,
+        })
+    }
+
+    fn event(self) -> Result<Event, StoreError> {
+        Ok(Event {
+            value: match self.deleted {
+                true => None,
+                false => Some(self.bytes()?),
+            },
+            key: self.key,
+            revision: self.revision,
+        })
+    }
+}
+
+/// Escapes the characters of a key that end a query value; others stay as they are in a URI.
+fn query(text: &str) -> String {
+    text.bytes()
+        .map(|b| match b {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' | b'/' => {
+                char::from(b).to_string()
+            }
+            b => format!("%{b:02X}"),
+        })
+        .collect()
+}
+
+impl PlatformStore {
+    /// Creates a client; no connection is opened before the first call.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT.min(timeout)));
+        connector.set_nodelay(true);
+        Self {
+            // A write must never be sent twice, so that its outcome stays known to the caller.
+            client: Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(IDLE_TIMEOUT)
+                .retry_canceled_requests(false)
+                .build(connector),
+            address,
+            timeout,
+        }
+    }
+
+    /// Makes a call. Dropping it after `timeout` closes its connection, on which no answer may follow.
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| StoreError::Invalid(e.to_string()))?;
+        let exchange = async {
+            let res = self
+                .client
+                .request(req)
+                .await
+                .map_err(|e| match e.is_connect() {
+                    true => StoreError::Unavailable(e.to_string()),
+                    false => unknown(e),
+                })?;
+            let status = res.status();
+            let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES);
+            let body = body.collect().await.map_err(unknown)?;
+            Ok((status, body.to_bytes()))
+        };
+        let out = tokio::time::timeout(timeout, exchange).await;
+        let late = || StoreError::Unknown(format!("no answer within {} ms", timeout.as_millis()));
+        let (status, data) = out.map_err(|_| late())??;
+        match status {
+            // Nothing was done.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                Err(StoreError::Unavailable(format!("status {status}")))
+            }
+            s if s.is_server_error() => Err(unknown(format!("status {s}"))),
+            s => Ok((s, data)),
+        }
+    }
+
+    async fn get_call(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        self.call(Method::GET, path, Bytes::new(), timeout).await
+    }
+
+    async fn post<T>(&self, path: &str, body: &T) -> Result<(StatusCode, Bytes), StoreError>
+    where
+        T: Serialize + Sync,
+    {
+        let body = serde_json::to_vec(body).map_err(|e| StoreError::Invalid(e.to_string()))?;
+        self.call(Method::POST, path, body.into(), self.timeout)
+            .await
+    }
+
+    async fn txn(&self, txn: &Txn<'_>) -> Result<Swap, StoreError> {
+        match self.post("/api/kv-txn", txn).await? {
+            (StatusCode::OK, data) => Ok(Swap::Done(decode::<Done>(&data)?.revision)),
+            (StatusCode::PRECONDITION_FAILED, data) => {
+                let found = decode::<Conflict>(&data)?.items;
+                // A key that does not exist is listed without a change.
+                let found = found.into_iter().find(|i| i.revision > 0 && !i.deleted);
+                Ok(Swap::Conflict(found.map(Item::entry).transpose()?))
+            }
+            (StatusCode::NOT_FOUND, _) => Err(StoreError::NoLease),
+            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        }
+    }
+}
+
+fn write<'a>(key: &'a str, value: &[u8], lease: Option<LeaseId>) -> Result<Write<'a>, StoreError> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(StoreError::Invalid("value is too large".into()));
+    }
+    Ok(Write {
+        key,
+        value: STANDARD.encode(value),
+        lease: lease.unwrap_or(0),
+    })
+}
+
+#[async_trait]
+impl Store for PlatformStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let path = format!("/api/kv-key?key={}", query(key));
+        match self.get_call(&path, self.timeout).await? {
+            (StatusCode::OK, data) => decode::<Item>(&data)?.entry().map(Some),
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        let mut out: Option<Listing> = None;
+        let mut after = String::new();
+        loop {
+            let mut path = format!("/api/kv-range?prefix={}", query(prefix));
+            if !after.is_empty() {
+                path.push_str(&format!("&after={}", query(&after)));
+            }
+            let page: Page = match self.get_call(&path, self.timeout).await? {
+                (StatusCode::OK, data) => decode(&data)?,
+                (s, _) => return Err(StoreError::Invalid(format!("status {s}"))),
+            };
+            // Pages are no snapshot; a watch from the first one's revision repeats what changed in between.
+            let listing = out.get_or_insert_with(|| Listing {
+                entries: Vec::new(),
+                revision: page.at,
+            });
+            let more = page.has_more && !page.items.is_empty();
+            for item in page.items {
+                after.clone_from(&item.key);
+                listing.entries.push(item.entry()?);
+            }
+            if !more {
+                return Ok(out.unwrap_or_default());
+            }
+        }
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expect: Revision,
+        value: Option<Vec<u8>>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        let mut txn = Txn {
+            precondition: vec![Condition {
+                key,
+                revision: expect,
+            }],
+            ..Txn::default()
+        };
+        match &value {
+            Some(value) => txn.writes.push(write(key, value, lease)?),
+            None => txn.remove.push(key),
+        }
+        self.txn(&txn).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        let txn = Txn {
+            writes: vec![write(key, &value, lease)?],
+            ..Txn::default()
+        };
+        match self.txn(&txn).await? {
+            Swap::Done(r) => Ok(r),
+            Swap::Conflict(_) => Err(unknown("a write without a condition failed its condition")),
+        }
+    }
+
+    async fn remove(&self, key: &str) -> Result<(), StoreError> {
+        let txn = Txn {
+            remove: vec![key],
+            ..Txn::default()
+        };
+        self.txn(&txn).await.map(drop)
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let grant = Grant {
+            ttl_ms: ttl.as_millis() as u64,
+        };
+        match self.post("/api/kv-lease", &grant).await? {
+            (s, data) if s.is_success() => Ok(decode::<Granted>(&data)?.lease),
+            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        }
+    }
+
+    async fn keep(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let path = format!("/api/kv-keep/{lease}");
+        match self.post(&path, &serde_json::json!({})).await? {
+            (s, _) if s.is_success() => Ok(()),
+            (StatusCode::NOT_FOUND, _) => Err(StoreError::NoLease),
+            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        }
+    }
+
+    async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let path = format!("/api/kv-lease-end/{lease}");
+        let out = self.call(Method::DELETE, &path, Bytes::new(), self.timeout);
+        out.await.map(drop)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        let ms = wait.as_millis();
+        let path = format!(
+            "/api/kv-watch?prefix={}&after={from}&wait_ms={ms}",
+            query(prefix)
+        );
+        let (status, data) = self.get_call(&path, wait + self.timeout).await?;
+        match status {
+            StatusCode::OK => {
+                let w: Watched = decode(&data)?;
+                let events: Result<Vec<_>, _> = w.events.into_iter().map(Item::event).collect();
+                Ok(Changes {
+                    events: events?,
+                    revision: w.at,
+                })
+            }
+            StatusCode::GONE => Err(StoreError::Compacted),
+            s => Err(StoreError::Invalid(format!("status {s}"))),
+        }
+    }
+}
--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -246,9 +246,10 @@
     let limits = p.settings.limits.clone();
     let q = p.clone();
     let serve = move |req, _| admit::serve(q.clone(), req);
-    let relay = listen::serve_until(relay, limits.for_relay(), closing.clone(), serve);
+    let relay_limits = limits.for_relay();
+    let relay = listen::serve_until(relay, move || relay_limits.clone(), closing.clone(), serve);
     let q = p.clone();
     let serve = move |req, from| entry::serve(q.clone(), req, from);
-    let caller = listen::serve_until(caller, limits, closing, serve);
+    let caller = listen::serve_until(caller, move || limits.clone(), closing, serve);
     vec![tokio::spawn(caller), tokio::spawn(relay)]
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::findings::Findings;
 use crate::prelude::*;
+use crate::sidecar::settings::SidecarSettings;
 use crate::strict;
 use crate::version::validate::check_name;
 
@@ -27,6 +28,8 @@
     pub limits: LimitSettings,
     /// Choice of policies.
     pub policy: PolicySettings,
+    /// The node beside a target that only it can reach; read by `sidecar` only.
+    pub sidecar: SidecarSettings,
     /// Injection of faults by tests.
     pub faults: FaultSettings,
     /// Logs.
--- /dev/null
+++ b/src/sidecar/admin.rs
@@ -0,0 +1,85 @@
+//! Admin API of a sidecar node: metrics and status.
+
+use std::net::SocketAddr;
+
+use dropshot::{
+    endpoint, ApiDescription, ConfigDropshot, HttpError, HttpResponseOk, HttpServer,
+    RequestContext, ServerBuilder,
+};
+use http::Response;
+use schemars::JsonSchema;
+use serde::Serialize;
+
+use super::node::Node;
+use crate::logging;
+use crate::prelude::*;
+
+type Ctx = RequestContext<Arc<Node>>;
+
+/// State of a node.
+#[derive(Debug, Serialize, JsonSchema)]
+struct Status {
+    /// Node.
+    node: String,
+    /// Number of the version in force, 0 without one.
+    version: u64,
+    /// Whether it serves callers.
+    ready: bool,
+    /// Known nodes, this one included.
+    nodes: usize,
+    /// Open links to other nodes.
+    links: usize,
+    /// Target beside it.
+    target: Option<String>,
+    /// Requests that run or wait there.
+    queued: usize,
+    /// Requests in progress.
+    in_flight: usize,
+}
+
+/// Metrics in the Prometheus text format.
+#[endpoint { method = GET, path = "/metrics" }]
+async fn metrics(ctx: Ctx) -> Result<Response<dropshot::Body>, HttpError> {
+    let text = ctx.context().metrics.render();
+    Response::builder()
+        .header(http::header::CONTENT_TYPE, "text/plain; version=0.0.4")
+        .body(text.into())
+        .map_err(|e| HttpError::for_internal_error(e.to_string()))
+}
+
+/// State of the node.
+#[endpoint { method = GET, path = "/status" }]
+async fn status(ctx: Ctx) -> Result<HttpResponseOk<Status>, HttpError> {
+    let n = ctx.context();
+    let record = n.record();
+    let nodes = n.members().count();
+    Ok(HttpResponseOk(Status {
+        node: n.id.to_string(),
+        version: n.version(),
+        ready: n.ready(),
+        nodes,
+        links: n.links.len(),
+        target: record.target.map(|t| t.id.to_string()),
+        queued: n.slots.len(),
+        in_flight: n.in_flight(),
+    }))
+}
+
+/// Starts the API.
+///
+/// # Errors
+///
+/// A text that says why it cannot listen.
+pub fn start(address: SocketAddr, n: Arc<Node>) -> Result<HttpServer<Arc<Node>>, String> {
+    let mut api = ApiDescription::new();
+    api.register(metrics).map_err(|e| e.to_string())?;
+    api.register(status).map_err(|e| e.to_string())?;
+    let config = ConfigDropshot {
+        bind_address: address,
+        ..ConfigDropshot::default()
+    };
+    ServerBuilder::new(api, n, logging::dropshot_log())
+        .config(config)
+        .start()
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/src/sidecar/entry.rs
@@ -0,0 +1,323 @@
+//! Entry node: finds the route of a caller's request, chooses targets one after the other and answers the caller.
+
+use std::net::IpAddr;
+
+use bytes::Bytes;
+use http::{header, HeaderMap, HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::admit::{self, strip_answer, Reply, Work};
+use super::edge::is_inner;
+use super::node::{Node, Phase};
+use super::placement::{Ask, Choice};
+use super::pool::Whole;
+use super::routes::Route;
+use crate::prelude::*;
+use crate::request::body::{full, Body};
+use crate::request::context;
+use crate::request::reason::{Failure, Outcome, Reason};
+
+/// Nodes that one request asks for a slot at most. A refusal costs no run, but its way costs time.
+const MAX_ASKED: usize = 4;
+/// Time that a caller waits when it names none and no version is known.
+const DEFAULT_LEFT: Duration = Duration::from_secs(1);
+/// Least time that a caller is told to wait when no room is foreseen.
+const LEAST_AGAIN: Duration = Duration::from_millis(20);
+/// Wait that a caller is told while the node knows no version or no target.
+const NOT_READY_AGAIN: Duration = Duration::from_millis(150);
+
+/// A request of a caller, from its arrival to its answer.
+struct Job {
+    work: Work,
+    route: Arc<Route>,
+    tried: Vec<NodeId>,
+    /// Targets that got the request.
+    sent: u32,
+    may_have_run: bool,
+    /// Time after which there may be room.
+    again: Duration,
+    trace: String,
+}
+
+/// Serves one request of a caller.
+pub async fn serve(n: Arc<Node>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
+    let start = n.clock.now();
+    let facts = n.edge.caller(req.headers());
+    let id = facts.id.clone().unwrap_or_default();
+    let _flight = n.flight();
+    let mut job = match accept(&n, req, from, start).await {
+        Ok(job) => job,
+        Err(f) => {
+            n.metrics.ended("none", 0, Some(&f), Duration::ZERO);
+            n.log.refused(&id, "none", &f, "");
+            return refuse(&n, &f, &id, NOT_READY_AGAIN);
+        }
+    };
+    let out = run(&n, &mut job).await;
+    let took = n.clock.now().saturating_sub(start);
+    n.metrics
+        .ended(&job.route.name, job.work.rank, out.as_ref().err(), took);
+    match out {
+        Ok(whole) => answer(&n, whole),
+        Err(f) => {
+            n.log.refused(&id, &job.route.name, &f, &job.trace);
+            refuse(&n, &f, &id, job.again)
+        }
+    }
+}
+
+fn answer(n: &Node, whole: Whole) -> Response<Body> {
+    let mut res = Response::new(full(whole.body));
+    *res.status_mut() = whole.status;
+    *res.headers_mut() = whole.headers;
+    strip_answer(res.headers_mut());
+    close_when_leaving(n, res.headers_mut());
+    res
+}
+
+fn refuse(n: &Node, f: &Failure, id: &str, again: Duration) -> Response<Body> {
+    // Callers that were refused together would come back together.
+    let spread = 0.75 + 0.5 * rand::random::<f64>();
+    let again = again.max(f.back_off).max(LEAST_AGAIN).mul_f64(spread);
+    let again = (f.outcome == Outcome::NotRun).then_some(again);
+    let mut res = n.edge.refusal(f, (!id.is_empty()).then_some(id), again);
+    close_when_leaving(n, res.headers_mut());
+    res
+}
+
+fn close_when_leaving(n: &Node, h: &mut HeaderMap) {
+    if n.phase() != Phase::Serving {
+        h.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+/// Finds the route and reads the whole body.
+async fn accept(
+    n: &Arc<Node>,
+    req: Request<Incoming>,
+    from: IpAddr,
+    start: Now,
+) -> Result<Job, Failure> {
+    let table = n.routes.load_full();
+    let table = table.ok_or(Failure::not_run(Reason::NoVersion))?;
+    let (parts, body) = req.into_parts();
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|v| v.to_str().ok())
+        .or(parts.uri.host())
+        .unwrap_or_default();
+    let route = table.route(host, parts.uri.path());
+    let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
+    let facts = n.edge.caller(&parts.headers);
+    let left = facts.left.unwrap_or(DEFAULT_LEFT.max(route.timeout));
+    let left = left.min(route.timeout);
+    let body = read_body(body, table.limits.body_bytes, left).await?;
+    let service = n.split().next(&route.name, &route.parts).service.clone();
+    let inner = is_inner(from, n.settings().sidecar.target.ip());
+    let mut headers = parts.headers;
+    context::strip_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    n.edge.strip(&mut headers);
+    n.count_request(&service, start);
+    Ok(Job {
+        work: Work {
+            id: facts.id.ok_or(Failure::not_run(Reason::BadRequest))?,
+            route: route.name.clone(),
+            service,
+            caller: n.service.clone(),
+            // A refused call of a running request loses that request too.
+            rank: if inner { 0 } else { route.rank },
+            idempotent: route.idempotent,
+            aim: route.aim,
+            due: start + due(&route, left),
+            deadline: start + left,
+            method: parts.method,
+            path: parts
+                .uri
+                .path_and_query()
+                .map_or("/", |p| p.as_str())
+                .into(),
+            headers,
+            body,
+        },
+        route,
+        tried: Vec::new(),
+        sent: 0,
+        may_have_run: false,
+        again: Duration::ZERO,
+        trace: String::new(),
+    })
+}
+
+/// What is left to the aim. A caller with less time than the route gives has spent the rest on earlier attempts.
+fn due(route: &Route, left: Duration) -> Duration {
+    let spent = route.timeout.saturating_sub(left);
+    route.aim.saturating_sub(spent)
+}
+
+async fn read_body(body: Incoming, max: usize, left: Duration) -> Result<Bytes, Failure> {
+    if http_body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    match tokio::time::timeout(left, Limited::new(body, max).collect()).await {
+        Ok(Ok(b)) => Ok(b.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(Failure::not_run(Reason::TooLarge))
+        }
+        Ok(Err(_)) => Err(Failure::not_run(Reason::BadRequest)),
+        Err(_) => Err(Failure::not_run(Reason::SlowCaller)),
+    }
+}
+
+/// Runs the request at one target, or at several one after the other when the rules allow it.
+async fn run(n: &Arc<Node>, job: &mut Job) -> Result<Whole, Failure> {
+    let mut kept: Option<Whole> = None;
+    loop {
+        let left = job.work.deadline.saturating_sub(n.clock.now());
+        let reply = match tokio::time::timeout(left, attempt(n, job)).await {
+            Ok(reply) => reply,
+            Err(_) => Err(match job.sent {
+                0 => Failure::not_run(Reason::Deadline),
+                _ => Failure::unknown(Reason::Deadline),
+            }),
+        };
+        let f = match reply {
+            Ok(Reply::Answer(whole)) if !whole.status.is_server_error() => return Ok(whole),
+            Ok(Reply::Answer(whole)) => {
+                kept = Some(whole);
+                Failure::unknown(Reason::BadAnswer)
+            }
+            Ok(Reply::Failed { failure, .. }) => failure,
+            // No target is left to ask.
+            Err(f) => return kept.map_or_else(|| Err(report(job, f)), Ok),
+        };
+        if !may_repeat(n, job, &f) {
+            return kept.map_or_else(|| Err(report(job, f)), Ok);
+        }
+        n.metrics.retried(f.reason);
+    }
+}
+
+/// One attempt of unknown result makes the result of the whole request unknown.
+fn report(job: &Job, f: Failure) -> Failure {
+    match job.may_have_run {
+        true => Failure {
+            outcome: Outcome::Unknown,
+            ..f
+        },
+        false => f,
+    }
+}
+
+fn may_repeat(n: &Node, job: &Job, f: &Failure) -> bool {
+    let now = n.clock.now();
+    let ran = f.outcome != Outcome::NotRun;
+    match f.reason {
+        _ if now >= job.work.deadline => false,
+        _ if ran && !job.work.idempotent => false,
+        Reason::Deadline if ran => false,
+        Reason::BadRequest | Reason::TooLarge => false,
+        _ if job.tried.len() >= MAX_ASKED => false,
+        _ if job.sent >= job.route.attempts.max(1) => false,
+        _ => job.sent == 0 || n.take_repeat(&job.work.service, now),
+    }
+}
+
+/// Chooses a target and sends the request there.
+///
+/// # Errors
+///
+/// No target can be asked.
+async fn attempt(n: &Arc<Node>, job: &mut Job) -> Result<Reply, Failure> {
+    let now = n.clock.now();
+    let ask = Ask {
+        service: &job.work.service,
+        rank: job.work.rank,
+        due: job.work.due.saturating_sub(now),
+        left: job.work.deadline.saturating_sub(now),
+        tried: &job.tried,
+    };
+    let node = match n.choose(&ask) {
+        Choice::Target(node) => node,
+        Choice::Full(back_off) => {
+            job.again = longest_hint(job.again, back_off);
+            return Err(Failure {
+                back_off: job.again,
+                ..Failure::not_run(Reason::HeldOff)
+            });
+        }
+        Choice::None => {
+            job.again = longest_hint(job.again, NOT_READY_AGAIN);
+            return Err(Failure::not_run(Reason::NoTarget));
+        }
+    };
+    job.tried.push(node.clone());
+    n.place().sent(&node);
+    n.metrics.attempts.inc();
+    // Until the reply says otherwise the request counts as sent: the attempt may be cut short.
+    let (sent, may_have_run) = (job.sent, job.may_have_run);
+    job.sent += 1;
+    job.may_have_run = true;
+    let reply = match node == n.id {
+        true => {
+            let reply = admit::run(n, job.work.clone()).await;
+            n.place().reported(n.clock.now(), &node, n.slots.load());
+            reply
+        }
+        false => n.links.call(n, &node, &job.work).await,
+    };
+    note(n, job, &node, &reply, (sent, may_have_run));
+    Ok(reply)
+}
+
+/// Notes what the reply of a node says about the request and about its target.
+fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply, before: (u32, bool)) {
+    let now = n.clock.now();
+    let failure = match reply {
+        Reply::Answer(whole) => {
+            job.trace_attempt(node, whole.status.as_str());
+            return;
+        }
+        Reply::Failed { failure, at_target } => {
+            job.sent = before.0 + u32::from(*at_target);
+            failure
+        }
+    };
+    job.trace_attempt(node, failure.reason.as_str());
+    if failure.outcome != Outcome::NotRun {
+        return;
+    }
+    job.may_have_run = before.1;
+    let rank = job.work.rank;
+    match failure.reason {
+        Reason::QueueFull | Reason::Declined => {
+            n.place().full(now, node, rank, failure.back_off);
+            job.again = longest_hint(job.again, failure.back_off);
+        }
+        Reason::NotReady | Reason::Draining | Reason::NotSent => {
+            n.place().full(now, node, 0, NOT_READY_AGAIN);
+        }
+        _ => {}
+    }
+}
+
+fn longest_hint(a: Duration, b: Duration) -> Duration {
+    match (a.is_zero(), b.is_zero()) {
+        (true, _) => b,
+        (_, true) => a,
+        _ => a.min(b),
+    }
+}
+
+impl Job {
+    fn trace_attempt(&mut self, node: &str, result: &str) {
+        if !self.trace.is_empty() {
+            self.trace.push(',');
+        }
+        self.trace.push_str(node);
+        self.trace.push('=');
+        self.trace.push_str(result);
+    }
+}
--- /dev/null
+++ b/src/sidecar/link.rs
@@ -0,0 +1,580 @@
+//! Links to other nodes: each node opens one to every other and sends its requests there.
+//!
+//! A link finds out by its own pings that the other side is silent, well before the deadline of a request.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+use futures_util::{SinkExt, StreamExt};
+use http::StatusCode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio_tungstenite::tungstenite::Message as Ws;
+use tokio_tungstenite::WebSocketStream;
+
+use super::admit::{self, strip_answer, Reply, Work};
+use super::frame::{join, method, AnswerHead, FailedHead, Head, Message, RequestHead, Seq};
+use super::node::Node;
+use super::pool::Whole;
+use crate::prelude::*;
+use crate::request::reason::{Failure, Outcome, Reason};
+
+/// Time to open a link: several round trips between zones, and the pauses of a busy process.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Shortest and longest pause before a link is opened again; a node that restarts is back within seconds.
+const REOPEN: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(2));
+/// Silence on a link with waiting requests after which it is pinged.
+const PING_AFTER: Duration = Duration::from_millis(120);
+/// Time for the answer to a ping after which the other side counts as unreachable and work that may run again is sent
+/// elsewhere. Above the pauses of a process that has used up its share of the processor.
+const DOUBT_AFTER: Duration = Duration::from_millis(250);
+/// Time for the answer to a ping after which the link is closed.
+const DEAD_AFTER: Duration = Duration::from_millis(1200);
+/// Silence on an idle link after which it is pinged.
+const IDLE_PING: Duration = Duration::from_secs(4);
+/// Messages that wait to be written; beyond it the other side does not read.
+const OUTGOING: usize = 512;
+/// Pause after a failed `accept`, which usually means that file descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+type Stream = WebSocketStream<TcpStream>;
+
+struct Pending {
+    reply: oneshot::Sender<Reply>,
+    idempotent: bool,
+}
+
+/// An open link that this node opened.
+struct Link {
+    node: NodeId,
+    outgoing: mpsc::Sender<(Seq, Message)>,
+    pending: Mutex<BTreeMap<Seq, Pending>>,
+    /// Greatest request number that was handed to the connection.
+    written: AtomicU64,
+    next: AtomicU64,
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Link {
+    fn finish(&self, seq: Seq, reply: Reply) {
+        if let Some(p) = lock(&self.pending).remove(&seq) {
+            // The caller may have gone.
+            let _ = p.reply.send(reply);
+        }
+    }
+
+    /// Fails requests whose answer cannot be expected any more; those that were not written never ran.
+    fn fail<F>(&self, which: F)
+    where
+        F: Fn(&Pending) -> bool,
+    {
+        let written = self.written.load(Ordering::SeqCst);
+        let mut pending = lock(&self.pending);
+        let found = pending.iter().filter(|(_, p)| which(p));
+        let found: Vec<Seq> = found.map(|(seq, _)| *seq).collect();
+        for seq in found {
+            let Some(p) = pending.remove(&seq) else {
+                continue;
+            };
+            let reply = match seq <= written {
+                true => Reply::Failed {
+                    failure: Failure::unknown(Reason::Lost),
+                    at_target: true,
+                },
+                false => Reply::refused(Failure::not_run(Reason::NotSent)),
+            };
+            let _ = p.reply.send(reply);
+        }
+    }
+
+    fn is_waiting(&self) -> bool {
+        !lock(&self.pending).is_empty()
+    }
+}
+
+/// Cancels a request whose caller has gone.
+struct Waiting<'a> {
+    link: &'a Link,
+    seq: Seq,
+    ended: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.ended && lock(&self.link.pending).remove(&self.seq).is_some() {
+            let cancel = Message::bare(Head::Cancel(self.seq));
+            // A link that is that full will be closed, which cancels too.
+            let _ = self.link.outgoing.try_send((0, cancel));
+        }
+    }
+}
+
+/// Links to all other nodes.
+#[derive(Default)]
+pub struct Links {
+    open: Mutex<HashMap<NodeId, Arc<Link>>>,
+    kept: Mutex<HashSet<NodeId>>,
+}
+
+impl Links {
+    /// Keeps a link to this node open until it is forgotten.
+    pub fn ensure(&self, n: &Arc<Node>, node: &NodeId) {
+        if lock(&self.kept).insert(node.clone()) {
+            tokio::spawn(keep(n.clone(), node.clone()));
+        }
+    }
+
+    /// Whether a link to this node is open.
+    pub fn is_open(&self, node: &str) -> bool {
+        lock(&self.open).contains_key(node)
+    }
+
+    /// Number of open links.
+    pub fn len(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// Whether no link is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Sends a request to the node beside a target and waits for its reply.
+    pub async fn call(&self, n: &Node, node: &NodeId, work: &Work) -> Reply {
+        let link = lock(&self.open).get(node).cloned();
+        let not_sent = Reply::refused(Failure::not_run(Reason::NotSent));
+        let Some(link) = link else {
+            return not_sent;
+        };
+        let seq = link.next.fetch_add(1, Ordering::SeqCst) + 1;
+        let (tx, rx) = oneshot::channel();
+        let pending = Pending {
+            reply: tx,
+            idempotent: work.idempotent,
+        };
+        lock(&link.pending).insert(seq, pending);
+        let mut waiting = Waiting {
+            link: &link,
+            seq,
+            ended: false,
+        };
+        let message = request_message(n, work, seq);
+        if link.outgoing.try_send((seq, message)).is_err() {
+            lock(&link.pending).remove(&seq);
+            return not_sent;
+        }
+        let reply = rx.await;
+        waiting.ended = true;
+        reply.unwrap_or(Reply::Failed {
+            failure: Failure::unknown(Reason::Lost),
+            at_target: true,
+        })
+    }
+
+    /// Asks one of the open links' nodes, or this one, for the version in force.
+    pub fn ask_config(&self, node: &str) -> bool {
+        let link = lock(&self.open).get(node).cloned();
+        link.is_some_and(|l| {
+            let ask = Message::bare(Head::AskConfig);
+            l.outgoing.try_send((0, ask)).is_ok()
+        })
+    }
+
+    /// Sends the own record on all links, after it changed.
+    pub fn greet(&self, n: &Node) {
+        for link in lock(&self.open).values() {
+            // A link that is that full will be closed and opened again with the new record.
+            let _ = link.outgoing.try_send((0, hello(n)));
+        }
+    }
+}
+
+fn hello(n: &Node) -> Message {
+    Message::bare(Head::Hello(Box::new(n.record()), n.version()))
+}
+
+fn request_message(n: &Node, work: &Work, seq: Seq) -> Message {
+    let now = n.clock.now();
+    let (header_len, rest) = join(&work.headers, &work.body);
+    let head = RequestHead {
+        seq,
+        id: work.id.clone(),
+        route: work.route.clone(),
+        service: work.service.clone(),
+        caller: work.caller.clone(),
+        rank: work.rank,
+        idempotent: work.idempotent,
+        aim_ms: work.aim.as_millis() as u64,
+        due_ms: work.due.saturating_sub(now).as_millis() as u64,
+        left_ms: work.deadline.saturating_sub(now).as_millis() as u64,
+        method: work.method.as_str().into(),
+        path: work.path.clone(),
+        header_len,
+    };
+    Message {
+        head: Head::Request(Box::new(head)),
+        rest,
+    }
+}
+
+/// Opens the link to a node again and again until the node is forgotten.
+async fn keep(n: Arc<Node>, node: NodeId) {
+    let mut pause = REOPEN.0;
+    loop {
+        let address = n.members().get(&node).map(|r| r.relay);
+        let Some(address) = address else {
+            lock(&n.links.kept).remove(&node);
+            return;
+        };
+        let opened = tokio::time::timeout(OPEN_TIMEOUT, open(address)).await;
+        match opened {
+            Ok(Ok(stream)) => {
+                pause = REOPEN.0;
+                n.log.event("link_opened", &[("node", &node)]);
+                let why = drive(&n, &node, stream).await;
+                n.log
+                    .event("link_lost", &[("node", &node), ("reason", &why)]);
+            }
+            Ok(Err(e)) => spdlog::debug!("event=link_failed", kv: { error = e }),
+            Err(_) => spdlog::debug!("event=link_failed", kv: { error = "timeout" }),
+        }
+        let wait = pause.mul_f64(0.5 + rand::random::<f64>());
+        tokio::time::sleep(wait).await;
+        pause = (pause * 2).min(REOPEN.1);
+    }
+}
+
+async fn open(address: std::net::SocketAddr) -> Result<Stream, String> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let url = format!("ws://{address}/link");
+    let opened = tokio_tungstenite::client_async(url, stream).await;
+    opened.map(|(s, _)| s).map_err(|e| e.to_string())
+}
+
+/// What a link knows about the silence of the other side.
+struct Silence {
+    heard: Now,
+    pinged: Option<Now>,
+    doubted: bool,
+}
+
+impl Silence {
+    /// Time until the next look.
+    fn next(&self, waiting: bool, now: Now) -> Duration {
+        let at = match (self.pinged, waiting) {
+            (Some(t), _) if self.doubted => t + DEAD_AFTER,
+            (Some(t), _) => t + DOUBT_AFTER,
+            (None, true) => self.heard + PING_AFTER,
+            (None, false) => self.heard + IDLE_PING,
+        };
+        at.saturating_sub(now).max(Duration::from_millis(5))
+    }
+}
+
+/// Moves messages on an open link until it ends; returns why.
+async fn drive(n: &Arc<Node>, node: &NodeId, stream: Stream) -> String {
+    let (outgoing, mut queue) = mpsc::channel(OUTGOING);
+    let link = Arc::new(Link {
+        node: node.clone(),
+        outgoing,
+        pending: Mutex::default(),
+        written: AtomicU64::new(0),
+        next: AtomicU64::new(0),
+    });
+    let (mut sink, mut source) = stream.split();
+    let greeting = Ws::Binary(hello(n).encode());
+    if let Err(e) = sink.send(greeting).await {
+        return e.to_string();
+    }
+    // Writing has a task of its own: a peer that does not read must not keep its answers from being read.
+    let writer_link = link.clone();
+    let writer = tokio::spawn(async move {
+        while let Some((seq, message)) = queue.recv().await {
+            writer_link.written.fetch_max(seq, Ordering::SeqCst);
+            if sink.send(Ws::Binary(message.encode())).await.is_err() {
+                return;
+            }
+        }
+    });
+    lock(&n.links.open).insert(node.clone(), link.clone());
+    n.place().reach(node, true);
+    let mut silence = Silence {
+        heard: n.clock.now(),
+        pinged: None,
+        doubted: false,
+    };
+    let why = loop {
+        let wait = silence.next(link.is_waiting(), n.clock.now());
+        tokio::select! {
+            message = source.next() => match message {
+                Some(Ok(Ws::Binary(data))) => {
+                    silence.heard = n.clock.now();
+                    silence.pinged = None;
+                    if std::mem::take(&mut silence.doubted) {
+                        n.place().reach(node, true);
+                    }
+                    if let Err(e) = receive(n, &link, data) {
+                        break e;
+                    }
+                }
+                Some(Ok(Ws::Close(_))) | None => break "closed".to_owned(),
+                Some(Ok(_)) => {}
+                Some(Err(e)) => break e.to_string(),
+            },
+            () = tokio::time::sleep(wait) => {
+                if let Some(why) = check_silence(n, &link, &mut silence) {
+                    break why;
+                }
+            }
+        }
+    };
+    n.place().reach(node, false);
+    lock(&n.links.open).remove(node);
+    writer.abort();
+    link.fail(|_| true);
+    why
+}
+
+fn check_silence(n: &Node, link: &Link, s: &mut Silence) -> Option<String> {
+    let now = n.clock.now();
+    let quiet = now.saturating_sub(s.heard);
+    match s.pinged {
+        Some(t) if now >= t + DEAD_AFTER => return Some("silent".to_owned()),
+        Some(t) if now >= t + DOUBT_AFTER && !s.doubted => {
+            s.doubted = true;
+            n.place().reach(&link.node, false);
+            link.fail(|p| p.idempotent);
+        }
+        None if link.is_waiting() && quiet >= PING_AFTER || quiet >= IDLE_PING => {
+            s.pinged = Some(now);
+            let ping = Message::bare(Head::Ping(n.version()));
+            // A full queue is the silence itself.
+            let _ = link.outgoing.try_send((0, ping));
+        }
+        _ => {}
+    }
+    None
+}
+
+/// Takes a message of the node that this one opened a link to.
+fn receive(n: &Arc<Node>, link: &Link, data: bytes::Bytes) -> Result<(), String> {
+    let message = Message::decode(data)?;
+    let now = n.clock.now();
+    match &message.head {
+        Head::Answer(a, load) => {
+            n.place().reported(now, &link.node, *load);
+            let (headers, body) = message.split(a.header_len)?;
+            let status = StatusCode::from_u16(a.status).map_err(|e| e.to_string())?;
+            let whole = Whole {
+                status,
+                headers,
+                body,
+            };
+            link.finish(a.seq, Reply::Answer(whole));
+        }
+        Head::Failed(f, load) => {
+            n.place().reported(now, &link.node, *load);
+            let reply = Reply::Failed {
+                failure: f.failure(),
+                at_target: f.at_target,
+            };
+            link.finish(f.seq, reply);
+        }
+        Head::Hello(record, version) => {
+            n.met(record.as_ref().clone());
+            n.heard_version(&link.node, *version);
+        }
+        Head::Pong(version) => n.heard_version(&link.node, *version),
+        Head::Config(_) => n.offer_config(message.rest),
+        _ => return Err("unexpected message".into()),
+    }
+    n.members().heard(&link.node, now);
+    Ok(())
+}
+
+/// Accepts links of other nodes for ever.
+pub async fn accept(n: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(n.clone(), stream));
+            }
+            Err(e) => {
+                spdlog::warn!("event=accept_failed", kv: { error = e.to_string() });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Requests of one accepted link that have not ended.
+#[derive(Default)]
+struct Served {
+    running: Mutex<HashMap<Seq, AbortHandle>>,
+    closed: AtomicBool,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        for task in lock(&self.running).values() {
+            task.abort();
+        }
+    }
+}
+
+async fn serve(n: Arc<Node>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let opened = tokio_tungstenite::accept_async(stream);
+    let Ok(Ok(stream)) = tokio::time::timeout(OPEN_TIMEOUT, opened).await else {
+        return;
+    };
+    let (mut sink, mut source) = stream.split();
+    let (tx, mut rx) = mpsc::channel::<Message>(OUTGOING);
+    let writer = tokio::spawn(async move {
+        while let Some(m) = rx.recv().await {
+            if sink.send(Ws::Binary(m.encode())).await.is_err() {
+                return;
+            }
+        }
+    });
+    let _ = tx.send(hello(&n)).await;
+    let mut changed = n.changed.subscribe();
+    let mut peer = NodeId::default();
+    // Requests that still run when the link ends are dropped with this.
+    let served = Arc::new(Served::default());
+    loop {
+        let data = tokio::select! {
+            message = source.next() => match message {
+                Some(Ok(Ws::Binary(data))) => data,
+                Some(Ok(Ws::Close(_)) | Err(_)) | None => break,
+                Some(Ok(_)) => continue,
+            },
+            changed = changed.changed() => {
+                if changed.is_err() || tx.try_send(hello(&n)).is_err() {
+                    break;
+                }
+                continue;
+            }
+        };
+        let Ok(message) = Message::decode(data) else {
+            break;
+        };
+        match &message.head {
+            Head::Request(head) => start(&n, &served, &tx, head, &message),
+            Head::Cancel(seq) => {
+                if let Some(task) = lock(&served.running).remove(seq) {
+                    task.abort();
+                }
+            }
+            Head::Hello(record, version) => {
+                peer = record.node.clone();
+                n.met(record.as_ref().clone());
+                n.heard_version(&peer, *version);
+            }
+            Head::Ping(version) => {
+                n.heard_version(&peer, *version);
+                let _ = tx.try_send(Message::bare(Head::Pong(n.version())));
+            }
+            Head::AskConfig => {
+                if let Some(table) = n.routes.load_full() {
+                    let answer = Message {
+                        head: Head::Config(table.number),
+                        rest: table.document.clone(),
+                    };
+                    let _ = tx.try_send(answer);
+                }
+            }
+            _ => break,
+        }
+    }
+    served.closed.store(true, Ordering::SeqCst);
+    for task in lock(&served.running).values() {
+        task.abort();
+    }
+    writer.abort();
+}
+
+/// Starts a request of another node.
+fn start(
+    n: &Arc<Node>,
+    served: &Arc<Served>,
+    tx: &mpsc::Sender<Message>,
+    head: &RequestHead,
+    message: &Message,
+) {
+    let seq = head.seq;
+    let Some(work) = read_work(n, head, message) else {
+        let bad = Reply::refused(Failure::not_run(Reason::BadRequest));
+        let _ = tx.try_send(reply_message(n, seq, bad));
+        return;
+    };
+    let (n, tx, owner) = (n.clone(), tx.clone(), Arc::downgrade(served));
+    let task = tokio::spawn(async move {
+        let _flight = n.flight();
+        let reply = admit::run(&n, work).await;
+        // The queue is full only when the other side does not read; it then finds the link silent.
+        let _ = tx.send(reply_message(&n, seq, reply)).await;
+        if let Some(served) = owner.upgrade() {
+            lock(&served.running).remove(&seq);
+        }
+    });
+    if !task.is_finished() {
+        lock(&served.running).insert(seq, task.abort_handle());
+    }
+}
+
+fn read_work(n: &Node, head: &RequestHead, message: &Message) -> Option<Work> {
+    let now = n.clock.now();
+    let (headers, body) = message.split(head.header_len).ok()?;
+    Some(Work {
+        id: head.id.clone(),
+        route: head.route.clone(),
+        service: head.service.clone(),
+        caller: head.caller.clone(),
+        rank: head.rank.min(super::routes::RANKS - 1),
+        idempotent: head.idempotent,
+        aim: Duration::from_millis(head.aim_ms),
+        due: now + Duration::from_millis(head.due_ms),
+        deadline: now + Duration::from_millis(head.left_ms),
+        method: method(&head.method).ok()?,
+        path: head.path.clone(),
+        headers,
+        body,
+    })
+}
+
+fn reply_message(n: &Node, seq: Seq, reply: Reply) -> Message {
+    let load = n.slots.load();
+    match reply {
+        Reply::Answer(mut whole) => {
+            strip_answer(&mut whole.headers);
+            let (header_len, rest) = join(&whole.headers, &whole.body);
+            let head = AnswerHead {
+                seq,
+                status: whole.status.as_u16(),
+                header_len,
+            };
+            Message {
+                head: Head::Answer(head, load),
+                rest,
+            }
+        }
+        Reply::Failed { failure, at_target } => {
+            let head = FailedHead {
+                seq,
+                unknown: failure.outcome != Outcome::NotRun,
+                reason: failure.reason.as_str().into(),
+                back_off_ms: failure.back_off.as_millis() as u64,
+                at_target,
+            };
+            Message::bare(Head::Failed(head, load))
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,34 @@
+//! The node beside a target that only it can reach.
+//!
+//! State by life span:
+//!
+//! - request: [`entry`] (route, choice, retries), [`admit`] (slot, exchange with the target)
+//! - connection: [`link`] and [`frame`] (between nodes), [`pool`] (to the target)
+//! - version: [`routes`]
+//! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`]), their
+//!   drivers ([`slots`], [`discovery`], [`config`], [`control`]) and [`node`], [`start`], [`admin`], [`metrics`]
+//!
+//! [`edge`] is the border to the names and formats of a platform.
+
+pub mod admin;
+pub mod admit;
+pub mod budget;
+pub mod config;
+pub mod control;
+pub mod discovery;
+pub mod edge;
+pub mod entry;
+pub mod frame;
+pub mod link;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod placement;
+pub mod pool;
+pub mod queue;
+pub mod routes;
+pub mod settings;
+pub mod slots;
+pub mod split;
+pub mod start;
+pub mod target;
--- /dev/null
+++ b/src/sidecar/node.rs
@@ -0,0 +1,359 @@
+//! State that lives as long as the process, shared by its tasks.
+
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
+use rand::rngs::SmallRng;
+use tokio::sync::{mpsc, watch, Notify};
+
+use super::budget::{Budget, BudgetBounds};
+use super::edge::Edge;
+use super::link::Links;
+use super::members::{Change, Members, NodeRecord};
+use super::metrics::Metrics;
+use super::placement::{Ask, Choice, Placement, TargetInfo};
+use super::pool::Pool;
+use super::routes::RouteTable;
+use super::slots::Slots;
+use super::split::Split;
+use super::target::{OwnTarget, TargetId, TargetState};
+use crate::logging::EventLog;
+use crate::prelude::*;
+use crate::process::clock::Clock;
+use crate::request::reason::Reason;
+use crate::settings::Settings;
+use crate::store::Store;
+
+/// Step of the end of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes requests.
+    Serving,
+    /// Still takes requests, and asks callers to go elsewhere.
+    Leaving,
+    /// Takes no requests; those in progress end.
+    Closing,
+}
+
+/// Shared state of a node.
+pub struct Node {
+    /// Name of the node.
+    pub id: NodeId,
+    /// Service of the target beside it.
+    pub service: ServiceId,
+    /// Names and formats of the platform.
+    pub edge: Arc<dyn Edge>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Time since the start of the process.
+    pub clock: Arc<dyn Clock>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Log with a bounded rate.
+    pub log: EventLog,
+    /// Version in force; a request keeps the route that it started with.
+    pub routes: ArcSwapOption<RouteTable>,
+    /// Slots of the target.
+    pub slots: Arc<Slots>,
+    /// Connections to the target.
+    pub pool: Pool,
+    /// Links to other nodes.
+    pub links: Links,
+    /// Tells accepted links that the own record changed.
+    pub changed: watch::Sender<u64>,
+    /// Wakes the task that keeps the own record in the store.
+    pub announce: Notify,
+    /// Documents and hints for the task that follows the configuration.
+    pub config_hints: mpsc::UnboundedSender<ConfigHint>,
+    pub(super) settings: ArcSwap<Settings>,
+    pub(super) own: Mutex<NodeRecord>,
+    pub(super) target: Mutex<OwnTarget>,
+    pub(super) members: Mutex<Members>,
+    pub(super) place: Mutex<Placement>,
+    pub(super) split: Mutex<Split>,
+    pub(super) budgets: Mutex<HashMap<ServiceId, Budget>>,
+    pub(super) rng: Mutex<SmallRng>,
+    pub(super) phase: AtomicU8,
+    pub(super) flights: AtomicUsize,
+    /// Whether the store's members were read once.
+    pub(super) joined: std::sync::atomic::AtomicBool,
+}
+
+/// What links learn about the configuration.
+#[derive(Debug)]
+pub enum ConfigHint {
+    /// A node holds this version.
+    Version(NodeId, VersionNumber),
+    /// A node sent its document.
+    Document(Bytes),
+}
+
+/// A request in progress; the process waits for it before it ends.
+pub struct Flight(Arc<Node>);
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.0.flights.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Node {
+    /// Settings in force.
+    pub fn settings(&self) -> arc_swap::Guard<Arc<Settings>> {
+        self.settings.load()
+    }
+
+    /// The target beside this node.
+    pub fn target(&self) -> MutexGuard<'_, OwnTarget> {
+        lock(&self.target)
+    }
+
+    /// The other nodes.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// Targets of all services.
+    pub fn place(&self) -> MutexGuard<'_, Placement> {
+        lock(&self.place)
+    }
+
+    /// Shares of weighted routes.
+    pub fn split(&self) -> MutexGuard<'_, Split> {
+        lock(&self.split)
+    }
+
+    /// Step of the end of the process.
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::SeqCst) {
+            0 => Phase::Serving,
+            1 => Phase::Leaving,
+            _ => Phase::Closing,
+        }
+    }
+
+    /// Goes to a later step of the end.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::SeqCst);
+    }
+
+    /// Counts a request until the result is dropped.
+    pub fn flight(self: &Arc<Self>) -> Flight {
+        self.flights.fetch_add(1, Ordering::SeqCst);
+        Flight(self.clone())
+    }
+
+    /// Requests in progress.
+    pub fn in_flight(&self) -> usize {
+        self.flights.load(Ordering::SeqCst)
+    }
+
+    /// Whether the node can serve callers.
+    pub fn ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.version() > 0 && self.joined.load(Ordering::SeqCst)
+    }
+
+    /// Path of the health probe of the own target, once a version is known.
+    pub fn health_path(&self) -> Option<SmolStr> {
+        let table = self.routes.load();
+        let service = table.as_ref()?.services.get(&self.service)?;
+        Some(service.health_path.clone())
+    }
+
+    /// Whether enough is known to ask the own target for its name: its probe, and which targets left.
+    pub fn ready_to_probe(&self) -> bool {
+        self.joined.load(Ordering::SeqCst) && self.health_path().is_some()
+    }
+
+    /// Number of the version in force, 0 without one.
+    pub fn version(&self) -> VersionNumber {
+        self.routes.load().as_ref().map_or(0, |t| t.number)
+    }
+
+    /// Puts a version in force if it is newer than the present one. Returns whether it is.
+    pub fn adopt(&self, table: RouteTable, source: &str) -> bool {
+        if table.number <= self.version() {
+            return false;
+        }
+        let number = table.number.to_string();
+        self.metrics.version.set(table.number as i64);
+        self.log.event(
+            "version_adopted",
+            &[("number", &number), ("source", source)],
+        );
+        self.routes.store(Some(Arc::new(table)));
+        true
+    }
+
+    /// Own record.
+    pub fn record(&self) -> NodeRecord {
+        lock(&self.own).clone()
+    }
+
+    /// Takes the state of the own target over into the own record, the placement and the queue.
+    pub fn refresh_target(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let state = self.target().state(now);
+        let slots = self.target().slots();
+        let mut own = lock(&self.own);
+        let before = own.target.clone();
+        if before == state {
+            return;
+        }
+        own.target = state.clone();
+        own.sequence += 1;
+        let record = own.clone();
+        drop(own);
+        let id = |t: &Option<TargetState>| t.as_ref().map(|t| t.id.clone());
+        if id(&before) != id(&state) {
+            self.pool.clear();
+            self.slots.change(|q, _| {
+                q.reset();
+                Vec::new()
+            });
+        }
+        self.slots.change(|q, now| q.set_slots(now, slots));
+        self.log.event("target_changed", &target_pairs(&state));
+        self.set_place(&record);
+        self.tell();
+    }
+
+    /// Announces the own record again, to the store and on links.
+    pub fn tell(&self) {
+        self.announce.notify_one();
+        self.changed.send_modify(|n| *n += 1);
+        self.links.greet(self);
+    }
+
+    /// Raises the own record above one that another process of the same name wrote.
+    pub fn outrank(&self, other: &NodeRecord) {
+        let mut own = lock(&self.own);
+        if other.order() > own.order() {
+            own.incarnation = other.incarnation + 1;
+        }
+    }
+
+    /// The target's address belongs to another target now.
+    pub fn target_replaced(self: &Arc<Self>, id: &TargetId) {
+        self.target().replaced(id);
+        self.log.event("target_replaced", &[("target", id)]);
+        self.slots.change(|q, _| q.refuse_all(Reason::NotReady));
+        self.refresh_target();
+    }
+
+    fn set_place(&self, r: &NodeRecord) {
+        let own = r.node == self.id;
+        let now = self.clock.now();
+        match &r.target {
+            Some(t) => {
+                let info = TargetInfo {
+                    service: r.service.clone(),
+                    az: r.az.clone(),
+                    slots: t.slots,
+                    ready: t.ready && !r.leaving,
+                    reachable: own || self.links.is_open(&r.node),
+                    id: t.id.clone(),
+                };
+                self.place().set(&r.node, info, now);
+            }
+            None => self.place().remove(&r.node),
+        }
+    }
+
+    /// Applies a change of the members.
+    pub fn apply(self: &Arc<Self>, change: Change) {
+        match change {
+            Change::Set(r) => {
+                self.set_place(&r);
+                self.links.ensure(self, &r.node);
+                self.log.event(
+                    "member_learned",
+                    &[
+                        ("node", &r.node),
+                        ("target", r.target.as_ref().map_or("none", |t| &t.id)),
+                        ("ready", flag(r.target.as_ref().is_some_and(|t| t.ready))),
+                    ],
+                );
+            }
+            Change::Forget(node) => {
+                self.place().remove(&node);
+                self.log.event("member_forgotten", &[("node", &node)]);
+            }
+        }
+    }
+
+    /// Takes the record of a node that answered on a link.
+    pub fn met(self: &Arc<Self>, record: NodeRecord) {
+        let change = self.members().met(record, self.clock.now());
+        if let Some(change) = change {
+            self.apply(change);
+        }
+    }
+
+    /// Takes the version number that another node holds.
+    pub fn heard_version(&self, node: &NodeId, number: VersionNumber) {
+        if number > self.version() && !node.is_empty() {
+            let hint = ConfigHint::Version(node.clone(), number);
+            // The receiver lives as long as the process.
+            let _ = self.config_hints.send(hint);
+        }
+    }
+
+    /// Takes a document that another node sent.
+    pub fn offer_config(&self, document: Bytes) {
+        let _ = self.config_hints.send(ConfigHint::Document(document));
+    }
+
+    /// Chooses a target.
+    pub fn choose(&self, ask: &Ask<'_>) -> Choice {
+        let now = self.clock.now();
+        self.place().choose(now, ask, &mut *lock(&self.rng))
+    }
+
+    fn bounds(&self) -> BudgetBounds {
+        let s = &self.settings().sidecar;
+        BudgetBounds {
+            window: Duration::from_secs(s.budget_window_s),
+            ratio: s.budget_ratio,
+            least: s.budget_least,
+        }
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn count_request(&self, service: &ServiceId, now: Now) {
+        let bounds = self.bounds();
+        let mut all = lock(&self.budgets);
+        all.entry(service.clone())
+            .or_default()
+            .request(&bounds, now);
+    }
+
+    /// Takes one repeat from the budget of a service.
+    pub fn take_repeat(&self, service: &ServiceId, now: Now) -> bool {
+        let bounds = self.bounds();
+        let nodes = self.members().count();
+        let mut all = lock(&self.budgets);
+        let budget = all.entry(service.clone()).or_default();
+        budget.take(&bounds, nodes, now)
+    }
+}
+
+fn flag(b: bool) -> &'static str {
+    match b {
+        true => "true",
+        false => "false",
+    }
+}
+
+fn target_pairs(t: &Option<TargetState>) -> [(&'static str, &str); 2] {
+    match t {
+        Some(t) => [("target", &t.id), ("ready", flag(t.ready))],
+        None => [("target", "none"), ("ready", "false")],
+    }
+}
--- /dev/null
+++ b/src/sidecar/settings.rs
@@ -0,0 +1,51 @@
+//! Settings of the `sidecar` command.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// Settings of a node beside a target that only it can reach.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SidecarSettings {
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// Service of the target.
+    pub service: ServiceId,
+    /// Address that takes the target's heartbeats.
+    pub control: SocketAddr,
+    /// Address that answers readiness checks.
+    pub ready: SocketAddr,
+    /// Interval of the target's heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Time after an acknowledged leave in which the target may still get requests, in milliseconds.
+    pub drain_ms: u64,
+    /// Time between SIGTERM and the forced end of the process, in seconds.
+    pub grace_s: u64,
+    /// Length of the window of the retry budget, in seconds.
+    pub budget_window_s: u64,
+    /// Repeats for each request of a service in a window, over all nodes.
+    pub budget_ratio: f64,
+    /// Repeats of a service in a window in any case, over all nodes.
+    pub budget_least: f64,
+}
+
+impl Default for SidecarSettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port);
+        Self {
+            target: local(7600),
+            service: ServiceId::default(),
+            control: local(7404),
+            ready: local(7405),
+            heartbeat_ms: 1500,
+            drain_ms: 2000,
+            grace_s: 6,
+            budget_window_s: 10,
+            budget_ratio: 0.1,
+            budget_least: 10.0,
+        }
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -129,6 +129,32 @@
         value: Option<Vec<u8>>,
         lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError>;
+    /// Writes `value` whatever the key holds.
+    async fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        let mut expect = self.get(key).await?.map_or(0, |e| e.revision);
+        loop {
+            match self.swap(key, expect, Some(value.clone()), lease).await? {
+                Swap::Done(r) => return Ok(r),
+                Swap::Conflict(e) => expect = e.map_or(0, |e| e.revision),
+            }
+        }
+    }
+    /// Deletes a key, whatever it holds.
+    async fn remove(&self, key: &str) -> Result<(), StoreError> {
+        let mut found = self.get(key).await?;
+        while let Some(e) = found {
+            match self.swap(key, e.revision, None, None).await? {
+                Swap::Done(_) => return Ok(()),
+                Swap::Conflict(e) => found = e,
+            }
+        }
+        Ok(())
+    }
     /// Creates a lease that ends after `ttl` unless it is kept alive.
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError>;
     /// Extends a lease by its time to live.
