Read the store again when it was away, and share the newest version between nodes

Ruled out: a lost event (the watch was never answered), an older version taken back (404 came from a version never replaced). Change: a lease renewal that succeeds after a failure makes both watches begin again, and so does a peer's newer version; waits follow the number of nodes; the pause after a change is 900 ms, so a storm costs fewer calls. Test: every_node_follows_the_configuration (stand-in store that goes silent).

--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -5,16 +5,17 @@
 
 use super::node::{ConfigHint, Node};
 use crate::prelude::*;
-use crate::store::{Revision, StoreError};
+use crate::store::{Changes, Revision, StoreError};
 
-/// Pause after a change, so that a series of changes costs one watch and not one for each.
-const COALESCE: Duration = Duration::from_millis(350);
-/// Longest wait of a watch. What a silent connection hides is found by the version numbers on links.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Pause after a change, so that a series of changes costs one watch and not one for each. Half of the time in which a
+/// change has to be in force.
+const COALESCE: Duration = Duration::from_millis(900);
 /// Pauses between failed calls.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
-/// Time for the own watch to deliver a version that another node holds already.
-const OWN_WATCH_TIME: Duration = Duration::from_millis(250);
+/// Time for the own watch to deliver a version that another node holds already; the watch may be in its pause.
+const OWN_WATCH_TIME: Duration = Duration::from_millis(1150);
+/// Time for another node to send its document.
+const PEER_TIME: Duration = Duration::from_millis(250);
 
 /// Follows the store for ever.
 pub async fn follow(n: Arc<Node>) {
@@ -43,7 +44,9 @@
         take(n, e.value.into(), "store");
     }
     loop {
-        let changes = n.store.watch(key, from, WATCH_WAIT).await?;
+        let Some(changes) = watch(n, key, from).await? else {
+            return Ok(());
+        };
         *pause = RETRY.0;
         from = changes.revision;
         let news = changes.events.into_iter().filter(|e| e.key == key);
@@ -55,6 +58,24 @@
     }
 }
 
+/// Waits for changes; `None` when what the connection says cannot be relied on any more and the keys have to be read
+/// again.
+///
+/// # Errors
+///
+/// See [`crate::store::Store::watch`].
+pub(super) async fn watch(
+    n: &Node,
+    prefix: &str,
+    from: Revision,
+) -> Result<Option<Changes>, StoreError> {
+    let mut back = n.store_back.subscribe();
+    tokio::select! {
+        changes = n.store.watch(prefix, from, n.watch_wait()) => changes.map(Some),
+        _ = back.changed() => Ok(None),
+    }
+}
+
 fn take(n: &Node, document: Bytes, source: &str) {
     match n.edge.config(document) {
         Ok(table) => {
@@ -82,9 +103,12 @@
                     tokio::time::sleep(OWN_WATCH_TIME).await;
                 }
                 if number > n.version() {
+                    n.log.event("watch_behind", &[("node", &node)]);
                     n.links.ask_config(&node);
-                    // Its document answers all hints that came meanwhile.
-                    tokio::time::sleep(OWN_WATCH_TIME).await;
+                    // The own watch did not see what another one saw: its connection may be silent for good.
+                    n.store_back.send_modify(|n| *n += 1);
+                    // The document answers all hints that came meanwhile.
+                    tokio::time::sleep(PEER_TIME).await;
                 }
             }
         }
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -1,5 +1,6 @@
 //! Keeps the own record in the store and follows those of the other nodes.
 
+use super::config;
 use super::members::NodeRecord;
 use super::node::Node;
 use super::target::TargetId;
@@ -14,12 +15,10 @@
 const LEFT: &str = "dq/left/";
 /// Life of the own record without renewal. Links find dead nodes sooner; it only cleans up.
 const LEASE: Duration = Duration::from_secs(12);
-/// Interval of renewals.
-const RENEW: Duration = Duration::from_secs(4);
+/// Interval of renewals. They also show that the store was away, which a watch on a silent connection does not.
+const RENEW: Duration = Duration::from_millis(2500);
 /// Life of a note that a target left, longer than targets stay after they said so.
 const LEFT_LEASE: Duration = Duration::from_secs(600);
-/// Longest wait of a watch.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pauses between failed calls: a record is back within two seconds of the store's return.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
 /// Least time between two writes of the own record.
@@ -34,10 +33,16 @@
     let mut lease: Option<LeaseId> = None;
     let mut pause = RETRY.0;
     let mut write = true;
+    let mut away = false;
     loop {
         match step(&n, &mut lease, write).await {
             Ok(()) => {
                 pause = RETRY.0;
+                if std::mem::take(&mut away) {
+                    n.log.event("store_regained", &[]);
+                    // Watches that waited meanwhile may never be answered.
+                    n.store_back.send_modify(|n| *n += 1);
+                }
                 write = tokio::time::timeout(RENEW, n.announce.notified())
                     .await
                     .is_ok();
@@ -51,6 +56,7 @@
                 write = true;
             }
             Err(e) => {
+                away = true;
                 n.log.event("announce_failed", &[("error", &e.to_string())]);
                 let wait = pause.mul_f64(0.5 + rand::random::<f64>());
                 tokio::time::sleep(wait).await;
@@ -140,7 +146,9 @@
     n.joined.store(true, std::sync::atomic::Ordering::SeqCst);
     let mut from = listing.revision;
     loop {
-        let changes = n.store.watch(PREFIX, from, WATCH_WAIT).await?;
+        let Some(changes) = config::watch(n, PREFIX, from).await? else {
+            return Ok(());
+        };
         *pause = RETRY.0;
         from = changes.revision;
         changes.events.iter().for_each(|e| take(n, e));
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -26,6 +26,11 @@
 use crate::settings::Settings;
 use crate::store::Store;
 
+/// Shortest and longest wait of a watch; the store allows up to 30 s.
+const WATCH_WAIT: (Duration, Duration) = (Duration::from_secs(8), Duration::from_secs(29));
+/// Wait of a watch for each node of the fleet.
+const WATCH_PER_NODE: Duration = Duration::from_secs(1);
+
 /// Step of the end of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -65,6 +70,8 @@
     pub changed: watch::Sender<u64>,
     /// Wakes the task that keeps the own record in the store.
     pub announce: Notify,
+    /// Tells the tasks that watch the store to read it again.
+    pub store_back: watch::Sender<u64>,
     /// Documents and hints for the task that follows the configuration.
     pub config_hints: mpsc::UnboundedSender<ConfigHint>,
     pub(super) settings: ArcSwap<Settings>,
@@ -316,6 +323,15 @@
         self.place().choose(now, ask, &mut *lock(&self.rng))
     }
 
+    /// Longest wait of a watch. A connection may be silent for good; any node whose watch is answered tells the others
+    /// the newest version, so the waits grow with the number of nodes.
+    pub fn watch_wait(&self) -> Duration {
+        let nodes = self.members().count() as u32;
+        let wait = WATCH_PER_NODE * nodes;
+        wait.clamp(WATCH_WAIT.0, WATCH_WAIT.1)
+            .mul_f64(0.8 + 0.2 * rand::random::<f64>())
+    }
+
     fn bounds(&self) -> BudgetBounds {
         let s = &self.settings().sidecar;
         BudgetBounds {
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -88,6 +88,7 @@
         links: Links::default(),
         changed: watch::channel(0).0,
         announce: Notify::new(),
+        store_back: watch::channel(0).0,
         config_hints: hints,
         own: Mutex::new(record),
         target: Mutex::new(target),
@@ -129,18 +130,28 @@
     store: Arc<dyn Store>,
 ) -> Result<(), Report<NodeError>> {
     let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
-    let listen = settings.listen.clone();
-    let sidecar = settings.sidecar.clone();
+    let relay = bind(settings.listen.relay).await?;
+    let caller = bind(settings.listen.caller).await?;
+    let control_listener = bind(settings.sidecar.control).await?;
+    let ready = bind(settings.sidecar.ready).await?;
+    let mut settings = settings;
+    // Port 0 took a free one, and other nodes have to learn which.
+    settings.listen.relay = relay.local_addr().change_context(NodeError)?;
     let (n, hints) = build(settings, edge, store, clock);
-    let relay = bind(listen.relay).await?;
-    let caller = bind(listen.caller).await?;
-    let control_listener = bind(sidecar.control).await?;
-    let ready = bind(sidecar.ready).await?;
-    let _admin =
-        admin::start(listen.admin, n.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
+    let admin_address = n.settings().listen.admin;
+    let admin =
+        admin::start(admin_address, n.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
+    let text = |l: &TcpListener| l.local_addr().map(|a| a.to_string()).unwrap_or_default();
     n.log.event(
         "started",
-        &[("node", &n.id), ("caller", &listen.caller.to_string())],
+        &[
+            ("node", &n.id),
+            ("caller", &text(&caller)),
+            ("relay", &text(&relay)),
+            ("control", &text(&control_listener)),
+            ("ready", &text(&ready)),
+            ("admin", &admin.local_addr().to_string()),
+        ],
     );
     let (close, closing) = watch::channel(false);
     tokio::spawn(discovery::announce(n.clone()));
--- /dev/null
+++ b/tests/sidecar.rs
@@ -0,0 +1,378 @@
+//! The `sidecar` command as real processes, with stand-ins of the platform's store and of targets.
+
+mod site_kit;
+mod workdir;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use site_kit::store::Faults;
+use site_kit::{config, fresh_id, Site};
+use workdir::{http, http_json, wait_until};
+
+/// Guards against a broken path: a request has to reach a target, with what targets are promised, and its answer to
+/// come back unchanged.
+#[test]
+fn serves_a_request_through_another_node() {
+    let site = Site::start(2);
+    // The target of the first node leaves, so that requests cross to the second.
+    site.nodes[0].target.state.lock().unwrap().state = "draining";
+    wait_until("requests cross", || {
+        let id = fresh_id();
+        let a = site.nodes[0].send_as(&id, "GET", "/safe/x?q=1", "4000");
+        let a = a.unwrap();
+        assert_eq!((a.status, a.body.as_str()), (200, "hello"));
+        assert_eq!(
+            a.header("dragonflyquay-response-signature"),
+            format!("sig-{id}")
+        );
+        assert_eq!(a.header("dragonflyquay-request-id"), id);
+        site.nodes[1].target.runs(&id) == 1
+    });
+    let got = site.nodes[1].target.got.lock().unwrap();
+    let last = got.last().unwrap();
+    assert_eq!(last.path, "/safe/x?q=1");
+    assert_eq!(last.expected, "i-1");
+    assert_eq!(last.caller, site_kit::SERVICE);
+    assert!((1..=4000).contains(&last.left_ms), "{}", last.left_ms);
+}
+
+/// Guards against answers that look whole and are not, and against work that must not run twice and is sent again.
+#[test]
+fn broken_answers_are_failures() {
+    let site = Site::start(2);
+    // Path, status for work that may not run twice, its runs at most.
+    let cases = [
+        ("lost", 502),
+        ("short", 502),
+        ("garbage", 502),
+        ("unsigned", 502),
+        ("crossed", 502),
+        ("encoded", 502),
+        ("fail", 500),
+    ];
+    for (case, status) in cases {
+        let id = fresh_id();
+        let a = site.nodes[0].send_as(&id, "POST", &format!("/once/{case}"), "4000");
+        assert_eq!(a.unwrap().status, status, "{case}");
+        let runs: usize = site.nodes.iter().map(|n| n.target.runs(&id)).sum();
+        assert_eq!(runs, 1, "{case}");
+        let id = fresh_id();
+        let a = site.nodes[0].send_as(&id, "GET", &format!("/safe/{case}"), "4000");
+        assert_ne!(a.unwrap().status, 200, "{case}");
+        let runs: usize = site.nodes.iter().map(|n| n.target.runs(&id)).sum();
+        assert_eq!(
+            runs, 2,
+            "{case}: idempotent work is tried at a second target"
+        );
+    }
+    let a = site.nodes[0].send("POST", "/once/unframed").unwrap();
+    assert_eq!((a.status, a.body.as_str()), (200, "hello"));
+}
+
+/// Guards against bytes after an answer that become the answer of the next request on the connection.
+#[test]
+fn extra_bytes_belong_to_no_request() {
+    let site = Site::start(1);
+    for _ in 0..20 {
+        let a = site.nodes[0].send("GET", "/safe/extra").unwrap();
+        assert_eq!((a.status, a.body.as_str()), (200, "hello"));
+        let a = site.nodes[0].send("GET", "/safe/x").unwrap();
+        assert_eq!((a.status, a.body.as_str()), (200, "hello"));
+    }
+}
+
+/// Guards against a refusal that promises nothing or too much: a target that proves that it did not run the request
+/// makes a 503 with the time to come back, and the request may run at another target first.
+#[test]
+fn a_proven_refusal_is_a_promise() {
+    let site = Site::start(2);
+    let a = site.nodes[0].send("POST", "/once/shed").unwrap();
+    assert_eq!(a.status, 503);
+    let again: f64 = a.header("retry-after").parse().unwrap();
+    assert!(again > 0.0 && again < 2.0, "{again}");
+}
+
+/// Guards against requests before any version is known: they are not refused as unknown routes.
+#[test]
+fn without_a_version_nothing_is_unknown() {
+    let mut site = Site::empty();
+    site.add(0);
+    let n = &site.nodes[0];
+    assert!(!n.is_ready());
+    assert_eq!(n.send("GET", "/safe/x").unwrap().status, 503);
+    site.store.put_config(&config(3, ""));
+    n.wait_ready();
+    assert_eq!(n.send("GET", "/none/x").unwrap().status, 404);
+    let a = http(
+        n.caller,
+        "GET",
+        "/safe/x",
+        &[("host", "other.example"), ("dragonflyquay-request-id", "1")],
+        "",
+    );
+    assert_eq!(a.unwrap().status, 404);
+}
+
+fn has_route(site: &Site, i: usize, name: &str) -> bool {
+    let a = site.nodes[i].send("GET", &format!("/{name}/x"));
+    a.is_some_and(|a| a.status == 200)
+}
+
+fn extra_route(name: &str) -> String {
+    format!(
+        r#",{{"name":"{name}","prefix":"/{name}/","route_type":"safe","timeout_ms":5000,"aim_ms":4000,"priority":1,"service":"{}","retry_attempts":2}}"#,
+        site_kit::SERVICE
+    )
+}
+
+/// Guards against a configuration that is missed: after a change, after history was dropped, and after a silence of the
+/// store that left every waiting watch without an answer for ever. An older version changes nothing.
+#[test]
+fn every_node_follows_the_configuration() {
+    let site = Site::start(2);
+    site.store.put_config(&config(5, &extra_route("five")));
+    wait_until("version 5", || has_route(&site, 0, "five"));
+    site.store.put_config(&config(4, ""));
+    site.store.set(Faults {
+        compacted: true,
+        ..Faults::default()
+    });
+    site.store.put_config(&config(6, &extra_route("six")));
+    wait_until("version 6", || {
+        has_route(&site, 0, "six") && has_route(&site, 1, "six")
+    });
+    assert!(!has_route(&site, 0, "five"));
+    // Long enough for a renewal of the lease to find the silence.
+    site.store.set(Faults {
+        silent: true,
+        ..Faults::default()
+    });
+    site.nodes[0].process.wait_line("event=announce_failed");
+    site.store.put_config(&config(7, &extra_route("seven")));
+    site.store.set(Faults::default());
+    let start = std::time::Instant::now();
+    wait_until("version 7", || {
+        has_route(&site, 0, "seven") && has_route(&site, 1, "seven")
+    });
+    // Without the renewal's finding the watches wait 8 s and more.
+    assert!(
+        start.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against a node that stays without a version while its peers have one and the store is down.
+#[test]
+fn a_restarted_node_learns_from_its_peers() {
+    let mut site = Site::start(2);
+    site.store.set(Faults {
+        busy: true,
+        ..Faults::default()
+    });
+    let relay_taken = site.nodes.remove(1);
+    let target = relay_taken.target.clone();
+    drop(relay_taken);
+    // The first node must not know the address of the new process from the store.
+    let fresh = site.start_node("n1", "az1", target);
+    assert_eq!(fresh.send("GET", "/safe/x").unwrap().status, 503);
+    site.store.set(Faults::default());
+    fresh.wait_ready();
+    wait_until("serves", || {
+        fresh
+            .send("GET", "/safe/x")
+            .is_some_and(|a| a.status == 200)
+    });
+}
+
+/// Guards against a record that stays away after its lease ended, and against a late write of an older record.
+#[test]
+fn the_own_record_is_written_again() {
+    let site = Site::start(1);
+    let key = "dq/node/n0";
+    let record = site.store.value(key).unwrap();
+    site.store.store.expire_leases();
+    wait_until("the record is back", || site.store.value(key).is_some());
+    site.store.put(key, &record.clone());
+    let older = String::from_utf8(record).unwrap();
+    let at = older.find("\"sequence\":").unwrap();
+    let older = format!(
+        "{}\"sequence\":0{}",
+        &older[..at],
+        &older[older[at..].find(',').unwrap() + at..]
+    );
+    site.store.put(key, older.as_bytes());
+    wait_until("the newer record is back", || {
+        let now = site.store.value(key);
+        now.is_some_and(|v| !String::from_utf8_lossy(&v).contains("\"sequence\":0,"))
+    });
+}
+
+/// Guards against work that reaches a target after its leave was acknowledged, also after a restart of its node.
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let mut site = Site::start(1);
+    let n = &site.nodes[0];
+    n.stop_beating();
+    std::thread::sleep(Duration::from_millis(400));
+    let path = "/api/instances/i-0";
+    let a = http_json(n.control, "DELETE", path, r#"{"born":1000}"#).unwrap();
+    assert_eq!(a.status, 200);
+    wait_until("refused", || {
+        n.send("GET", "/safe/x").unwrap().status == 503
+    });
+    let before = n.target.got.lock().unwrap().len();
+    let target = n.target.clone();
+    assert_eq!(site.store.keys("dq/left/"), ["dq/left/i-0"]);
+    site.nodes.clear();
+    let n = site.start_node("n0", "az0", target);
+    n.wait_ready();
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(n.send("GET", "/safe/x").unwrap().status, 503);
+    assert_eq!(n.target.got.lock().unwrap().len(), before);
+    n.target.state.lock().unwrap().born = 2000;
+    wait_until("a new lifetime serves", || {
+        n.send("GET", "/safe/x").unwrap().status == 200
+    });
+}
+
+/// Guards against heartbeats that are malformed or of others and change something or end the process.
+#[test]
+fn bad_heartbeats_change_nothing() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    let long = "x".repeat(100_000);
+    let cases = [
+        ("PUT", "/api/instances/i-0", "", 400),
+        ("PUT", "/api/instances/i-0", "{", 400),
+        ("PUT", "/api/instances/i-0", r#"{"service":7}"#, 400),
+        ("PUT", "/api/instances/", "{}", 400),
+        ("PUT", "/api/other", "{}", 400),
+        ("POST", "/api/instances/i-0", "{}", 400),
+        ("PUT", "/api/instances/i-0", long.as_str(), 400),
+        (
+            "PUT",
+            "/api/instances/i-9",
+            r#"{"service":"other","address":"127.0.0.1:9","slots":4,"state":"ready","seq":1,"born":1}"#,
+            409,
+        ),
+        (
+            "PUT",
+            "/api/instances/i-0",
+            r#"{"service":"svc","address":"127.0.0.1:9","slots":4,"state":"odd","seq":1,"born":1}"#,
+            400,
+        ),
+    ];
+    for (method, path, body, status) in cases {
+        let a = http_json(n.control, method, path, body);
+        assert_eq!(a.unwrap().status, status, "{method} {path}");
+    }
+    assert_eq!(n.send("GET", "/safe/x").unwrap().status, 200);
+}
+
+/// Guards against a target that goes on working for a caller that has gone.
+#[test]
+fn a_cancel_reaches_the_target() {
+    let site = Site::start(2);
+    for (path, heard) in [("/safe/slow", false), ("/once/slow", true)] {
+        let id = fresh_id();
+        let mut s = TcpStream::connect(site.nodes[0].caller).unwrap();
+        let text = format!(
+            "GET {path} HTTP/1.1\r\nhost: {}\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-deadline-ms: 4000\r\n\r\n",
+            site_kit::HOST
+        );
+        s.write_all(text.as_bytes()).unwrap();
+        let runs = || site.nodes.iter().map(|n| n.target.runs(&id)).sum::<usize>();
+        wait_until("it runs", || runs() == 1);
+        drop(s);
+        wait_until("its end is known", || {
+            let find = |n: &site_kit::Node| {
+                let got = n.target.got.lock().unwrap();
+                got.iter().find(|g| g.id == id).map(|g| g.heard)
+            };
+            // Work that must not run twice runs to its end: its effect is wanted.
+            site.nodes.iter().filter_map(find).any(|h| h == heard)
+        });
+        assert_eq!(runs(), 1);
+    }
+}
+
+/// Guards against requests that a planned stop cuts off, and against a process that stays.
+#[test]
+fn a_stop_cuts_nothing() {
+    let mut site = Site::start(2);
+    let n = &site.nodes[0];
+    let caller = n.caller;
+    let threads: Vec<_> = (0..8)
+        .map(|i| {
+            std::thread::spawn(move || {
+                let id = fresh_id();
+                let path = if i % 2 == 0 {
+                    "/safe/slow"
+                } else {
+                    "/once/slow"
+                };
+                let headers = [
+                    ("dragonflyquay-request-id", id.as_str()),
+                    ("dragonflyquay-deadline-ms", "4000"),
+                    ("host", site_kit::HOST),
+                ];
+                http(caller, "GET", path, &headers, "").map(|a| a.status)
+            })
+        })
+        .collect();
+    wait_until("requests run", || {
+        let got = |n: &site_kit::Node| n.target.got.lock().unwrap().len();
+        site.nodes.iter().map(got).sum::<usize>() >= 4
+    });
+    n.process.signal("TERM");
+    wait_until("not ready", || !n.is_ready());
+    for t in threads {
+        let status = t.join().unwrap();
+        assert_eq!(status, Some(200));
+    }
+    assert_eq!(site.nodes[0].process.wait(), Some(0));
+    assert!(site.store.keys("dq/node/n0").is_empty());
+}
+
+/// Guards against a settings change that ends the process or breaks a request.
+#[test]
+fn a_reload_keeps_serving() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    let text = std::fs::read_to_string(site.dir.path("n0.toml")).unwrap();
+    let changed = text.replace("budget_least = 1000.0", "budget_least = 10.0");
+    site.dir.write("n0.toml", &changed);
+    n.process.signal("HUP");
+    n.process.wait_line("event=settings_reloaded");
+    assert_eq!(n.send("GET", "/safe/x").unwrap().status, 200);
+    site.dir.write("n0.toml", "[node\n");
+    n.process.signal("HUP");
+    n.process.wait_line("event=settings_refused");
+    assert_eq!(n.send("GET", "/safe/x").unwrap().status, 200);
+}
+
+/// Guards against a node that is lost to the others while it lives: a frozen one is avoided, and used when it wakes.
+#[test]
+fn a_frozen_node_is_avoided() {
+    let site = Site::start(2);
+    let n = &site.nodes[0];
+    n.target.state.lock().unwrap().state = "draining";
+    wait_until("requests cross", || {
+        let id = fresh_id();
+        n.send_as(&id, "GET", "/safe/x", "4000");
+        site.nodes[1].target.runs(&id) == 1
+    });
+    site.nodes[1].process.signal("STOP");
+    wait_until("refused early", || {
+        let start = std::time::Instant::now();
+        let a = n.send("GET", "/safe/x").unwrap();
+        a.status == 503 && start.elapsed() < Duration::from_secs(2)
+    });
+    site.nodes[1].process.signal("CONT");
+    wait_until("served again", || {
+        n.send("GET", "/safe/x").is_some_and(|a| a.status == 200)
+    });
+}
--- /dev/null
+++ b/tests/site_kit/target.rs
@@ -0,0 +1,207 @@
+//! Stand-in of a target: runs requests, counts them, and misbehaves as the path of a request says.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use super::super::workdir::http_json;
+use super::SERVICE;
+
+/// What a target got.
+#[derive(Debug, Clone)]
+pub struct Got {
+    pub id: String,
+    pub path: String,
+    pub expected: String,
+    pub caller: String,
+    pub left_ms: u64,
+    pub body: Vec<u8>,
+    /// Whether the connection was still open when the answer was ready.
+    pub heard: bool,
+}
+
+/// State that a test changes.
+#[derive(Debug, Clone)]
+pub struct State {
+    /// Name of the lifetime.
+    pub id: String,
+    pub born: u64,
+    pub state: &'static str,
+}
+
+/// A running stand-in.
+pub struct Target {
+    pub address: SocketAddr,
+    pub state: Arc<Mutex<State>>,
+    pub got: Arc<Mutex<Vec<Got>>>,
+    seq: AtomicU64,
+}
+
+impl Target {
+    pub fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State {
+            id: id.into(),
+            born: 1000,
+            state: "ready",
+        }));
+        let got = Arc::new(Mutex::new(Vec::new()));
+        let (s, g) = (state.clone(), got.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (s, g) = (s.clone(), g.clone());
+                std::thread::spawn(move || serve(stream, &s, &g));
+            }
+        });
+        Self {
+            address,
+            state,
+            got,
+            seq: AtomicU64::new(0),
+        }
+    }
+
+    /// Sends a heartbeat; returns the status of its answer.
+    pub fn beat(&self, control: SocketAddr) -> Option<u16> {
+        let s = self.state.lock().unwrap().clone();
+        let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        self.beat_as(control, &s, seq)
+    }
+
+    /// Sends a heartbeat with this state and number.
+    pub fn beat_as(&self, control: SocketAddr, s: &State, seq: u64) -> Option<u16> {
+        let body = format!(
+            r#"{{"service":"{SERVICE}","address":"{}","zone":"az","version":"v1","slots":4,"state":"{}","cold_remaining_ms":0,"seq":{seq},"born":{}}}"#,
+            self.address, s.state, s.born
+        );
+        let path = format!("/api/instances/{}", s.id);
+        http_json(control, "PUT", &path, &body).map(|a| a.status)
+    }
+
+    /// Runs of a request id.
+    pub fn runs(&self, id: &str) -> usize {
+        let got = self.got.lock().unwrap();
+        got.iter().filter(|g| g.id == id).count()
+    }
+}
+
+fn serve(stream: TcpStream, state: &Mutex<State>, got: &Mutex<Vec<Got>>) {
+    let mut out = stream.try_clone().unwrap();
+    let mut input = BufReader::new(stream);
+    loop {
+        let mut head = Vec::new();
+        loop {
+            let mut line = String::new();
+            match input.read_line(&mut line) {
+                Ok(n) if n > 0 => {}
+                _ => return,
+            }
+            if line == "\r\n" {
+                break;
+            }
+            head.push(line.trim_end().to_owned());
+        }
+        let header = |name: &str| {
+            let found = head.iter().skip(1).filter_map(|l| l.split_once(':'));
+            let found = found.filter(|(k, _)| k.eq_ignore_ascii_case(name)).next();
+            found.map_or(String::new(), |(_, v)| v.trim().to_owned())
+        };
+        let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
+        if input.read_exact(&mut body).is_err() {
+            return;
+        }
+        let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
+        let s = state.lock().unwrap().clone();
+        let request = Got {
+            id: header("dragonflyquay-request-id"),
+            expected: header("dragonflyquay-expected-instance"),
+            caller: header("dragonflyquay-caller-service"),
+            left_ms: header("dragonflyquay-deadline-ms").parse().unwrap_or(0),
+            path: path.clone(),
+            body,
+            heard: true,
+        };
+        if !answer(&mut out, &path, &request, &s, got) {
+            return;
+        }
+    }
+}
+
+/// Answers a request; returns whether the connection goes on.
+fn answer(
+    out: &mut TcpStream,
+    path: &str,
+    request: &Got,
+    s: &State,
+    got: &Mutex<Vec<Got>>,
+) -> bool {
+    let id = &request.id;
+    let instance = format!("dragonflyquay-instance-id: {}\r\n", s.id);
+    if path == "/health" {
+        let status = if s.state == "ready" {
+            "200 OK"
+        } else {
+            "503 No"
+        };
+        let text = format!("HTTP/1.1 {status}\r\n{instance}content-length: 0\r\n\r\n");
+        return out.write_all(text.as_bytes()).is_ok();
+    }
+    if !request.expected.is_empty() && request.expected != s.id {
+        let text = format!("HTTP/1.1 421 No\r\n{instance}content-length: 0\r\n\r\n");
+        return out.write_all(text.as_bytes()).is_ok();
+    }
+    if path.contains("shed") {
+        let text = format!(
+            "HTTP/1.1 503 No\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        return out.write_all(text.as_bytes()).is_ok();
+    }
+    got.lock().unwrap().push(request.clone());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-response-signature: sig-{id}\r\n"
+    );
+    let whole = format!("{head}content-length: 5\r\n\r\nhello");
+    let text = match path {
+        p if p.contains("slow") => {
+            std::thread::sleep(Duration::from_millis(600));
+            let mut probe = [0];
+            out.set_nonblocking(true).unwrap();
+            let gone = matches!(out.peek(&mut probe), Ok(0));
+            out.set_nonblocking(false).unwrap();
+            if gone {
+                let mut list = got.lock().unwrap();
+                let found = list.iter_mut().rev().find(|g| g.id == *id);
+                found.into_iter().for_each(|g| g.heard = false);
+                return false;
+            }
+            whole
+        }
+        p if p.contains("lost") => return false,
+        p if p.contains("short") => {
+            let _ = out.write_all(format!("{head}content-length: 50\r\n\r\nhello").as_bytes());
+            return false;
+        }
+        p if p.contains("garbage") => {
+            let _ = out.write_all(b"\x00\x01 no answer\r\n\r\n");
+            return false;
+        }
+        p if p.contains("unframed") => {
+            let _ = out.write_all(format!("{head}connection: close\r\n\r\nhello").as_bytes());
+            return false;
+        }
+        p if p.contains("unsigned") => format!(
+            "HTTP/1.1 200 OK\r\ndragonflyquay-request-id: {id}\r\ncontent-length: 5\r\n\r\nhello"
+        ),
+        p if p.contains("crossed") => whole.replace(&format!("request-id: {id}"), "request-id: x"),
+        p if p.contains("extra") => format!("{whole}{}", whole.replace("hello", "extra")),
+        p if p.contains("fail") => whole.replace("200 OK", "500 Internal Server Error"),
+        p if p.contains("encoded") => {
+            whole.replace("content-length", "content-encoding: gzip\r\ncontent-length")
+        }
+        _ => whole,
+    };
+    out.write_all(text.as_bytes()).is_ok()
+}
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -237,7 +237,10 @@
 ) -> Option<Answer> {
     let mut s = TcpStream::connect(address).ok()?;
     s.set_read_timeout(Some(PATIENCE)).ok()?;
-    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
+    let mut text = format!("{method} {path} HTTP/1.1\r\nconnection: close\r\n");
+    if !headers.iter().any(|(k, _)| *k == "host") {
+        text.push_str(&format!("host: {address}\r\n"));
+    }
     for (k, v) in headers {
         text.push_str(&format!("{k}: {v}\r\n"));
     }
