Rank requests by their route, and hold off only requests with as little time

A refusal of a request that came back with no time left also kept fresh ones from the target. Change: the rank is that of the route; a hold applies to requests that have at most as much time to their aim as the refused one. Test: a_late_refusal_holds_off_only_late_requests.

--- a/src/sidecar/edge.rs
+++ b/src/sidecar/edge.rs
@@ -1,7 +1,5 @@
 //! The border to a platform: its names and formats, translated into the types of this folder.
 
-use std::net::IpAddr;
-
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 
@@ -89,8 +87,3 @@
     /// Target that answered a health probe, if it is well.
     fn probed(&self, status: StatusCode, h: &HeaderMap) -> Option<TargetId>;
 }
-
-/// Whether a caller is the target beside this node, whose calls belong to a request that is already running.
-pub fn is_inner(from: IpAddr, own: IpAddr) -> bool {
-    from == own || from.is_loopback()
-}
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -1,14 +1,11 @@
 //! Entry node: finds the route of a caller's request, chooses targets one after the other and answers the caller.
 
-use std::net::IpAddr;
-
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::admit::{self, strip_answer, Reply, Work};
-use super::edge::is_inner;
 use super::node::{Node, Phase};
 use super::placement::{Ask, Choice};
 use super::pool::Whole;
@@ -41,12 +38,12 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(n: Arc<Node>, req: Request<Incoming>, from: IpAddr) -> Response<Body> {
+pub async fn serve(n: Arc<Node>, req: Request<Incoming>) -> Response<Body> {
     let start = n.clock.now();
     let facts = n.edge.caller(req.headers());
     let id = facts.id.clone().unwrap_or_default();
     let _flight = n.flight();
-    let mut job = match accept(&n, req, from, start).await {
+    let mut job = match accept(&n, req, start).await {
         Ok(job) => job,
         Err(f) => {
             n.metrics.ended("none", 0, Some(&f), Duration::ZERO);
@@ -93,12 +90,7 @@
 }
 
 /// Finds the route and reads the whole body.
-async fn accept(
-    n: &Arc<Node>,
-    req: Request<Incoming>,
-    from: IpAddr,
-    start: Now,
-) -> Result<Job, Failure> {
+async fn accept(n: &Arc<Node>, req: Request<Incoming>, start: Now) -> Result<Job, Failure> {
     let table = n.routes.load_full();
     let table = table.ok_or(Failure::not_run(Reason::NoVersion))?;
     let (parts, body) = req.into_parts();
@@ -115,7 +107,6 @@
     let left = left.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, left).await?;
     let service = n.split().next(&route.name, &route.parts).service.clone();
-    let inner = is_inner(from, n.settings().sidecar.target.ip());
     let mut headers = parts.headers;
     context::strip_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -127,8 +118,7 @@
             route: route.name.clone(),
             service,
             caller: n.service.clone(),
-            // A refused call of a running request loses that request too.
-            rank: if inner { 0 } else { route.rank },
+            rank: route.rank,
             idempotent: route.idempotent,
             aim: route.aim,
             due: start + due(&route, left),
@@ -291,13 +281,15 @@
     }
     job.may_have_run = before.1;
     let rank = job.work.rank;
+    let due = job.work.due.saturating_sub(now);
     match failure.reason {
         Reason::QueueFull | Reason::Declined => {
-            n.place().full(now, node, rank, failure.back_off);
+            n.place().full(now, node, rank, due, failure.back_off);
             job.again = longest_hint(job.again, failure.back_off);
         }
         Reason::NotReady | Reason::Draining | Reason::NotSent => {
-            n.place().full(now, node, 0, NOT_READY_AGAIN);
+            let any = Duration::MAX;
+            n.place().full(now, node, 0, any, NOT_READY_AGAIN);
         }
         _ => {}
     }
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -38,6 +38,24 @@
     pub id: SmolStr,
 }
 
+/// A target had no room for a request of a rank. Only requests with as little time are kept from it: one that came back
+/// late says nothing about those that have just arrived.
+#[derive(Debug, Clone, Copy, Default)]
+struct Hold {
+    until: Now,
+    due: Duration,
+}
+
+impl Hold {
+    /// Time for which a request with this time to its aim is kept from the target.
+    fn left(&self, due: Duration, now: Now) -> Duration {
+        match due <= self.due {
+            true => self.until.saturating_sub(now),
+            false => Duration::ZERO,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Target {
     info: TargetInfo,
@@ -45,7 +63,7 @@
     reported: Now,
     /// Requests sent since the report.
     since: u32,
-    hold: [Now; RANKS],
+    hold: [Hold; RANKS],
     cold_until: Now,
 }
 
@@ -142,7 +160,7 @@
                         load: Load::default(),
                         reported: Now::ZERO,
                         since: 0,
-                        hold: [Now::ZERO; RANKS],
+                        hold: [Hold::default(); RANKS],
                         cold_until,
                     },
                 );
@@ -190,7 +208,7 @@
             if !t.info.ready || !t.info.reachable {
                 continue;
             }
-            let hold = t.hold[ask.rank.min(RANKS - 1)].saturating_sub(now);
+            let hold = t.hold[ask.rank.min(RANKS - 1)].left(ask.due, now);
             if !hold.is_zero() {
                 held = Some(held.map_or(hold, |h| h.min(hold)));
                 continue;
@@ -237,13 +255,28 @@
         }
     }
 
-    /// A target had no room for a request of this rank: it wants none of this rank or less urgent ones for a while.
-    pub fn full(&mut self, now: Now, node: &NodeId, rank: usize, back_off: Duration) {
-        if let Some(t) = self.targets.get_mut(node) {
-            let until = now + back_off.min(LONGEST_HOLD);
-            t.hold[rank.min(RANKS - 1)..]
-                .iter_mut()
-                .for_each(|h| *h = (*h).max(until));
+    /// A target had no room for a request of this rank with this time to its aim: it wants none of this rank or less
+    /// urgent ones for a while.
+    pub fn full(
+        &mut self,
+        now: Now,
+        node: &NodeId,
+        rank: usize,
+        due: Duration,
+        back_off: Duration,
+    ) {
+        let until = now + back_off.min(LONGEST_HOLD);
+        let Some(t) = self.targets.get_mut(node) else {
+            return;
+        };
+        for h in &mut t.hold[rank.min(RANKS - 1)..] {
+            match h.until <= now {
+                true => *h = Hold { until, due },
+                false => {
+                    h.until = h.until.max(until);
+                    h.due = h.due.max(due);
+                }
+            }
         }
     }
 
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -169,7 +169,7 @@
     let serve = move |req, _| control::ready(p.clone(), req);
     tokio::spawn(listen::serve(ready, limits, serve));
     let p = n.clone();
-    let serve = move |req, from| entry::serve(p.clone(), req, from);
+    let serve = move |req, _| entry::serve(p.clone(), req);
     let p = n.clone();
     let limits = move || caller_limits(&p);
     let callers = tokio::spawn(listen::serve_until(caller, limits, closing, serve));
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -229,7 +229,7 @@
     p.reach(&"a".into(), false);
     assert_eq!(p.choose(now, &ask(&[]), &mut rng), Choice::None);
     p.reach(&"a".into(), true);
-    p.full(now, &"a".into(), 1, ms(100));
+    p.full(now, &"a".into(), 1, ms(300), ms(100));
     assert_eq!(p.choose(now, &ask(&[]), &mut rng), Choice::Full(ms(100)));
     let urgent = Ask {
         rank: 0,
@@ -248,6 +248,25 @@
     assert_eq!(p.choose(now, &urgent, &mut rng), Choice::None);
 }
 
+/// Guards against a request that came back with little time, was refused, and keeps fresh requests from the target.
+#[test]
+fn a_late_refusal_holds_off_only_late_requests() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let now = ms(1000);
+    let mut p = Placement::new("a".into());
+    p.set(&"a".into(), info("a"), now);
+    p.full(now, &"a".into(), 1, ms(50), ms(200));
+    assert_eq!(
+        p.choose(now, &ask(&[]), &mut rng),
+        Choice::Target("a".into())
+    );
+    let late = Ask {
+        due: ms(40),
+        ..ask(&[])
+    };
+    assert_eq!(p.choose(now, &late, &mut rng), Choice::Full(ms(200)));
+}
+
 /// Guards against a queue report that keeps work from a target for ever because no work brings a newer one.
 #[test]
 fn an_old_report_ages() {
