Let a few nodes watch the store, and tell changes on links

Ruled out: fewer changes (they are the operator's and the targets'), longer watches (each change answers all of them at once). Change: three nodes watch the configuration (watchers.rs), others take patches of it on links (patch.rs, made once for all that ask); records are written once and listed with stale reads, changes of targets go over links; a request whose caller has gone is not written to a link; buffers of 4 KiB.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -226,6 +226,35 @@
             .await
     }
 
+    /// Reads all pages of a range. `more` is appended to the query.
+    async fn pages(&self, prefix: &str, more: &str) -> Result<Listing, StoreError> {
+        let mut out: Option<Listing> = None;
+        let mut after = String::new();
+        loop {
+            let mut path = format!("/api/kv-range?prefix={}{more}", query(prefix));
+            if !after.is_empty() {
+                path.push_str(&format!("&after={}", query(&after)));
+            }
+            let page: Page = match self.get_call(&path, self.timeout).await? {
+                (StatusCode::OK, data) => decode(&data)?,
+                (s, _) => return Err(StoreError::Invalid(format!("status {s}"))),
+            };
+            // Pages are no snapshot; a watch from the first one's revision repeats what changed in between.
+            let listing = out.get_or_insert_with(|| Listing {
+                entries: Vec::new(),
+                revision: page.at,
+            });
+            let goes_on = page.has_more && !page.items.is_empty();
+            for item in page.items {
+                after.clone_from(&item.key);
+                listing.entries.push(item.entry()?);
+            }
+            if !goes_on {
+                return Ok(out.unwrap_or_default());
+            }
+        }
+    }
+
     async fn txn(&self, txn: &Txn<'_>) -> Result<Swap, StoreError> {
         match self.post("/api/kv-txn", txn).await? {
             (StatusCode::OK, data) => Ok(Swap::Done(decode::<Done>(&data)?.revision)),
@@ -264,31 +293,11 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
-        let mut out: Option<Listing> = None;
-        let mut after = String::new();
-        loop {
-            let mut path = format!("/api/kv-range?prefix={}", query(prefix));
-            if !after.is_empty() {
-                path.push_str(&format!("&after={}", query(&after)));
-            }
-            let page: Page = match self.get_call(&path, self.timeout).await? {
-                (StatusCode::OK, data) => decode(&data)?,
-                (s, _) => return Err(StoreError::Invalid(format!("status {s}"))),
-            };
-            // Pages are no snapshot; a watch from the first one's revision repeats what changed in between.
-            let listing = out.get_or_insert_with(|| Listing {
-                entries: Vec::new(),
-                revision: page.at,
-            });
-            let more = page.has_more && !page.items.is_empty();
-            for item in page.items {
-                after.clone_from(&item.key);
-                listing.entries.push(item.entry()?);
-            }
-            if !more {
-                return Ok(out.unwrap_or_default());
-            }
-        }
+        self.pages(prefix, "").await
+    }
+
+    async fn list_stale(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.pages(prefix, "&stale_ok=1").await
     }
 
     async fn swap(
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -1,32 +1,54 @@
-//! Follows the configuration in the store, and takes it from another node while the store cannot be reached.
+//! Follows the configuration: a few nodes watch the store, all others take it from them.
+
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use super::node::{ConfigHint, Node};
+use super::patch;
+use super::watchers::must_watch;
 use crate::prelude::*;
-use crate::store::{Changes, Revision, StoreError};
+use crate::store::{Revision, StoreError};
 
 /// Pause after a change, so that a series of changes costs one watch and not one for each. Half of the time in which a
 /// change has to be in force.
 const COALESCE: Duration = Duration::from_millis(900);
+/// Longest wait of a watch; what a silent connection hides is found at its end.
+const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pauses between failed calls.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
-/// Time for the own watch to deliver a version that another node holds already; the watch may be in its pause.
-const OWN_WATCH_TIME: Duration = Duration::from_millis(1150);
-/// Time for another node to send its document.
-const PEER_TIME: Duration = Duration::from_millis(250);
+/// Interval in which a node looks whether it has to watch.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time for links to open after the members are known, before a node without any watches by itself.
+const LINK_TIME: Duration = Duration::from_millis(400);
+/// Time without a version after which a node reads it although others watch.
+const PEER_TIME: Duration = Duration::from_millis(1200);
+/// Time for the answer of a node that was asked for its version, before another one is asked.
+const ASK_TIME: Duration = Duration::from_millis(250);
+/// Time for the own watch to deliver what another node holds, the pause after a change included.
+const OWN_WATCH_TIME: Duration = Duration::from_millis(1400);
 
-/// Follows the store for ever.
+/// Watches the store for as long as this node has to; for ever.
 pub async fn follow(n: Arc<Node>) {
-    let key = n.edge.config_key();
+    while !n.joined.load(Ordering::SeqCst) {
+        tokio::time::sleep(LOOK).await;
+    }
+    tokio::time::sleep(LINK_TIME).await;
+    let start = n.clock.now();
     let mut pause = RETRY.0;
     loop {
-        let e = match watch_from_now(&n, key, &mut pause).await {
-            Ok(()) => continue,
-            Err(e) => e,
+        let unknown = n.version() == 0 && n.clock.now() >= start + PEER_TIME;
+        if !must_watch(&n.id, &n.links.candidates()) && !unknown {
+            n.set_fresh(false);
+            tokio::time::sleep(LOOK.mul_f64(0.5 + rand::random::<f64>())).await;
+            continue;
+        }
+        let Err(e) = watch_from_now(&n, &mut pause).await else {
+            continue;
         };
         if e != StoreError::Compacted {
+            n.set_fresh(false);
             n.log
                 .event("config_read_failed", &[("error", &e.to_string())]);
             let wait = pause.mul_f64(0.5 + rand::random::<f64>());
@@ -36,16 +58,21 @@
     }
 }
 
-/// Reads the configuration and watches it until a call fails.
-async fn watch_from_now(n: &Node, key: &str, pause: &mut Duration) -> Result<(), StoreError> {
+/// Reads the configuration and watches it until a call fails, the connection cannot be relied on, or others watch.
+async fn watch_from_now(n: &Arc<Node>, pause: &mut Duration) -> Result<(), StoreError> {
+    let key = n.edge.config_key();
+    let mut back = n.store_back.subscribe();
     let listing = n.store.list(key).await?;
     let mut from: Revision = listing.revision;
     for e in listing.entries.into_iter().filter(|e| e.key == key) {
         take(n, e.value.into(), "store");
     }
-    loop {
-        let Some(changes) = watch(n, key, from).await? else {
-            return Ok(());
+    while must_watch(&n.id, &n.links.candidates()) {
+        n.set_fresh(true);
+        let wait = WATCH_WAIT.mul_f64(0.7 + 0.3 * rand::random::<f64>());
+        let changes = tokio::select! {
+            changes = n.store.watch(key, from, wait) => changes?,
+            _ = back.changed() => return Ok(()),
         };
         *pause = RETRY.0;
         from = changes.revision;
@@ -56,30 +83,19 @@
             tokio::time::sleep(COALESCE).await;
         }
     }
+    Ok(())
 }
 
-/// Waits for changes; `None` when what the connection says cannot be relied on any more and the keys have to be read
-/// again.
-///
-/// # Errors
-///
-/// See [`crate::store::Store::watch`].
-pub(super) async fn watch(
-    n: &Node,
-    prefix: &str,
-    from: Revision,
-) -> Result<Option<Changes>, StoreError> {
-    let mut back = n.store_back.subscribe();
-    tokio::select! {
-        changes = n.store.watch(prefix, from, n.watch_wait()) => changes.map(Some),
-        _ = back.changed() => Ok(None),
-    }
-}
-
-fn take(n: &Node, document: Bytes, source: &str) {
+/// Reads a document and puts it in force if it is newer. Returns its number.
+fn take(n: &Node, document: Bytes, source: &str) -> Option<VersionNumber> {
     match n.edge.config(document) {
         Ok(table) => {
+            let number = table.number;
+            if source == "store" {
+                n.stored_version.fetch_max(number, Ordering::SeqCst);
+            }
             n.adopt(table, source);
+            Some(number)
         }
         Err(f) => {
             n.metrics.rejected.with_label_values(&["config"]).inc();
@@ -88,29 +104,56 @@
                 "config_rejected",
                 &[("source", source), ("finding", &first)],
             );
+            None
         }
     }
 }
 
-/// Takes versions from other nodes when the store does not deliver them.
+/// Takes versions from other nodes.
 pub async fn follow_peers(n: Arc<Node>, mut hints: mpsc::UnboundedReceiver<ConfigHint>) {
+    let mut asked: Option<(VersionNumber, Now)> = None;
     while let Some(hint) = hints.recv().await {
         match hint {
-            ConfigHint::Document(d) => take(&n, d, "peer"),
             ConfigHint::Version(_, number) if number <= n.version() => {}
             ConfigHint::Version(node, number) => {
-                if n.version() > 0 {
-                    tokio::time::sleep(OWN_WATCH_TIME).await;
-                }
-                if number > n.version() {
-                    n.log.event("watch_behind", &[("node", &node)]);
-                    n.links.ask_config(&node);
-                    // The own watch did not see what another one saw: its connection may be silent for good.
-                    n.store_back.send_modify(|n| *n += 1);
-                    // The document answers all hints that came meanwhile.
-                    tokio::time::sleep(PEER_TIME).await;
+                let now = n.clock.now();
+                let waiting = asked.is_some_and(|(v, t)| v >= number && now < t + ASK_TIME);
+                if !waiting && n.links.ask_config(&node, n.version()) {
+                    asked = Some((number, now));
                 }
             }
+            ConfigHint::Document(node, base, data) => {
+                asked = None;
+                take_from_peer(&n, &node, base, &data);
+            }
         }
     }
 }
+
+fn take_from_peer(n: &Arc<Node>, node: &NodeId, base: VersionNumber, data: &[u8]) {
+    let document = match base {
+        0 => patch::decode_whole(data),
+        _ => n
+            .document(base)
+            .ok_or(patch::BadPatch)
+            .and_then(|d| patch::apply(&d, data)),
+    };
+    let Ok(document) = document else {
+        n.metrics.rejected.with_label_values(&["patch"]).inc();
+        n.links.ask_config(node, 0);
+        return;
+    };
+    if let Some(number) = take(n, document, "peer").filter(|_| n.is_fresh()) {
+        tokio::spawn(check_watch(n.clone(), number));
+    }
+}
+
+/// Begins the own watch again when it does not see what another node's watch saw: its connection may be silent.
+async fn check_watch(n: Arc<Node>, number: VersionNumber) {
+    tokio::time::sleep(OWN_WATCH_TIME).await;
+    if n.stored_version.load(Ordering::SeqCst) < number {
+        n.log
+            .event("watch_behind", &[("number", &number.to_string())]);
+        n.store_back.send_modify(|n| *n += 1);
+    }
+}
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -1,11 +1,13 @@
-//! Keeps the own record in the store and follows those of the other nodes.
+//! Meeting of nodes at the store: each writes its record once and lists the others now and then. All that changes later
+//! is told on links.
+
+use std::sync::atomic::Ordering;
 
-use super::config;
 use super::members::NodeRecord;
 use super::node::Node;
 use super::target::TargetId;
 use crate::prelude::*;
-use crate::store::{Event, LeaseId, StoreError};
+use crate::store::{LeaseId, StoreError};
 
 /// Prefix of all keys of this program.
 const PREFIX: &str = "dq/";
@@ -14,28 +16,47 @@
 /// Prefix of the targets that said that they leave.
 const LEFT: &str = "dq/left/";
 /// Life of the own record without renewal. Links find dead nodes sooner; it only cleans up.
-const LEASE: Duration = Duration::from_secs(12);
-/// Interval of renewals. They also show that the store was away, which a watch on a silent connection does not.
-const RENEW: Duration = Duration::from_millis(2500);
+const LEASE: Duration = Duration::from_secs(60);
+/// Interval of renewals.
+const RENEW: Duration = Duration::from_secs(20);
+/// Interval of renewals of a node that watches. They also show that the store was away, which a watch on a silent
+/// connection does not.
+const RENEW_WATCHING: Duration = Duration::from_secs(2);
 /// Life of a note that a target left, longer than targets stay after they said so.
 const LEFT_LEASE: Duration = Duration::from_secs(600);
+/// Ages of the process at which it lists the others again: nodes that start at the same time may miss each other in
+/// reads that are some seconds old.
+const LIST_AT: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(3),
+    Duration::from_secs(7),
+];
+/// Interval of later lists.
+const LIST_EVERY: Duration = Duration::from_secs(25);
 /// Pauses between failed calls: a record is back within two seconds of the store's return.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
-/// Least time between two writes of the own record.
-const WRITE_GAP: Duration = Duration::from_millis(100);
 
 fn node_key(node: &str) -> String {
     format!("{NODES}{node}")
 }
 
-/// Keeps the own record in the store until the process ends.
-pub async fn announce(n: Arc<Node>) {
-    let mut lease: Option<LeaseId> = None;
+/// The own record's place in the store.
+#[derive(Default)]
+struct Place {
+    lease: Option<LeaseId>,
+    written: bool,
+    renewed: Now,
+    lists: usize,
+    next_list: Now,
+}
+
+/// Keeps the own record in the store and lists the others until the process ends.
+pub async fn run(n: Arc<Node>) {
+    let mut place = Place::default();
     let mut pause = RETRY.0;
-    let mut write = true;
     let mut away = false;
     loop {
-        match step(&n, &mut lease, write).await {
+        match step(&n, &mut place).await {
             Ok(()) => {
                 pause = RETRY.0;
                 if std::mem::take(&mut away) {
@@ -43,17 +64,16 @@
                     // Watches that waited meanwhile may never be answered.
                     n.store_back.send_modify(|n| *n += 1);
                 }
-                write = tokio::time::timeout(RENEW, n.announce.notified())
-                    .await
-                    .is_ok();
-                if write {
-                    tokio::time::sleep(WRITE_GAP).await;
+                let wait = place.next(&n).saturating_sub(n.clock.now());
+                tokio::select! {
+                    () = tokio::time::sleep(wait) => {}
+                    () = n.announce.notified() => place.written = false,
                 }
             }
             Err(StoreError::NoLease) => {
                 n.log.event("lease_lost", &[]);
-                lease = None;
-                write = true;
+                place.lease = None;
+                place.written = false;
             }
             Err(e) => {
                 away = true;
@@ -66,22 +86,54 @@
     }
 }
 
-async fn step(n: &Node, lease: &mut Option<LeaseId>, write: bool) -> Result<(), StoreError> {
-    let (id, fresh) = match *lease {
-        Some(id) => (id, false),
-        None => (n.store.grant(LEASE).await?, true),
+impl Place {
+    fn renew_at(&self, n: &Node) -> Now {
+        self.renewed
+            + match n.is_fresh() {
+                true => RENEW_WATCHING,
+                false => RENEW,
+            }
+    }
+
+    /// Time of the next step. A node may begin to watch meanwhile.
+    fn next(&self, n: &Node) -> Now {
+        let soon = n.clock.now() + RENEW_WATCHING;
+        self.renew_at(n).min(self.next_list).min(soon)
+    }
+}
+
+/// Writes the record, then lists: of two nodes that start together at least one sees the other.
+async fn step(n: &Arc<Node>, place: &mut Place) -> Result<(), StoreError> {
+    let now = n.clock.now();
+    let lease = match place.lease {
+        Some(lease) => lease,
+        None => n.store.grant(LEASE).await?,
     };
-    *lease = Some(id);
-    if fresh || write {
-        let record = n.record();
+    place.lease = Some(lease);
+    if !place.written {
+        // What changes is told on links.
+        let record = NodeRecord {
+            sequence: 0,
+            target: None,
+            ..n.record()
+        };
         let value = serde_json::to_vec(&record).unwrap_or_default();
-        let key = node_key(&n.id);
-        n.store.put(&key, value, Some(id)).await?;
+        n.store.put(&node_key(&n.id), value, Some(lease)).await?;
+        place.written = true;
+        place.renewed = now;
     }
-    match fresh {
-        true => Ok(()),
-        false => n.store.keep(id).await,
+    if now >= place.renew_at(n) {
+        n.store.keep(lease).await?;
+        place.renewed = now;
     }
+    if now >= place.next_list {
+        list(n, place).await?;
+        let next = LIST_AT.get(place.lists).copied();
+        place.next_list =
+            next.unwrap_or(now + LIST_EVERY.mul_f64(0.8 + 0.4 * rand::random::<f64>()));
+        place.lists += 1;
+    }
+    Ok(())
 }
 
 /// Removes the own record, so that other nodes do not look for this one.
@@ -104,55 +156,37 @@
     n.store.put(&key, value, Some(lease)).await.map(drop)
 }
 
-/// Follows the records of the other nodes for ever.
-pub async fn follow(n: Arc<Node>) {
-    let mut pause = RETRY.0;
-    loop {
-        let e = match watch_from_now(&n, &mut pause).await {
-            Ok(()) => continue,
-            Err(e) => e,
-        };
-        if e != StoreError::Compacted {
-            n.log
-                .event("members_read_failed", &[("error", &e.to_string())]);
-            let wait = pause.mul_f64(0.5 + rand::random::<f64>());
-            tokio::time::sleep(wait).await;
-            pause = (pause * 2).min(RETRY.1);
-        }
-    }
-}
-
-async fn watch_from_now(n: &Arc<Node>, pause: &mut Duration) -> Result<(), StoreError> {
-    let listing = n.store.list(PREFIX).await?;
+async fn list(n: &Arc<Node>, place: &mut Place) -> Result<(), StoreError> {
+    let listing = n.store.list_stale(PREFIX).await?;
     let mut records = Vec::new();
-    let mut own_found = false;
+    let mut found = false;
     for e in &listing.entries {
         if let Some(id) = e.key.strip_prefix(LEFT) {
             let born = std::str::from_utf8(&e.value).ok();
             let born = born.and_then(|t| t.parse().ok()).unwrap_or(u64::MAX);
             n.target().known_left(id.into(), born);
         }
-        if let Some(r) = read(n, &e.key, &e.value) {
-            own_found |= r.node == n.id;
-            check_own(n, &r);
-            records.push(r);
+        let Some(r) = read(n, &e.key, &e.value) else {
+            continue;
+        };
+        if r.node == n.id {
+            found = true;
+            // Another process of this name, or a late write of an earlier one.
+            if r.incarnation != n.record().incarnation && place.lists > 0 {
+                n.outrank(&r);
+                place.written = false;
+            }
         }
+        records.push(r);
     }
-    if !own_found {
-        n.announce.notify_one();
+    // The record is gone although its lease was renewed; a read that is some seconds old says nothing at the start.
+    if !found && place.lists > LIST_AT.len() {
+        place.written = false;
     }
     let changes = n.members().listed(records, n.clock.now());
     changes.into_iter().for_each(|c| n.apply(c));
-    n.joined.store(true, std::sync::atomic::Ordering::SeqCst);
-    let mut from = listing.revision;
-    loop {
-        let Some(changes) = config::watch(n, PREFIX, from).await? else {
-            return Ok(());
-        };
-        *pause = RETRY.0;
-        from = changes.revision;
-        changes.events.iter().for_each(|e| take(n, e));
-    }
+    n.joined.store(true, Ordering::SeqCst);
+    Ok(())
 }
 
 fn read(n: &Node, key: &str, value: &[u8]) -> Option<NodeRecord> {
@@ -163,32 +197,3 @@
     }
     record.ok()
 }
-
-/// A record under the own name that this process did not write last: an earlier process, or a write that came late.
-fn check_own(n: &Node, r: &NodeRecord) {
-    if r.node == n.id && r.order() != n.record().order() {
-        n.outrank(r);
-        n.announce.notify_one();
-    }
-}
-
-fn take(n: &Arc<Node>, e: &Event) {
-    let Some(node) = e.key.strip_prefix(NODES) else {
-        return;
-    };
-    match &e.value {
-        Some(value) => {
-            let Some(r) = read(n, &e.key, value) else {
-                return;
-            };
-            check_own(n, &r);
-            let change = n.members().stored(r, n.clock.now());
-            change.into_iter().for_each(|c| n.apply(c));
-        }
-        None if node == n.id.as_str() => n.announce.notify_one(),
-        None => {
-            n.log.event("record_vanished", &[("node", node)]);
-            n.members().vanished(node);
-        }
-    }
-}
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -8,6 +8,7 @@
 
 use super::members::NodeRecord;
 use super::queue::Load;
+use super::target::TargetState;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 
@@ -109,9 +110,15 @@
 /// Head of a message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Head {
-    /// First message in each direction, and again when the record changed.
+    /// First message in each direction: the sender, its version and whether it watches the store.
     #[serde(rename = "h")]
-    Hello(Box<NodeRecord>, VersionNumber),
+    Hello(Box<NodeRecord>, VersionNumber, bool),
+    /// The sender's target changed; the number is the new sequence of its record.
+    #[serde(rename = "t")]
+    Target(u64, Option<TargetState>),
+    /// The sender's version, and whether it watches the store.
+    #[serde(rename = "v")]
+    News(VersionNumber, bool),
     /// A request.
     #[serde(rename = "q")]
     Request(Box<RequestHead>),
@@ -130,10 +137,10 @@
     /// Answer to a ping; names the sender's version.
     #[serde(rename = "o")]
     Pong(VersionNumber),
-    /// Asks for the version in force.
-    #[serde(rename = "v")]
-    AskConfig,
-    /// The version in force; the document follows.
+    /// Asks for the version in force; names the one that the sender holds, 0 for none.
+    #[serde(rename = "g")]
+    AskConfig(VersionNumber),
+    /// The version in force follows, as a patch of the named version or whole for 0.
     #[serde(rename = "w")]
     Config(VersionNumber),
 }
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -10,13 +10,16 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Message as Ws;
 use tokio_tungstenite::WebSocketStream;
 
 use super::admit::{self, strip_answer, Reply, Work};
 use super::frame::{join, method, AnswerHead, FailedHead, Head, Message, RequestHead, Seq};
 use super::node::Node;
+use super::patch;
 use super::pool::Whole;
+use super::watchers::Candidate;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 
@@ -32,7 +35,9 @@
 /// Time for the answer to a ping after which the link is closed.
 const DEAD_AFTER: Duration = Duration::from_millis(1200);
 /// Silence on an idle link after which it is pinged.
-const IDLE_PING: Duration = Duration::from_secs(4);
+const IDLE_PING: Duration = Duration::from_secs(10);
+/// Buffers of a link, in bytes. A node has two links with every other one, and most messages are short.
+const BUFFER: usize = 4 << 10;
 /// Messages that wait to be written; beyond it the other side does not read.
 const OUTGOING: usize = 512;
 /// Pause after a failed `accept`, which usually means that file descriptors ran out.
@@ -53,6 +58,8 @@
     /// Greatest request number that was handed to the connection.
     written: AtomicU64,
     next: AtomicU64,
+    /// Whether the other side says that it watches the store.
+    fresh: AtomicBool,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -175,26 +182,28 @@
         })
     }
 
-    /// Asks one of the open links' nodes, or this one, for the version in force.
-    pub fn ask_config(&self, node: &str) -> bool {
+    /// Asks a node for the version in force, as a patch of `have`.
+    pub fn ask_config(&self, node: &str, have: VersionNumber) -> bool {
         let link = lock(&self.open).get(node).cloned();
         link.is_some_and(|l| {
-            let ask = Message::bare(Head::AskConfig);
+            let ask = Message::bare(Head::AskConfig(have));
             l.outgoing.try_send((0, ask)).is_ok()
         })
     }
 
-    /// Sends the own record on all links, after it changed.
-    pub fn greet(&self, n: &Node) {
-        for link in lock(&self.open).values() {
-            // A link that is that full will be closed and opened again with the new record.
-            let _ = link.outgoing.try_send((0, hello(n)));
-        }
+    /// The nodes at the other ends, and whether they say that they watch the store.
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let open = lock(&self.open);
+        let candidate = |l: &Arc<Link>| Candidate {
+            node: l.node.clone(),
+            fresh: l.fresh.load(Ordering::SeqCst),
+        };
+        open.values().map(candidate).collect()
     }
 }
 
 fn hello(n: &Node) -> Message {
-    Message::bare(Head::Hello(Box::new(n.record()), n.version()))
+    Message::bare(Head::Hello(Box::new(n.record()), n.version(), n.is_fresh()))
 }
 
 fn request_message(n: &Node, work: &Work, seq: Seq) -> Message {
@@ -248,13 +257,19 @@
     }
 }
 
+fn buffers() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER)
+        .write_buffer_size(0)
+}
+
 async fn open(address: std::net::SocketAddr) -> Result<Stream, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let url = format!("ws://{address}/link");
-    let opened = tokio_tungstenite::client_async(url, stream).await;
+    let opened = tokio_tungstenite::client_async_with_config(url, stream, Some(buffers())).await;
     opened.map(|(s, _)| s).map_err(|e| e.to_string())
 }
 
@@ -287,6 +302,7 @@
         pending: Mutex::default(),
         written: AtomicU64::new(0),
         next: AtomicU64::new(0),
+        fresh: AtomicBool::new(false),
     });
     let (mut sink, mut source) = stream.split();
     let greeting = Ws::Binary(hello(n).encode());
@@ -297,6 +313,10 @@
     let writer_link = link.clone();
     let writer = tokio::spawn(async move {
         while let Some((seq, message)) = queue.recv().await {
+            // A request whose caller has gone meanwhile is not sent at all.
+            if seq > 0 && !lock(&writer_link.pending).contains_key(&seq) {
+                continue;
+            }
             writer_link.written.fetch_max(seq, Ordering::SeqCst);
             if sink.send(Ws::Binary(message.encode())).await.is_err() {
                 return;
@@ -387,12 +407,18 @@
             };
             link.finish(f.seq, reply);
         }
-        Head::Hello(record, version) => {
+        Head::Hello(record, version, fresh) => {
+            link.fresh.store(*fresh, Ordering::SeqCst);
             n.met(record.as_ref().clone());
             n.heard_version(&link.node, *version);
         }
+        Head::Target(sequence, target) => n.heard_target(&link.node, *sequence, target.clone()),
+        Head::News(version, fresh) => {
+            link.fresh.store(*fresh, Ordering::SeqCst);
+            n.heard_version(&link.node, *version);
+        }
         Head::Pong(version) => n.heard_version(&link.node, *version),
-        Head::Config(_) => n.offer_config(message.rest),
+        Head::Config(base) => n.offer_config(&link.node, *base, message.rest),
         _ => return Err("unexpected message".into()),
     }
     n.members().heard(&link.node, now);
@@ -431,7 +457,7 @@
 
 async fn serve(n: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let opened = tokio_tungstenite::accept_async(stream);
+    let opened = tokio_tungstenite::accept_async_with_config(stream, Some(buffers()));
     let Ok(Ok(stream)) = tokio::time::timeout(OPEN_TIMEOUT, opened).await else {
         return;
     };
@@ -444,8 +470,9 @@
             }
         }
     });
-    let _ = tx.send(hello(&n)).await;
     let mut changed = n.changed.subscribe();
+    let mut told = Told::new(&n);
+    let _ = tx.send(hello(&n)).await;
     let mut peer = NodeId::default();
     // Requests that still run when the link ends are dropped with this.
     let served = Arc::new(Served::default());
@@ -457,7 +484,8 @@
                 Some(Ok(_)) => continue,
             },
             changed = changed.changed() => {
-                if changed.is_err() || tx.try_send(hello(&n)).is_err() {
+                let sent = told.news(&n).into_iter().all(|m| tx.try_send(m).is_ok());
+                if changed.is_err() || !sent {
                     break;
                 }
                 continue;
@@ -473,7 +501,7 @@
                     task.abort();
                 }
             }
-            Head::Hello(record, version) => {
+            Head::Hello(record, version, _) => {
                 peer = record.node.clone();
                 n.met(record.as_ref().clone());
                 n.heard_version(&peer, *version);
@@ -482,12 +510,8 @@
                 n.heard_version(&peer, *version);
                 let _ = tx.try_send(Message::bare(Head::Pong(n.version())));
             }
-            Head::AskConfig => {
-                if let Some(table) = n.routes.load_full() {
-                    let answer = Message {
-                        head: Head::Config(table.number),
-                        rest: table.document.clone(),
-                    };
+            Head::AskConfig(have) => {
+                if let Some(answer) = config_message(&n, *have) {
                     let _ = tx.try_send(answer);
                 }
             }
@@ -501,6 +525,62 @@
     writer.abort();
 }
 
+/// What the other side of an accepted link was told last.
+struct Told {
+    sequence: u64,
+    version: VersionNumber,
+    fresh: bool,
+}
+
+impl Told {
+    fn new(n: &Node) -> Self {
+        Self {
+            sequence: n.record().sequence,
+            version: n.version(),
+            fresh: n.is_fresh(),
+        }
+    }
+
+    /// Messages about what changed. Only nodes that watch the store tell their version: all others have it from them.
+    fn news(&mut self, n: &Node) -> Vec<Message> {
+        let now = Self::new(n);
+        let mut out = Vec::new();
+        if now.sequence != self.sequence {
+            let head = Head::Target(now.sequence, n.record().target);
+            out.push(Message::bare(head));
+        }
+        if now.fresh != self.fresh || now.fresh && now.version != self.version {
+            out.push(Message::bare(Head::News(now.version, now.fresh)));
+        }
+        *self = now;
+        out
+    }
+}
+
+/// The version in force for a node that holds `have`.
+fn config_message(n: &Node, have: VersionNumber) -> Option<Message> {
+    let table = n.routes.load_full()?;
+    if table.number <= have {
+        return None;
+    }
+    let base = n.document(have);
+    let from = base.as_ref().map_or(0, |_| have);
+    // All other nodes ask at once, mostly from the same version.
+    let mut cache = lock(&n.patches);
+    if cache.number != table.number {
+        cache.number = table.number;
+        cache.patches.clear();
+    }
+    let patch = cache.patches.entry(from).or_insert_with(|| {
+        let data = patch::encode(base.as_ref(), &table.document);
+        data.into()
+    });
+    Some(Message {
+        head: Head::Config(from),
+        rest: patch.clone(),
+    })
+}
+
 /// Starts a request of another node.
 fn start(
     n: &Arc<Node>,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as the process, shared by its tasks.
 
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -26,10 +27,8 @@
 use crate::settings::Settings;
 use crate::store::Store;
 
-/// Shortest and longest wait of a watch; the store allows up to 30 s.
-const WATCH_WAIT: (Duration, Duration) = (Duration::from_secs(8), Duration::from_secs(29));
-/// Wait of a watch for each node of the fleet.
-const WATCH_PER_NODE: Duration = Duration::from_secs(1);
+/// Versions that are kept as bases of patches: nodes that ask are a few changes behind at most.
+const HISTORY: usize = 4;
 
 /// Step of the end of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,8 +65,12 @@
     pub pool: Pool,
     /// Links to other nodes.
     pub links: Links,
-    /// Tells accepted links that the own record changed.
+    /// Tells accepted links that the own target, version or watch changed.
     pub changed: watch::Sender<u64>,
+    /// Whether this node watches the store and reaches it.
+    pub fresh: AtomicBool,
+    /// Greatest version number that this node read from the store itself.
+    pub stored_version: AtomicU64,
     /// Wakes the task that keeps the own record in the store.
     pub announce: Notify,
     /// Tells the tasks that watch the store to read it again.
@@ -85,7 +88,10 @@
     pub(super) phase: AtomicU8,
     pub(super) flights: AtomicUsize,
     /// Whether the store's members were read once.
-    pub(super) joined: std::sync::atomic::AtomicBool,
+    pub(super) joined: AtomicBool,
+    /// Documents of the last versions, as bases of patches.
+    pub(super) history: Mutex<VecDeque<(VersionNumber, Bytes)>>,
+    pub(super) patches: Mutex<Patches>,
 }
 
 /// What links learn about the configuration.
@@ -93,8 +99,17 @@
 pub enum ConfigHint {
     /// A node holds this version.
     Version(NodeId, VersionNumber),
-    /// A node sent its document.
-    Document(Bytes),
+    /// A node sent its document, as a patch of this version or whole for 0.
+    Document(NodeId, VersionNumber, Bytes),
+}
+
+/// Encoded patches from earlier versions to the one in force.
+#[derive(Debug, Default)]
+pub struct Patches {
+    /// Version that they lead to.
+    pub number: VersionNumber,
+    /// Patches by the version that they begin with, 0 for the whole document.
+    pub patches: HashMap<VersionNumber, Bytes>,
 }
 
 /// A request in progress; the process waits for it before it ends.
@@ -194,7 +209,16 @@
             "version_adopted",
             &[("number", &number), ("source", source)],
         );
+        let mut history = lock(&self.history);
+        if history.len() == HISTORY {
+            history.pop_front();
+        }
+        history.push_back((table.number, table.document.clone()));
+        drop(history);
         self.routes.store(Some(Arc::new(table)));
+        if self.is_fresh() {
+            self.changed.send_modify(|n| *n += 1);
+        }
         true
     }
 
@@ -228,14 +252,7 @@
         self.slots.change(|q, now| q.set_slots(now, slots));
         self.log.event("target_changed", &target_pairs(&state));
         self.set_place(&record);
-        self.tell();
-    }
-
-    /// Announces the own record again, to the store and on links.
-    pub fn tell(&self) {
-        self.announce.notify_one();
         self.changed.send_modify(|n| *n += 1);
-        self.links.greet(self);
     }
 
     /// Raises the own record above one that another process of the same name wrote.
@@ -313,8 +330,26 @@
     }
 
     /// Takes a document that another node sent.
-    pub fn offer_config(&self, document: Bytes) {
-        let _ = self.config_hints.send(ConfigHint::Document(document));
+    pub fn offer_config(&self, node: &NodeId, base: VersionNumber, data: Bytes) {
+        let hint = ConfigHint::Document(node.clone(), base, data);
+        let _ = self.config_hints.send(hint);
+    }
+
+    /// Takes the state of another node's target.
+    pub fn heard_target(
+        self: &Arc<Self>,
+        node: &NodeId,
+        sequence: u64,
+        target: Option<TargetState>,
+    ) {
+        let record = self.members().get(node).cloned();
+        if let Some(r) = record {
+            self.met(NodeRecord {
+                sequence,
+                target,
+                ..r
+            });
+        }
     }
 
     /// Chooses a target.
@@ -323,13 +358,24 @@
         self.place().choose(now, ask, &mut *lock(&self.rng))
     }
 
-    /// Longest wait of a watch. A connection may be silent for good; any node whose watch is answered tells the others
-    /// the newest version, so the waits grow with the number of nodes.
-    pub fn watch_wait(&self) -> Duration {
-        let nodes = self.members().count() as u32;
-        let wait = WATCH_PER_NODE * nodes;
-        wait.clamp(WATCH_WAIT.0, WATCH_WAIT.1)
-            .mul_f64(0.8 + 0.2 * rand::random::<f64>())
+    /// Whether this node watches the store and reaches it.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh.load(Ordering::SeqCst)
+    }
+
+    /// Notes whether this node reaches the store, and tells the others.
+    pub fn set_fresh(&self, fresh: bool) {
+        if self.fresh.swap(fresh, Ordering::SeqCst) != fresh {
+            self.log.event("watching", &[("fresh", flag(fresh))]);
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Document of a version, if it is still kept.
+    pub fn document(&self, number: VersionNumber) -> Option<Bytes> {
+        let history = lock(&self.history);
+        let found = history.iter().find(|(n, _)| *n == number);
+        found.map(|(_, d)| d.clone())
     }
 
     fn bounds(&self) -> BudgetBounds {
--- /dev/null
+++ b/src/sidecar/patch.rs
@@ -0,0 +1,121 @@
+//! Differences between two documents, for nodes that hold an earlier one. Without I/O.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::digest::Digest;
+use crate::prelude::*;
+use crate::version::pack::{deflate, inflate};
+
+/// Largest document, in bytes: what one key of the store holds.
+const MAX_BYTES: usize = 1 << 20;
+
+/// A step of a patch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum Step {
+    /// Pieces of the base, from this one on.
+    #[serde(rename = "c")]
+    Copy(u32, u32),
+    /// Text that the base lacks.
+    #[serde(rename = "l")]
+    Literal(String),
+}
+
+/// What makes one document from another, bound to the hashes of both.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Patch {
+    base: Digest,
+    result: Digest,
+    steps: Vec<Step>,
+}
+
+/// A patch does not fit or is damaged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadPatch;
+
+/// Pieces of a document: a change of one entry leaves the others equal.
+fn pieces(text: &str) -> Vec<&str> {
+    text.split_inclusive('{').collect()
+}
+
+/// Encodes `new` for a node that holds `base`; whole and compressed when there is no base.
+pub fn encode(base: Option<&Bytes>, new: &Bytes) -> Vec<u8> {
+    let text = |b: &Bytes| String::from_utf8(b.to_vec()).ok();
+    let (Some(base), Some(new_text)) = (base.and_then(text), text(new)) else {
+        return deflate(new);
+    };
+    let old = pieces(&base);
+    let mut places: HashMap<&str, u32> = HashMap::default();
+    for (i, p) in old.iter().enumerate() {
+        places.entry(p).or_insert(i as u32);
+    }
+    let mut steps: Vec<Step> = Vec::new();
+    for p in pieces(&new_text) {
+        let next = match steps.last_mut() {
+            // The same piece may stand in several places; going on is best.
+            Some(Step::Copy(at, n)) if old.get((*at + *n) as usize) == Some(&p) => {
+                *n += 1;
+                continue;
+            }
+            _ => places.get(p),
+        };
+        match (next, steps.last_mut()) {
+            (Some(at), _) => steps.push(Step::Copy(*at, 1)),
+            (None, Some(Step::Literal(l))) => l.push_str(p),
+            (None, _) => steps.push(Step::Literal(p.to_owned())),
+        }
+    }
+    let patch = Patch {
+        base: Digest::of(base.as_bytes()),
+        result: Digest::of(new),
+        steps,
+    };
+    let mut out = Vec::new();
+    // Writing into a vector cannot fail.
+    let _ = ciborium::into_writer(&patch, &mut out);
+    deflate(&out)
+}
+
+/// Decodes a whole document.
+///
+/// # Errors
+///
+/// The data is damaged or too large.
+pub fn decode_whole(data: &[u8]) -> Result<Bytes, BadPatch> {
+    inflate(data, MAX_BYTES)
+        .map(Bytes::from)
+        .map_err(|_| BadPatch)
+}
+
+/// Applies a patch to the document that this node holds.
+///
+/// # Errors
+///
+/// The patch is for another document, or damaged.
+pub fn apply(base: &Bytes, data: &[u8]) -> Result<Bytes, BadPatch> {
+    let data = inflate(data, MAX_BYTES).map_err(|_| BadPatch)?;
+    let patch: Patch = ciborium::from_reader(&data[..]).map_err(|_| BadPatch)?;
+    if patch.base != Digest::of(base) {
+        return Err(BadPatch);
+    }
+    let text = std::str::from_utf8(base).map_err(|_| BadPatch)?;
+    let old = pieces(text);
+    let mut out = String::with_capacity(text.len() + 256);
+    for step in &patch.steps {
+        match step {
+            Step::Copy(at, n) => {
+                let end = at.checked_add(*n).ok_or(BadPatch)? as usize;
+                let part = old.get(*at as usize..end).ok_or(BadPatch)?;
+                part.iter().for_each(|p| out.push_str(p));
+            }
+            Step::Literal(l) => out.push_str(l),
+        }
+        if out.len() > MAX_BYTES {
+            return Err(BadPatch);
+        }
+    }
+    match Digest::of(out.as_bytes()) == patch.result {
+        true => Ok(out.into()),
+        false => Err(BadPatch),
+    }
+}
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize};
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -87,6 +87,10 @@
         pool: Pool::new(s.target),
         links: Links::default(),
         changed: watch::channel(0).0,
+        fresh: AtomicBool::new(false),
+        stored_version: AtomicU64::new(0),
+        history: Mutex::default(),
+        patches: Mutex::default(),
         announce: Notify::new(),
         store_back: watch::channel(0).0,
         config_hints: hints,
@@ -154,8 +158,7 @@
         ],
     );
     let (close, closing) = watch::channel(false);
-    tokio::spawn(discovery::announce(n.clone()));
-    tokio::spawn(discovery::follow(n.clone()));
+    tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::follow(n.clone()));
     tokio::spawn(config::follow_peers(n.clone(), hints));
     tokio::spawn(link::accept(n.clone(), relay));
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -120,6 +120,10 @@
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError>;
     /// Reads all keys that begin with `prefix`.
     async fn list(&self, prefix: &str) -> Result<Listing, StoreError>;
+    /// Like [`Store::list`], but the result may be some seconds old where that is cheaper.
+    async fn list_stale(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.list(prefix).await
+    }
     /// Writes `value`, or deletes the key for `None`, if the key is at revision `expect` (0: absent).
     /// A key written with a lease is deleted when the lease ends.
     async fn swap(
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -5,14 +5,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dragonflyquay::request::reason::Reason;
 use dragonflyquay::sidecar::budget::{Budget, BudgetBounds};
 use dragonflyquay::sidecar::members::{Change, Members, NodeRecord, FORGET};
+use dragonflyquay::sidecar::patch;
 use dragonflyquay::sidecar::placement::{Ask, Choice, Placement, TargetInfo};
 use dragonflyquay::sidecar::queue::{Action, Arrival, Load, Queue};
 use dragonflyquay::sidecar::routes::{Part, Route, RouteTable};
 use dragonflyquay::sidecar::split::Split;
 use dragonflyquay::sidecar::target::{BeatError, Heartbeat, OwnTarget, Reported};
+use dragonflyquay::sidecar::watchers::{must_watch, Candidate, CANDIDATES, WATCHERS};
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -493,3 +496,62 @@
     assert_eq!(service("h.example", "/ab"), None);
     assert_eq!(service("none.example", "/a/x"), None);
 }
+
+/// Guards against a fleet in which no node watches, in which all do, and against watchers that cannot reach the store.
+#[test]
+fn a_few_nodes_watch_for_all() {
+    let nodes: Vec<String> = (0..100).map(|i| format!("n{i}")).collect();
+    let watching = |linked: &dyn Fn(&str, &str) -> bool, fresh: &dyn Fn(&str) -> bool| {
+        let must = |own: &&String| {
+            let others = nodes.iter().filter(|n| n != own && linked(own, n));
+            let seen: Vec<_> = others
+                .map(|n| Candidate {
+                    node: n.as_str().into(),
+                    fresh: fresh(n),
+                })
+                .collect();
+            must_watch(own, &seen)
+        };
+        nodes.iter().filter(must).cloned().collect::<Vec<_>>()
+    };
+    let all = watching(&|_, _| true, &|_| true);
+    assert_eq!(all.len(), WATCHERS);
+    let cut = watching(&|_, _| true, &|n| !all.iter().any(|w| w == n));
+    assert_eq!(cut.len(), 2 * WATCHERS, "others stand in");
+    let away = watching(&|_, _| true, &|_| false);
+    assert_eq!(away.len(), CANDIDATES, "the store is away for all");
+    let alone = watching(&|_, _| false, &|_| true);
+    assert_eq!(alone.len(), nodes.len(), "a node without links watches");
+}
+
+fn document(version: u64, routes: &[u64]) -> Bytes {
+    let route = |r: &u64| format!(r#"{{"name":"r{r}","prefix":"/r{r}/"}}"#);
+    let routes: Vec<_> = routes.iter().map(route).collect();
+    let text = format!(
+        r#"{{"version":{version},"hosts":[{{"paths":[{}]}}]}}"#,
+        routes.join(",")
+    );
+    text.into()
+}
+
+/// Guards against a patch that makes another document than the one it was made for, or that is applied to another base.
+#[test]
+fn patches_are_exact() {
+    let list = || proptest::collection::vec(0_u64..30, 0..40);
+    run(64, &(list(), list(), list()), |(a, b, c)| {
+        let (a, b, c) = (document(1, &a), document(2, &b), document(3, &c));
+        let data = patch::encode(Some(&a), &b);
+        prop_assert_eq!(patch::apply(&a, &data), Ok(b.clone()));
+        if a != c {
+            prop_assert!(patch::apply(&c, &data).is_err());
+        }
+        let whole = patch::encode(None, &b);
+        prop_assert_eq!(patch::decode_whole(&whole), Ok(b));
+        let cut = &data[..data.len() / 2];
+        prop_assert!(patch::apply(&a, cut).is_err());
+        Ok(())
+    });
+    let many: Vec<u64> = (0..300).collect();
+    let data = patch::encode(Some(&document(1, &many)), &document(2, &many));
+    assert!(data.len() < 400, "{} bytes for one change", data.len());
+}
