--- a/src/logging.rs
+++ b/src/logging.rs
@@ -10,7 +10,6 @@
 use spdlog::{Level, LevelFilter, Record, StringBuf};
 
 use crate::prelude::*;
-use crate::request::reason::Failure;
 use crate::settings::LogLevel;
 
 /// Lines that wait for a slow reader of standard output.
@@ -184,20 +183,4 @@
         }
         spdlog::info!("{line}");
     }
-
-    /// Writes the end of a request that got no answer of a target.
-    pub fn refused(&self, id: &str, route: &str, f: &Failure, attempts: &str) {
-        let back_off = f.back_off.as_millis().to_string();
-        self.event(
-            "request_failed",
-            &[
-                ("request", id),
-                ("route", route),
-                ("outcome", f.outcome.as_str()),
-                ("reason", f.reason.as_str()),
-                ("back_off_ms", &back_off),
-                ("attempts", attempts),
-            ],
-        );
-    }
 }
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -78,7 +78,7 @@
         from = changes.revision;
         let news = changes.events.into_iter().filter(|e| e.key == key);
         // Only the newest of a series matters.
-        if let Some(value) = news.filter_map(|e| e.value).last() {
+        if let Some(value) = news.filter_map(|e| e.value).next_back() {
             take(n, value.into(), "store");
             tokio::time::sleep(COALESCE).await;
         }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -28,6 +28,8 @@
 struct Job {
     work: Work,
     route: Arc<Route>,
+    /// Version that routed it.
+    version: VersionNumber,
     tried: Vec<NodeId>,
     /// Targets that got the request.
     sent: u32,
@@ -47,23 +49,82 @@
         Ok(job) => job,
         Err(f) => {
             n.metrics.ended("none", 0, Some(&f), Duration::ZERO);
-            n.log.refused(&id, "none", &f, "");
+            log_failure(&n, &id, &f);
             return refuse(&n, &f, &id, NOT_READY_AGAIN);
         }
     };
-    let out = run(&n, &mut job).await;
-    let took = n.clock.now().saturating_sub(start);
-    n.metrics
-        .ended(&job.route.name, job.work.rank, out.as_ref().err(), took);
+    let sheds = n.fair().sheds(&job.work.service, job.route.rank);
+    let out = match sheds {
+        true => Err(Failure::not_run(Reason::HeldOff)),
+        false => run(&n, &mut job).await,
+    };
+    let now = n.clock.now();
+    let took = now.saturating_sub(start);
+    let (name, rank) = (&job.route.name, job.route.rank);
+    n.metrics.ended(name, rank, out.as_ref().err(), took);
+    if let Some(served) = was_served(&out) {
+        n.fair().ended(&job.work.service, rank, served, now);
+    }
     match out {
-        Ok(whole) => answer(&n, whole),
+        Ok(whole) => {
+            if whole.status.is_server_error() {
+                log_end(&n, &job, took, "done", whole.status.as_str());
+            }
+            answer(&n, whole)
+        }
         Err(f) => {
-            n.log.refused(&id, &job.route.name, &f, &job.trace);
+            log_end(&n, &job, took, f.outcome.as_str(), f.reason.as_str());
             refuse(&n, &f, &id, job.again)
         }
     }
 }
 
+/// Logs a request that was refused before it had a route.
+fn log_failure(n: &Node, id: &str, f: &Failure) {
+    n.log.event(
+        "request_refused",
+        &[
+            ("request", id),
+            ("version", &n.version().to_string()),
+            ("outcome", f.outcome.as_str()),
+            ("reason", f.reason.as_str()),
+        ],
+    );
+}
+
+/// Logs a request that was not served, with everything that decided it. Its attempts are kept with it until its end, so
+/// that a request that looks healthy at first loses nothing.
+fn log_end(n: &Node, job: &Job, took: Duration, outcome: &str, reason: &str) {
+    let w = &job.work;
+    let left = w.deadline.saturating_sub(n.clock.now()).as_millis();
+    n.log.event(
+        "request_failed",
+        &[
+            ("request", &w.id),
+            ("route", &w.route),
+            ("service", &w.service),
+            ("version", &job.version.to_string()),
+            ("rank", &job.route.rank.to_string()),
+            ("as_rank", &w.rank.to_string()),
+            ("outcome", outcome),
+            ("reason", reason),
+            ("ms", &took.as_millis().to_string()),
+            ("left_ms", &left.to_string()),
+            ("again_ms", &job.again.as_millis().to_string()),
+            ("attempts", &job.trace),
+        ],
+    );
+}
+
+/// Whether a request was served or found no room; `None` for what says nothing about room.
+fn was_served(out: &Result<Whole, Failure>) -> Option<bool> {
+    match out {
+        Ok(_) => Some(true),
+        Err(f) if f.outcome == Outcome::NotRun && f.reason.is_overload() => Some(false),
+        Err(_) => None,
+    }
+}
+
 fn answer(n: &Node, whole: Whole) -> Response<Body> {
     let mut res = Response::new(full(whole.body));
     *res.status_mut() = whole.status;
@@ -112,13 +173,14 @@
     headers.remove(header::CONTENT_LENGTH);
     n.edge.strip(&mut headers);
     n.count_request(&service, start);
+    let rank = n.fair().rank(&service, route.rank);
     Ok(Job {
         work: Work {
             id: facts.id.ok_or(Failure::not_run(Reason::BadRequest))?,
             route: route.name.clone(),
             service,
             caller: n.service.clone(),
-            rank: route.rank,
+            rank,
             idempotent: route.idempotent,
             aim: route.aim,
             due: start + due(&route, left),
@@ -132,6 +194,7 @@
             headers,
             body,
         },
+        version: table.number,
         route,
         tried: Vec::new(),
         sent: 0,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,7 +5,8 @@
 //! - request: [`entry`] (route, choice, retries), [`admit`] (slot, exchange with the target)
 //! - connection: [`link`] and [`frame`] (between nodes), [`pool`] (to the target)
 //! - version: [`routes`]
-//! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`]), their
+//! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`],
+//!   [`fair`], [`watchers`], [`patch`]), their
 //!   drivers ([`slots`], [`discovery`], [`config`], [`control`]) and [`node`], [`start`], [`admin`], [`metrics`]
 //!
 //! [`edge`] is the border to the names and formats of a platform.
@@ -18,6 +19,7 @@
 pub mod discovery;
 pub mod edge;
 pub mod entry;
+pub mod fair;
 pub mod frame;
 pub mod link;
 pub mod members;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -11,6 +11,7 @@
 
 use super::budget::{Budget, BudgetBounds};
 use super::edge::Edge;
+use super::fair::Fair;
 use super::link::Links;
 use super::members::{Change, Members, NodeRecord};
 use super::metrics::Metrics;
@@ -83,6 +84,7 @@
     pub(super) members: Mutex<Members>,
     pub(super) place: Mutex<Placement>,
     pub(super) split: Mutex<Split>,
+    pub(super) fair: Mutex<Fair>,
     pub(super) budgets: Mutex<HashMap<ServiceId, Budget>>,
     pub(super) rng: Mutex<SmallRng>,
     pub(super) phase: AtomicU8,
@@ -151,6 +153,11 @@
         lock(&self.split)
     }
 
+    /// Shares of the ranks.
+    pub fn fair(&self) -> MutexGuard<'_, Fair> {
+        lock(&self.fair)
+    }
+
     /// Step of the end of the process.
     pub fn phase(&self) -> Phase {
         match self.phase.load(Ordering::SeqCst) {
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -99,6 +99,7 @@
         members: Mutex::new(Members::new(settings.node.id.clone())),
         place: Mutex::new(Placement::new(settings.node.az.clone())),
         split: Mutex::default(),
+        fair: Mutex::default(),
         budgets: Mutex::default(),
         rng: Mutex::new(rand::rngs::SmallRng::seed_from_u64(rand::random())),
         phase: AtomicU8::new(0),
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -93,6 +93,21 @@
     check("log events", &rows(&names, ""));
 }
 
+/// Guards against an event of the sidecar's log that is not documented.
+#[test]
+fn sidecar_events_are_documented() {
+    let mut text = String::new();
+    sources(Path::new(&repo_file("src")), &mut text);
+    text.retain(|c| !c.is_whitespace());
+    let found = text.split(".event(\"").skip(1);
+    let mut list: Vec<String> = found
+        .filter_map(|s| s.split('"').next().map(str::to_owned))
+        .collect();
+    list.sort();
+    list.dedup();
+    check("sidecar events", &rows(&list, ""));
+}
+
 /// Guards against a header that is not documented.
 #[test]
 fn headers_are_documented() {
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use dragonflyquay::request::reason::Reason;
 use dragonflyquay::sidecar::budget::{Budget, BudgetBounds};
+use dragonflyquay::sidecar::fair::{Fair, KEPT};
 use dragonflyquay::sidecar::members::{Change, Members, NodeRecord, FORGET};
 use dragonflyquay::sidecar::patch;
 use dragonflyquay::sidecar::placement::{Ask, Choice, Placement, TargetInfo};
@@ -555,3 +556,30 @@
     let data = patch::encode(Some(&document(1, &many)), &document(2, &many));
     assert!(data.len() < 400, "{} bytes for one change", data.len());
 }
+
+/// Guards against urgent work that leaves nothing to the other ranks for as long as an overload lasts, and against other
+/// ranks that get as much as the urgent one. One server that runs half of what is asked for serves the lowest rank first
+/// to last in turn, as the queue does.
+#[test]
+fn less_urgent_ranks_keep_a_share() {
+    let mut fair = Fair::default();
+    let mut now = ms(0);
+    let mut served = [0_u32; 2];
+    for _ in 0..400 {
+        now += ms(100);
+        // Ten urgent requests and ten others ask for ten places.
+        let mut asks: Vec<_> = (0..20)
+            .map(|i| (fair.rank("s", (i % 2) + 1), i, (i % 2) + 1))
+            .collect();
+        asks.sort_unstable();
+        let mut places = 10;
+        for (_, _, rank) in asks {
+            let runs = places > 0 && !fair.sheds("s", rank);
+            places -= i32::from(runs);
+            fair.ended(&"s".into(), rank, runs, now);
+            served[rank - 1] += u32::from(runs);
+        }
+    }
+    let part = f64::from(served[1]) / f64::from(served[0]);
+    assert!((KEPT - 0.1..1.05).contains(&part), "{served:?}");
+}
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -105,8 +105,8 @@
             head.push(line.trim_end().to_owned());
         }
         let header = |name: &str| {
-            let found = head.iter().skip(1).filter_map(|l| l.split_once(':'));
-            let found = found.filter(|(k, _)| k.eq_ignore_ascii_case(name)).next();
+            let mut found = head.iter().skip(1).filter_map(|l| l.split_once(':'));
+            let found = found.find(|(k, _)| k.eq_ignore_ascii_case(name));
             found.map_or(String::new(), |(_, v)| v.trim().to_owned())
         };
         let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
