Draw targets by capacity, and report slow ones before their requests end

Change: three targets are drawn by capacity and the best is taken; an old report counts as the mean load of the service; a report's service time includes requests that still run. Declined requests do not count as runs. Tests: running_requests_show_a_slow_target; the placement tests hold.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -33,7 +33,8 @@
     tried: Vec<NodeId>,
     /// Targets that got the request.
     sent: u32,
-    may_have_run: bool,
+    /// Targets that may have run it.
+    ran: u32,
     /// Time after which there may be room.
     again: Duration,
     trace: String,
@@ -198,7 +199,7 @@
         route,
         tried: Vec::new(),
         sent: 0,
-        may_have_run: false,
+        ran: 0,
         again: Duration::ZERO,
         trace: String::new(),
     })
@@ -255,12 +256,12 @@
 
 /// One attempt of unknown result makes the result of the whole request unknown.
 fn report(job: &Job, f: Failure) -> Failure {
-    match job.may_have_run {
-        true => Failure {
+    match job.ran {
+        0 => f,
+        _ => Failure {
             outcome: Outcome::Unknown,
             ..f
         },
-        false => f,
     }
 }
 
@@ -273,7 +274,7 @@
         Reason::Deadline if ran => false,
         Reason::BadRequest | Reason::TooLarge => false,
         _ if job.tried.len() >= MAX_ASKED => false,
-        _ if job.sent >= job.route.attempts.max(1) => false,
+        _ if job.ran >= job.route.attempts.max(1) => false,
         _ => job.sent == 0 || n.take_repeat(&job.work.service, now),
     }
 }
@@ -307,12 +308,11 @@
         }
     };
     job.tried.push(node.clone());
-    n.place().sent(&node);
+    n.place().sent(&node, now);
     n.metrics.attempts.inc();
-    // Until the reply says otherwise the request counts as sent: the attempt may be cut short.
-    let (sent, may_have_run) = (job.sent, job.may_have_run);
+    // Until the reply says otherwise the request counts as run: the attempt may be cut short.
     job.sent += 1;
-    job.may_have_run = true;
+    job.ran += 1;
     let reply = match node == n.id {
         true => {
             let reply = admit::run(n, job.work.clone()).await;
@@ -321,12 +321,12 @@
         }
         false => n.links.call(n, &node, &job.work).await,
     };
-    note(n, job, &node, &reply, (sent, may_have_run));
+    note(n, job, &node, &reply);
     Ok(reply)
 }
 
 /// Notes what the reply of a node says about the request and about its target.
-fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply, before: (u32, bool)) {
+fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply) {
     let now = n.clock.now();
     let failure = match reply {
         Reply::Answer(whole) => {
@@ -334,7 +334,7 @@
             return;
         }
         Reply::Failed { failure, at_target } => {
-            job.sent = before.0 + u32::from(*at_target);
+            job.sent -= u32::from(!at_target);
             failure
         }
     };
@@ -342,7 +342,7 @@
     if failure.outcome != Outcome::NotRun {
         return;
     }
-    job.may_have_run = before.1;
+    job.ran -= 1;
     let rank = job.work.rank;
     let due = job.work.due.saturating_sub(now);
     match failure.reason {
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -1,4 +1,8 @@
 //! Choice of the target for a request: own zone while it has room, then wherever the answer is soonest. Without I/O.
+//!
+//! Reports come with answers, so they are old where there are many targets. A few targets are drawn by their capacity and
+//! the best of these is chosen: what all nodes believe to be the best target would be overrun. An old report counts as
+//! the mean load of the service.
 
 use rand::{Rng, RngExt};
 
@@ -16,6 +20,12 @@
 const SERVICE_START: Duration = Duration::from_millis(100);
 /// Random part of each estimate, so that nodes with the same reports do not all choose the same target.
 const NOISE: f64 = 0.15;
+/// Targets that are drawn for a choice, in the own zone and in all others each.
+const DRAWN: usize = 3;
+/// Time after which a report of a target says little more than the mean of its service does.
+const REPORT_LIFE: Duration = Duration::from_millis(300);
+/// Weight of a new report in the mean load of a service.
+const MEAN_WEIGHT: f64 = 0.05;
 /// Longest time for which a refusal keeps requests of its rank from a target.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
 /// Expected wait, as a multiple of the time left, above which a request is refused without asking any target.
@@ -61,8 +71,9 @@
     info: TargetInfo,
     load: Load,
     reported: Now,
-    /// Requests sent since the report.
-    since: u32,
+    /// Requests sent since the report that may still be there, as of the last one.
+    since: f64,
+    sent_at: Now,
     hold: [Hold; RANKS],
     cold_until: Now,
 }
@@ -93,23 +104,43 @@
     None,
 }
 
+#[derive(Debug, Default)]
+struct Service {
+    nodes: Vec<NodeId>,
+    /// Mean of running and waiting requests for each slot.
+    load: f64,
+}
+
+/// A target that may be chosen.
+struct Usable<'a> {
+    node: &'a NodeId,
+    own: bool,
+    wait: f64,
+    time: f64,
+    /// Requests that it can run in a second.
+    capacity: f64,
+}
+
 /// Targets of all services as this node sees them.
 #[derive(Debug)]
 pub struct Placement {
     az: Az,
     targets: BTreeMap<NodeId, Target>,
-    services: HashMap<ServiceId, Vec<NodeId>>,
+    services: HashMap<ServiceId, Service>,
 }
 
 impl Target {
-    /// Expected wait of a request of this rank. A report ages: what waited then has been served since.
-    fn wait(&self, rank: usize, now: Now) -> f64 {
+    /// Expected wait of a request of this rank, where targets of the service hold `mean` requests for each slot.
+    fn wait(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let slots = f64::from(self.info.slots.max(1));
         let service = self.service();
-        let age = now.saturating_sub(self.reported).as_secs_f64();
+        let old = |t: Now, life: f64| (-now.saturating_sub(t).as_secs_f64() / life).exp();
         let work = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
-        let left = (work - age * slots / service).max(0.0) + f64::from(self.since);
-        (left + 1.0 - slots).max(0.0) * service / slots
+        let usual = mean * slots;
+        let fresh = old(self.reported, REPORT_LIFE.as_secs_f64());
+        let sent = self.since * old(self.sent_at, service);
+        let work = usual + (work - usual) * fresh + sent;
+        (work + 1.0 - slots).max(0.0) * service / slots
     }
 
     fn service(&self) -> f64 {
@@ -119,15 +150,47 @@
         }
     }
 
-    fn estimate(&self, ask: &Ask<'_>, now: Now) -> f64 {
-        let cold = if now < self.cold_until {
-            COLD_FACTOR
-        } else {
-            1.0
+    fn usable<'a>(&self, node: &'a NodeId, ask: &Ask<'_>, mean: f64, now: Now) -> Usable<'a> {
+        let cold = match now < self.cold_until {
+            true => COLD_FACTOR,
+            false => 1.0,
         };
         let failed = f64::from(self.load.failed) / 100.0;
-        self.wait(ask.rank, now) + self.service() * cold + failed * ask.due.as_secs_f64()
+        let wait = self.wait(ask.rank, mean, now);
+        let service = self.service() * cold;
+        Usable {
+            node,
+            own: false,
+            wait,
+            time: wait + service + failed * ask.due.as_secs_f64(),
+            capacity: f64::from(self.info.slots) / service,
+        }
+    }
+}
+
+/// Draws some of the targets by their capacity, and returns the one with the soonest answer.
+fn draw<'a, R>(list: &[Usable<'a>], own: bool, rng: &mut R) -> Option<(f64, &'a NodeId)>
+where
+    R: Rng,
+{
+    let side = || list.iter().filter(|u| u.own == own);
+    let total: f64 = side().map(|u| u.capacity).sum();
+    let mut best: Option<(f64, &NodeId)> = None;
+    for _ in 0..DRAWN {
+        let mut at = rng.random::<f64>() * total;
+        let drawn = side().find(|u| {
+            at -= u.capacity;
+            at <= 0.0
+        });
+        let Some(u) = drawn.or(side().last()) else {
+            return best;
+        };
+        let time = u.time * (1.0 + NOISE * rng.random::<f64>());
+        if best.is_none_or(|(t, _)| time < t) {
+            best = Some((time, u.node));
+        }
     }
+    best
 }
 
 impl Placement {
@@ -151,15 +214,16 @@
                     None => Now::ZERO,
                 };
                 self.remove(node);
-                let list = self.services.entry(info.service.clone()).or_default();
-                list.push(node.clone());
+                let service = self.services.entry(info.service.clone()).or_default();
+                service.nodes.push(node.clone());
                 self.targets.insert(
                     node.clone(),
                     Target {
                         info,
                         load: Load::default(),
                         reported: Now::ZERO,
-                        since: 0,
+                        since: 0.0,
+                        sent_at: now,
                         hold: [Hold::default(); RANKS],
                         cold_until,
                     },
@@ -171,8 +235,8 @@
     /// Forgets a target.
     pub fn remove(&mut self, node: &NodeId) {
         if let Some(t) = self.targets.remove(node) {
-            if let Some(list) = self.services.get_mut(&t.info.service) {
-                list.retain(|n| n != node);
+            if let Some(service) = self.services.get_mut(&t.info.service) {
+                service.nodes.retain(|n| n != node);
             }
         }
     }
@@ -194,14 +258,12 @@
     where
         R: Rng,
     {
-        let Some(list) = self.services.get(ask.service) else {
+        let Some(service) = self.services.get(ask.service) else {
             return Choice::None;
         };
-        let mut near: Option<(f64, &NodeId)> = None;
-        let mut any: Option<(f64, &NodeId)> = None;
         let mut held: Option<Duration> = None;
-        let mut least_wait = f64::MAX;
-        for node in list.iter().filter(|n| !ask.tried.contains(n)) {
+        let mut usable = Vec::new();
+        for node in service.nodes.iter().filter(|n| !ask.tried.contains(n)) {
             let Some(t) = self.targets.get(node) else {
                 continue;
             };
@@ -213,36 +275,27 @@
                 held = Some(held.map_or(hold, |h| h.min(hold)));
                 continue;
             }
-            least_wait = least_wait.min(t.wait(ask.rank, now));
-            let time = t.estimate(ask, now) * (1.0 + NOISE * rng.random::<f64>());
-            let own = t.info.az == self.az;
-            let cost = match own {
-                true => time,
-                false => time + CROSSING.as_secs_f64(),
-            };
-            if own && near.is_none_or(|(c, _)| time < c) {
-                near = Some((time, node));
-            }
-            if any.is_none_or(|(c, _)| cost < c) {
-                any = Some((cost, node));
-            }
-        }
-        if any.is_some() && least_wait > HOPELESS * ask.left.as_secs_f64() {
-            return Choice::Full(Duration::from_secs_f64(least_wait) - ask.left);
+            usable.push(Usable {
+                own: t.info.az == self.az,
+                ..t.usable(node, ask, service.load, now)
+            });
         }
-        let good = ask.due.as_secs_f64() * OWN_ZONE_PART;
-        match (near, any, held) {
-            (Some((time, node)), _, _) if time <= good => Choice::Target(node.clone()),
-            (_, Some((_, node)), _) => Choice::Target(node.clone()),
-            (_, None, Some(hold)) => Choice::Full(hold),
-            _ => Choice::None,
+        let least = usable.iter().map(|u| u.wait).fold(f64::MAX, f64::min);
+        let hopeless = HOPELESS * ask.left.as_secs_f64();
+        match (usable.is_empty(), held) {
+            (true, Some(hold)) => Choice::Full(hold),
+            (true, None) => Choice::None,
+            _ if least > hopeless => Choice::Full(Duration::from_secs_f64(least) - ask.left),
+            _ => best(&usable, ask, rng),
         }
     }
 
     /// A request was sent to a target.
-    pub fn sent(&mut self, node: &NodeId) {
+    pub fn sent(&mut self, node: &NodeId, now: Now) {
         if let Some(t) = self.targets.get_mut(node) {
-            t.since += 1;
+            let age = now.saturating_sub(t.sent_at).as_secs_f64();
+            t.since = 1.0 + t.since * (-age / t.service()).exp();
+            t.sent_at = now;
         }
     }
 
@@ -251,7 +304,12 @@
         if let Some(t) = self.targets.get_mut(node) {
             t.load = load;
             t.reported = now;
-            t.since = 0;
+            t.since = 0.0;
+            let work = f64::from(load.running + load.waiting[RANKS - 1]);
+            let part = work / f64::from(t.info.slots.max(1));
+            if let Some(s) = self.services.get_mut(&t.info.service) {
+                s.load += MEAN_WEIGHT * (part - s.load);
+            }
         }
     }
 
@@ -279,11 +337,22 @@
             }
         }
     }
+}
 
-    /// The number of targets of a service that take requests.
-    pub fn ready(&self, service: &str) -> usize {
-        let list = self.services.get(service).into_iter().flatten();
-        let ready = |n: &&NodeId| self.targets.get(*n).is_some_and(|t| t.info.ready);
-        list.filter(ready).count()
+/// The own zone while its answer comes soon enough, then wherever it is soonest.
+fn best<R>(usable: &[Usable<'_>], ask: &Ask<'_>, rng: &mut R) -> Choice
+where
+    R: Rng,
+{
+    let near = draw(usable, true, rng);
+    let good = ask.due.as_secs_f64() * OWN_ZONE_PART;
+    if let Some((_, node)) = near.filter(|(time, _)| *time <= good) {
+        return Choice::Target(node.clone());
     }
+    let far = draw(usable, false, rng).map(|(time, node)| (time + CROSSING.as_secs_f64(), node));
+    let found = near
+        .into_iter()
+        .chain(far)
+        .min_by(|a, b| a.0.total_cmp(&b.0));
+    found.map_or(Choice::None, |(_, node)| Choice::Target(node.clone()))
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -253,8 +253,10 @@
         self.len() == 0
     }
 
-    /// Load for other nodes.
-    pub fn load(&self) -> Load {
+    /// Load for other nodes. Requests that run longer than usual show a slow target before they end.
+    pub fn load(&self, now: Now) -> Load {
+        let ages = self.running.iter().map(|r| now.saturating_sub(r.since));
+        let age = ages.sum::<Duration>().as_secs_f64() / self.running.len().max(1) as f64;
         let mut waiting = [0; RANKS];
         for (rank, n) in waiting.iter_mut().enumerate() {
             *n = self.ahead(rank) as u32;
@@ -262,7 +264,7 @@
         Load {
             running: self.running.len() as u32,
             waiting,
-            service_us: (self.mean_service() * 1e6) as u32,
+            service_us: (self.mean_service().max(age) * 1e6) as u32,
             failed: (self.failed * 100.0) as u8,
         }
     }
--- a/src/sidecar/slots.rs
+++ b/src/sidecar/slots.rs
@@ -72,7 +72,7 @@
 
     /// Load for other nodes.
     pub fn load(&self) -> Load {
-        self.state().queue.load()
+        self.state().queue.load(self.clock.now())
     }
 
     /// Running and waiting requests.
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -98,6 +98,17 @@
     assert_eq!(order, [4, 3, 2]);
 }
 
+/// Guards against a target that became slow and looks fast until its slow requests end.
+#[test]
+fn running_requests_show_a_slow_target() {
+    let mut q = warm(2);
+    let now = ms(1000);
+    q.arrive(now, arrival(1, 1, now, 5000));
+    q.arrive(now, arrival(2, 1, now, 5000));
+    assert!(q.load(now + ms(50)).service_us <= 110_000);
+    assert_eq!(q.load(now + ms(800)).service_us, 800_000);
+}
+
 /// Guards against slots that stay taken after their callers have gone.
 #[test]
 fn a_request_that_is_given_up_frees_its_place() {
