Test the platform's border against a stand-in of its store

Contract of the store's calls with their faults, documents and heartbeats in tables, and a check that the platform's names stand in one folder.

--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -182,7 +182,7 @@
             at -= u.capacity;
             at <= 0.0
         });
-        let Some(u) = drawn.or(side().last()) else {
+        let Some(u) = drawn.or(side().next_back()) else {
             return best;
         };
         let time = u.time * (1.0 + NOISE * rng.random::<f64>());
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,254 @@
+//! The border to the users' platform: the store's calls against a stand-in, documents and heartbeats.
+
+mod site_kit;
+mod workdir;
+
+use std::path::Path;
+use std::time::Duration;
+
+use dragonflyquay::platform::store::PlatformStore;
+use dragonflyquay::platform::{document, heartbeat};
+use dragonflyquay::sidecar::edge::TargetCall;
+use dragonflyquay::sidecar::target::Reported;
+use dragonflyquay::store::{Store, StoreError, Swap};
+use http::Method;
+use site_kit::store::{Faults, KvServer};
+use site_kit::{config, SERVICE};
+use workdir::{repo_file, PATIENCE};
+
+/// A time-out that fails a call whose answer is lost on purpose.
+const SHORT: Duration = Duration::from_millis(300);
+
+fn client(server: &KvServer, timeout: Duration) -> PlatformStore {
+    PlatformStore::new(server.address, timeout)
+}
+
+fn block_on<F: std::future::Future>(f: F) -> F::Output {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    rt.unwrap().block_on(f)
+}
+
+/// Guards against a comparison that is not sent, and against an answer that is read wrongly.
+#[test]
+fn writes_compare() {
+    let server = KvServer::start();
+    let s = client(&server, PATIENCE);
+    block_on(async {
+        let Ok(Swap::Done(r1)) = s.swap("a/1", 0, Some(b"x".to_vec()), None).await else {
+            panic!("created");
+        };
+        let conflict = s.swap("a/1", 0, Some(b"y".to_vec()), None).await.unwrap();
+        assert!(matches!(conflict, Swap::Conflict(Some(e)) if e.revision == r1 && e.value == b"x"));
+        let missing = s.swap("a/2", 7, Some(b"y".to_vec()), None).await;
+        assert_eq!(missing, Ok(Swap::Conflict(None)));
+        let r2 = s.put("a/1", b"\x00\xff".to_vec(), None).await.unwrap();
+        assert!(r2 > r1);
+        let e = s.get("a/1").await.unwrap().unwrap();
+        assert_eq!((e.value, e.revision), (b"\x00\xff".to_vec(), r2));
+        assert!(matches!(
+            s.swap("a/1", r2, None, None).await,
+            Ok(Swap::Done(_))
+        ));
+        assert_eq!(s.get("a/1").await, Ok(None));
+        s.remove("a/1").await.unwrap();
+    });
+}
+
+/// Guards against a listing that ends after its first page, and against keys with odd characters.
+#[test]
+fn lists_every_page() {
+    let server = KvServer::start();
+    let s = client(&server, PATIENCE);
+    block_on(async {
+        for i in 0..7 {
+            let key = format!("p/{i} &?=%");
+            s.put(&key, vec![i], None).await.unwrap();
+        }
+        s.put("q/1", vec![9], None).await.unwrap();
+        for list in [s.list("p/").await, s.list_stale("p/").await] {
+            let values: Vec<_> = list
+                .unwrap()
+                .entries
+                .into_iter()
+                .map(|e| e.value[0])
+                .collect();
+            assert_eq!(values, [0, 1, 2, 3, 4, 5, 6]);
+        }
+    });
+}
+
+/// Guards against a watch that misses changes, and against a lease whose end is not noticed.
+#[test]
+fn watches_and_leases() {
+    let server = KvServer::start();
+    let s = client(&server, PATIENCE);
+    block_on(async {
+        let from = s.list("w/").await.unwrap().revision;
+        let lease = s.grant(PATIENCE).await.unwrap();
+        s.put("w/1", b"a".to_vec(), Some(lease)).await.unwrap();
+        s.keep(lease).await.unwrap();
+        let c = s.watch("w/", from, PATIENCE).await.unwrap();
+        assert_eq!(c.events[0].value.as_deref(), Some(&b"a"[..]));
+        server.store.expire_leases();
+        let c = s.watch("w/", c.revision, PATIENCE).await.unwrap();
+        assert_eq!(c.events[0].value, None);
+        assert_eq!(s.keep(lease).await, Err(StoreError::NoLease));
+        let late = s.put("w/1", b"a".to_vec(), Some(lease)).await;
+        assert_eq!(late, Err(StoreError::NoLease));
+        server.set(Faults {
+            compacted: true,
+            ..Faults::default()
+        });
+        let old = s.watch("w/", from, PATIENCE).await;
+        assert_eq!(old, Err(StoreError::Compacted));
+    });
+}
+
+/// Guards against an unknown outcome that is reported as known: a lost answer may follow a write that took effect.
+#[test]
+fn outcomes_are_told_apart() {
+    let server = KvServer::start();
+    let s = client(&server, SHORT);
+    block_on(async {
+        server.set(Faults {
+            busy: true,
+            ..Faults::default()
+        });
+        let busy = s.put("k", b"1".to_vec(), None).await;
+        assert!(matches!(busy, Err(StoreError::Unavailable(_))), "{busy:?}");
+        server.set(Faults {
+            lose_writes: 1,
+            ..Faults::default()
+        });
+        let lost = s.put("k", b"2".to_vec(), None).await;
+        assert!(matches!(lost, Err(StoreError::Unknown(_))), "{lost:?}");
+        assert_eq!(s.get("k").await.unwrap().unwrap().value, b"2");
+        server.set(Faults {
+            silent: true,
+            ..Faults::default()
+        });
+        let silent = s.get("k").await;
+        assert!(matches!(silent, Err(StoreError::Unknown(_))), "{silent:?}");
+    });
+    let gone = client(&server, SHORT);
+    drop(server);
+    let down = block_on(gone.get("k"));
+    assert!(down.is_err(), "{down:?}");
+    assert_eq!(
+        block_on(gone.put("k", vec![0; (1 << 20) + 1], None)),
+        Err(StoreError::Invalid("value is too large".into()))
+    );
+}
+
+/// Guards against a document that is put in force in part, and against fields that are read wrongly.
+#[test]
+fn documents() {
+    let parts = format!(
+        r#",{{"name":"w","prefix":"/w/","route_type":"safe","timeout_ms":250,"aim_ms":100.5,"priority":9,"backends":[{{"service":"{SERVICE}","weight":90}},{{"service":"{SERVICE}","weight":10}}]}}"#
+    );
+    let table = document::read(config(7, &parts).into()).unwrap();
+    assert_eq!((table.number, table.len()), (7, 3));
+    let r = table.route("h.example", "/w/x").unwrap();
+    assert_eq!(r.aim, Duration::from_micros(100_500));
+    assert_eq!((r.rank, r.attempts, r.parts[1].weight), (3, 1, 10));
+    assert!(r.idempotent);
+    assert!(!table.route("h.example", "/once/x").unwrap().idempotent);
+    assert_eq!(table.limits.body_bytes, 1_048_576);
+    let route = |fields: &str| {
+        config(
+            8,
+            &format!(
+                r#",{{"name":"b","prefix":"/b/","route_type":"safe","timeout_ms":250{fields}}}"#
+            ),
+        )
+    };
+    let cases = [
+        ("", "expected value"),
+        ("{}", "missing field"),
+        (&route(""), "no service runs it"),
+        (&route(r#","service":"none""#), "not declared"),
+        (
+            &route(&format!(
+                r#","backends":[{{"service":"{SERVICE}","weight":0}}]"#
+            )),
+            "all weights are 0",
+        ),
+        (
+            &config(8, "").replace("/safe/", "safe"),
+            "does not begin and end",
+        ),
+    ];
+    for (text, message) in cases {
+        let f = document::read(text.to_owned().into()).unwrap_err();
+        let all: Vec<_> = f.items.iter().map(ToString::to_string).collect();
+        let all = all.join("; ");
+        let empty = text.is_empty() && all.contains("EOF");
+        assert!(all.contains(message) || empty, "{text}: {all}");
+    }
+}
+
+/// Guards against a heartbeat that is read as another one, or that ends the process.
+#[test]
+fn heartbeats() {
+    let body = r#"{"service":"s","address":"10.0.0.1:8080","zone":"a","version":"v1","slots":6,"state":"draining","cold_remaining_ms":1500.5,"seq":4,"born":77,"new":[1]}"#;
+    let call = heartbeat::read(&Method::PUT, "/api/instances/i-1", body.as_bytes());
+    let Ok(TargetCall::Heartbeat(h)) = call else {
+        panic!("{call:?}");
+    };
+    assert_eq!((h.id.as_str(), h.slots, h.seq, h.born), ("i-1", 6, 4, 77));
+    assert_eq!(h.state, Reported::Draining);
+    assert_eq!(h.cold, Duration::from_millis(1500));
+    let left = |body: &[u8]| heartbeat::read(&Method::DELETE, "/api/instances/i-1", body);
+    assert_eq!(left(b""), Ok(TargetCall::Ended("i-1".into(), 0)));
+    let born = left(br#"{"born":77}"#);
+    assert_eq!(born, Ok(TargetCall::Ended("i-1".into(), 77)));
+    for bad in [&b"\xff"[..], b"[]", b"{\"slots\":-1}", b"null"] {
+        let out = heartbeat::read(&Method::PUT, "/api/instances/i-1", bad);
+        assert!(out.is_err(), "{out:?}");
+    }
+}
+
+fn find(dir: &Path, names: &[&str], found: &mut Vec<String>) {
+    for entry in std::fs::read_dir(dir).unwrap().map(Result::unwrap) {
+        let path = entry.path();
+        if path.is_dir() {
+            if !path.ends_with("platform") {
+                find(&path, names, found);
+            }
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).unwrap().to_lowercase();
+        let named = names.iter().filter(|n| text.contains(*n));
+        found.extend(named.map(|n| format!("{}: {n}", path.display())));
+    }
+}
+
+/// Guards against names of the platform outside its folder.
+#[test]
+fn the_platform_stands_in_one_folder() {
+    let names = [
+        "dragonflyquay-request-id",
+        "dragonflyquay-deadline",
+        "dragonflyquay-response",
+        "dragonflyquay-expected",
+        "dragonflyquay-not-executed",
+        "dragonflyquay-caller",
+        "dragonflyquay-instance",
+        "api/kv-",
+        "api/instances",
+        "api/ready",
+        "op/config",
+        "virtual_hosts",
+        "route_type",
+        "retry_attempts",
+        "cold_remaining",
+        "heartbeat_url",
+        "app_addr",
+        "stable_window",
+    ];
+    let mut found = Vec::new();
+    find(Path::new(&repo_file("src")), &names, &mut found);
+    assert!(found.is_empty(), "{found:#?}");
+}
