Try all links when one falls silent, and avoid a silent node sooner

After a mass restart nodes waited 600 ms for a version although none of their peers had one. Change: a ping without an answer for 110 ms takes a node out of the choice and has all quiet links pinged; links are opened again within 1 s; nodes look for a version at once after a start and requests wait 150 ms for the first one; of few targets all are compared. Test: one_silent_link_alarms_the_others.

--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -18,10 +18,10 @@
 const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pauses between failed calls.
 const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
-/// Interval in which a node looks whether it has to watch.
-const LOOK: Duration = Duration::from_millis(200);
+/// Intervals in which a node looks whether it has to watch: without a version, and with one.
+const LOOK: (Duration, Duration) = (Duration::from_millis(30), Duration::from_millis(250));
 /// Time for links to open after the members are known, before a node without any watches by itself.
-const LINK_TIME: Duration = Duration::from_millis(400);
+const LINK_TIME: Duration = Duration::from_millis(100);
 /// Time without a version after which a node reads it although others watch.
 const PEER_TIME: Duration = Duration::from_millis(1200);
 /// Time for the answer of a node that was asked for its version, before another one is asked.
@@ -32,7 +32,7 @@
 /// Watches the store for as long as this node has to; for ever.
 pub async fn follow(n: Arc<Node>) {
     while !n.joined.load(Ordering::SeqCst) {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(LOOK.0).await;
     }
     tokio::time::sleep(LINK_TIME).await;
     let start = n.clock.now();
@@ -41,7 +41,11 @@
         let unknown = n.version() == 0 && n.clock.now() >= start + PEER_TIME;
         if !must_watch(&n.id, &n.links.candidates()) && !unknown {
             n.set_fresh(false);
-            tokio::time::sleep(LOOK.mul_f64(0.5 + rand::random::<f64>())).await;
+            let look = match n.version() {
+                0 => LOOK.0,
+                _ => LOOK.1,
+            };
+            tokio::time::sleep(look.mul_f64(0.5 + rand::random::<f64>())).await;
             continue;
         }
         let Err(e) = watch_from_now(&n, &mut pause).await else {
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -9,7 +9,7 @@
 use super::node::{Node, Phase};
 use super::placement::{Ask, Choice};
 use super::pool::Whole;
-use super::routes::Route;
+use super::routes::{Route, RouteTable};
 use crate::prelude::*;
 use crate::request::body::{full, Body};
 use crate::request::context;
@@ -21,6 +21,10 @@
 const DEFAULT_LEFT: Duration = Duration::from_secs(1);
 /// Least time that a caller is told to wait when no room is foreseen.
 const LEAST_AGAIN: Duration = Duration::from_millis(20);
+/// Time that a request waits for the first version, and the interval in which it looks for it. Short against the time of
+/// any caller, so that it can still come back.
+const VERSION_WAIT: Duration = Duration::from_millis(150);
+const VERSION_LOOK: Duration = Duration::from_millis(10);
 /// Wait that a caller is told while the node knows no version or no target.
 const NOT_READY_AGAIN: Duration = Duration::from_millis(150);
 
@@ -153,8 +157,7 @@
 
 /// Finds the route and reads the whole body.
 async fn accept(n: &Arc<Node>, req: Request<Incoming>, start: Now) -> Result<Job, Failure> {
-    let table = n.routes.load_full();
-    let table = table.ok_or(Failure::not_run(Reason::NoVersion))?;
+    let table = version(n).await?;
     let (parts, body) = req.into_parts();
     let host = parts
         .headers
@@ -205,6 +208,18 @@
     })
 }
 
+/// The version in force. A process that has just started learns it within moments, so its first requests wait for it.
+async fn version(n: &Node) -> Result<Arc<RouteTable>, Failure> {
+    let end = n.clock.now() + VERSION_WAIT;
+    loop {
+        match n.routes.load_full() {
+            Some(table) => return Ok(table),
+            None if n.clock.now() >= end => return Err(Failure::not_run(Reason::NoVersion)),
+            None => tokio::time::sleep(VERSION_LOOK).await,
+        }
+    }
+}
+
 /// What is left to the aim. A caller with less time than the route gives has spent the rest on earlier attempts.
 fn due(route: &Route, left: Duration) -> Duration {
     let spent = route.timeout.saturating_sub(left);
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -8,7 +8,7 @@
 use futures_util::{SinkExt, StreamExt};
 use http::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Message as Ws;
@@ -26,11 +26,13 @@
 /// Time to open a link: several round trips between zones, and the pauses of a busy process.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Shortest and longest pause before a link is opened again; a node that restarts is back within seconds.
-const REOPEN: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(2));
+const REOPEN: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
 /// Silence on a link with waiting requests after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(120);
-/// Time for the answer to a ping after which the other side counts as unreachable and work that may run again is sent
-/// elsewhere. Above the pauses of a process that has used up its share of the processor.
+/// Time for the answer to a ping after which new work goes elsewhere; the pauses of a process that has used up its share
+/// of the processor are about as long.
+const AVOID_AFTER: Duration = Duration::from_millis(110);
+/// Time for the answer to a ping after which work that may run again is sent elsewhere too.
 const DOUBT_AFTER: Duration = Duration::from_millis(250);
 /// Time for the answer to a ping after which the link is closed.
 const DEAD_AFTER: Duration = Duration::from_millis(1200);
@@ -60,6 +62,8 @@
     next: AtomicU64,
     /// Whether the other side says that it watches the store.
     fresh: AtomicBool,
+    /// Asks for a ping now, because another link fell silent.
+    alarm: Notify,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -191,6 +195,11 @@
         })
     }
 
+    /// Has all quiet links pinged now.
+    fn alarm(&self) {
+        lock(&self.open).values().for_each(|l| l.alarm.notify_one());
+    }
+
     /// The nodes at the other ends, and whether they say that they watch the store.
     pub fn candidates(&self) -> Vec<Candidate> {
         let open = lock(&self.open);
@@ -277,15 +286,28 @@
 struct Silence {
     heard: Now,
     pinged: Option<Now>,
-    doubted: bool,
+    step: Step,
+}
+
+/// How far an unanswered ping has changed the use of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Trusted,
+    Avoided,
+    Doubted,
 }
 
 impl Silence {
     /// Time until the next look.
     fn next(&self, waiting: bool, now: Now) -> Duration {
         let at = match (self.pinged, waiting) {
-            (Some(t), _) if self.doubted => t + DEAD_AFTER,
-            (Some(t), _) => t + DOUBT_AFTER,
+            (Some(t), _) => {
+                t + match self.step {
+                    Step::Trusted => AVOID_AFTER,
+                    Step::Avoided => DOUBT_AFTER,
+                    Step::Doubted => DEAD_AFTER,
+                }
+            }
             (None, true) => self.heard + PING_AFTER,
             (None, false) => self.heard + IDLE_PING,
         };
@@ -303,6 +325,7 @@
         written: AtomicU64::new(0),
         next: AtomicU64::new(0),
         fresh: AtomicBool::new(false),
+        alarm: Notify::new(),
     });
     let (mut sink, mut source) = stream.split();
     let greeting = Ws::Binary(hello(n).encode());
@@ -328,7 +351,7 @@
     let mut silence = Silence {
         heard: n.clock.now(),
         pinged: None,
-        doubted: false,
+        step: Step::Trusted,
     };
     let why = loop {
         let wait = silence.next(link.is_waiting(), n.clock.now());
@@ -337,7 +360,8 @@
                 Some(Ok(Ws::Binary(data))) => {
                     silence.heard = n.clock.now();
                     silence.pinged = None;
-                    if std::mem::take(&mut silence.doubted) {
+                    if silence.step != Step::Trusted {
+                        silence.step = Step::Trusted;
                         n.place().reach(node, true);
                     }
                     if let Err(e) = receive(n, &link, data) {
@@ -348,6 +372,12 @@
                 Some(Ok(_)) => {}
                 Some(Err(e)) => break e.to_string(),
             },
+            () = link.alarm.notified() => {
+                let now = n.clock.now();
+                if silence.pinged.is_none() && now >= silence.heard + PING_AFTER {
+                    ping(n, &link, &mut silence);
+                }
+            }
             () = tokio::time::sleep(wait) => {
                 if let Some(why) = check_silence(n, &link, &mut silence) {
                     break why;
@@ -367,22 +397,29 @@
     let quiet = now.saturating_sub(s.heard);
     match s.pinged {
         Some(t) if now >= t + DEAD_AFTER => return Some("silent".to_owned()),
-        Some(t) if now >= t + DOUBT_AFTER && !s.doubted => {
-            s.doubted = true;
-            n.place().reach(&link.node, false);
+        Some(t) if now >= t + DOUBT_AFTER && s.step < Step::Doubted => {
+            s.step = Step::Doubted;
             link.fail(|p| p.idempotent);
         }
-        None if link.is_waiting() && quiet >= PING_AFTER || quiet >= IDLE_PING => {
-            s.pinged = Some(now);
-            let ping = Message::bare(Head::Ping(n.version()));
-            // A full queue is the silence itself.
-            let _ = link.outgoing.try_send((0, ping));
+        Some(t) if now >= t + AVOID_AFTER && s.step < Step::Avoided => {
+            s.step = Step::Avoided;
+            n.place().reach(&link.node, false);
+            // A partition silences many links at once; idle ones would each cost a request to find out.
+            n.links.alarm();
         }
+        None if link.is_waiting() && quiet >= PING_AFTER || quiet >= IDLE_PING => ping(n, link, s),
         _ => {}
     }
     None
 }
 
+fn ping(n: &Node, link: &Link, s: &mut Silence) {
+    s.pinged = Some(n.clock.now());
+    let ping = Message::bare(Head::Ping(n.version()));
+    // A full queue is the silence itself.
+    let _ = link.outgoing.try_send((0, ping));
+}
+
 /// Takes a message of the node that this one opened a link to.
 fn receive(n: &Arc<Node>, link: &Link, data: bytes::Bytes) -> Result<(), String> {
     let message = Message::decode(data)?;
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -168,12 +168,17 @@
     }
 }
 
-/// Draws some of the targets by their capacity, and returns the one with the soonest answer.
+/// Draws some of the targets by their capacity, and returns the one with the soonest answer. Of few targets all are
+/// compared: each gets enough requests for its reports to be fresh.
 fn draw<'a, R>(list: &[Usable<'a>], own: bool, rng: &mut R) -> Option<(f64, &'a NodeId)>
 where
     R: Rng,
 {
     let side = || list.iter().filter(|u| u.own == own);
+    if side().count() <= 2 * DRAWN {
+        let noisy = side().map(|u| (u.time * (1.0 + NOISE * rng.random::<f64>()), u.node));
+        return noisy.min_by(|a, b| a.0.total_cmp(&b.0));
+    }
     let total: f64 = side().map(|u| u.capacity).sum();
     let mut best: Option<(f64, &NodeId)> = None;
     for _ in 0..DRAWN {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -372,3 +372,35 @@
         n.send("GET", "/safe/x").is_some_and(|a| a.status == 200)
     });
 }
+
+/// Guards against a partition that every idle link finds out anew, each at the cost of a request: the silence of one link
+/// has all others tried at once, so that later requests are refused before they are sent anywhere.
+#[test]
+fn one_silent_link_alarms_the_others() {
+    let site = Site::start(4);
+    let n = &site.nodes[0];
+    n.target.state.lock().unwrap().state = "draining";
+    wait_until("requests cross", || {
+        let id = fresh_id();
+        let a = n.send_as(&id, "GET", "/safe/x", "4000").unwrap();
+        a.status == 200 && n.target.runs(&id) == 0
+    });
+    // The own target takes no more work half a drain time after it said that it leaves.
+    std::thread::sleep(Duration::from_millis(1100));
+    for other in &site.nodes[1..] {
+        other.process.signal("STOP");
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let first = n.send_as(&fresh_id(), "POST", "/once/x", "2000").unwrap();
+    assert_ne!(first.status, 200);
+    for _ in 0..6 {
+        let later = n.send_as(&fresh_id(), "POST", "/once/x", "2000").unwrap();
+        assert_eq!(later.status, 503, "sent to a node that does not answer");
+    }
+    for other in &site.nodes[1..] {
+        other.process.signal("CONT");
+    }
+    wait_until("served again", || {
+        n.send("GET", "/safe/x").is_some_and(|a| a.status == 200)
+    });
+}
