Look for silence as soon as a request waits on an idle link

Cause: one_silent_link_alarms_the_others failed: a request on a link that had been idle waited until its deadline. The task of the link slept until its idle ping, up to 10 s, and was not told that a request began to wait. Ruled out: the order of the steps (made independent of late timers all the same), links that open again. Change: the first waiting request wakes the link's task. Test: one_silent_link_alarms_the_others, red before and green now.

--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -64,6 +64,10 @@
     fresh: AtomicBool,
     /// Asks for a ping now, because another link fell silent.
     alarm: Notify,
+    /// Since when requests wait on the link, in ms.
+    waiting_since: AtomicU64,
+    /// Says that requests began to wait.
+    waits: Notify,
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -102,8 +106,21 @@
         }
     }
 
-    fn is_waiting(&self) -> bool {
-        !lock(&self.pending).is_empty()
+    /// Adds a request. The first one on an idle link starts the look for silence.
+    fn add(&self, n: &Node, seq: Seq, p: Pending) {
+        let mut pending = lock(&self.pending);
+        if pending.is_empty() {
+            let now = n.clock.now().as_millis() as u64;
+            self.waiting_since.store(now, Ordering::SeqCst);
+            self.waits.notify_one();
+        }
+        pending.insert(seq, p);
+    }
+
+    /// Since when requests wait; `None` while there are none.
+    fn waiting(&self) -> Option<Now> {
+        let since = || Duration::from_millis(self.waiting_since.load(Ordering::SeqCst));
+        (!lock(&self.pending).is_empty()).then(since)
     }
 }
 
@@ -167,7 +184,7 @@
             reply: tx,
             idempotent: work.idempotent,
         };
-        lock(&link.pending).insert(seq, pending);
+        link.add(n, seq, pending);
         let mut waiting = Waiting {
             link: &link,
             seq,
@@ -299,7 +316,7 @@
 
 impl Silence {
     /// Time until the next look.
-    fn next(&self, waiting: bool, now: Now) -> Duration {
+    fn next(&self, waiting: Option<Now>, now: Now) -> Duration {
         let at = match (self.pinged, waiting) {
             (Some(t), _) => {
                 t + match self.step {
@@ -308,8 +325,8 @@
                     Step::Doubted => DEAD_AFTER,
                 }
             }
-            (None, true) => self.heard + PING_AFTER,
-            (None, false) => self.heard + IDLE_PING,
+            (None, Some(since)) => self.heard.max(since) + PING_AFTER,
+            (None, None) => self.heard + IDLE_PING,
         };
         at.saturating_sub(now).max(Duration::from_millis(5))
     }
@@ -326,6 +343,8 @@
         next: AtomicU64::new(0),
         fresh: AtomicBool::new(false),
         alarm: Notify::new(),
+        waiting_since: AtomicU64::new(0),
+        waits: Notify::new(),
     });
     let (mut sink, mut source) = stream.split();
     let greeting = Ws::Binary(hello(n).encode());
@@ -354,7 +373,7 @@
         step: Step::Trusted,
     };
     let why = loop {
-        let wait = silence.next(link.is_waiting(), n.clock.now());
+        let wait = silence.next(link.waiting(), n.clock.now());
         tokio::select! {
             message = source.next() => match message {
                 Some(Ok(Ws::Binary(data))) => {
@@ -372,6 +391,7 @@
                 Some(Ok(_)) => {}
                 Some(Err(e)) => break e.to_string(),
             },
+            () = link.waits.notified() => {}
             () = link.alarm.notified() => {
                 let now = n.clock.now();
                 if silence.pinged.is_none() && now >= silence.heard + PING_AFTER {
@@ -394,23 +414,28 @@
 
 fn check_silence(n: &Node, link: &Link, s: &mut Silence) -> Option<String> {
     let now = n.clock.now();
-    let quiet = now.saturating_sub(s.heard);
-    match s.pinged {
-        Some(t) if now >= t + DEAD_AFTER => return Some("silent".to_owned()),
-        Some(t) if now >= t + DOUBT_AFTER && s.step < Step::Doubted => {
-            s.step = Step::Doubted;
-            link.fail(|p| p.idempotent);
+    let Some(pinged) = s.pinged else {
+        let silent = link
+            .waiting()
+            .is_some_and(|t| now >= s.heard.max(t) + PING_AFTER);
+        if silent || now >= s.heard + IDLE_PING {
+            ping(n, link, s);
         }
-        Some(t) if now >= t + AVOID_AFTER && s.step < Step::Avoided => {
-            s.step = Step::Avoided;
-            n.place().reach(&link.node, false);
-            // A partition silences many links at once; idle ones would each cost a request to find out.
-            n.links.alarm();
-        }
-        None if link.is_waiting() && quiet >= PING_AFTER || quiet >= IDLE_PING => ping(n, link, s),
-        _ => {}
+        return None;
+    };
+    let age = now.saturating_sub(pinged);
+    // A busy process looks late, so one look may take several steps.
+    if age >= AVOID_AFTER && s.step < Step::Avoided {
+        s.step = Step::Avoided;
+        n.place().reach(&link.node, false);
+        // A partition silences many links at once; idle ones would each cost a request to find out.
+        n.links.alarm();
+    }
+    if age >= DOUBT_AFTER && s.step < Step::Doubted {
+        s.step = Step::Doubted;
+        link.fail(|p| p.idempotent);
     }
-    None
+    (age >= DEAD_AFTER).then(|| "silent".to_owned())
 }
 
 fn ping(n: &Node, link: &Link, s: &mut Silence) {
