--- a/src/settings.rs
+++ b/src/settings.rs
@@ -299,7 +299,12 @@
     check_addresses(&mut f, s);
     let l = &s.limits;
     // Ranges keep a typing error of a unit, such as seconds for milliseconds, from reaching a node.
-    let ranges: [(&str, u64, RangeInclusive<u64>); 8] = [
+    let c = &s.sidecar;
+    let ranges: [(&str, u64, RangeInclusive<u64>); 12] = [
+        ("sidecar.heartbeat_ms", c.heartbeat_ms, 10..=600_000),
+        ("sidecar.drain_ms", c.drain_ms, 0..=600_000),
+        ("sidecar.grace_s", c.grace_s, 1..=600),
+        ("sidecar.budget_window_s", c.budget_window_s, 1..=3600),
         ("node.threads", s.node.threads as u64, 1..=64),
         ("store.timeout_ms", s.store.timeout_ms, 10..=60_000),
         ("limits.connections", l.connections as u64, 1..=65_536),
@@ -319,6 +324,18 @@
             f.add(place, format!("{value} is out of range"), remedy);
         }
     }
+    for (place, value) in [
+        ("sidecar.budget_ratio", c.budget_ratio),
+        ("sidecar.budget_least", c.budget_least),
+    ] {
+        if !(0.0..=1e6).contains(&value) {
+            f.add(
+                place,
+                format!("{value} is out of range"),
+                "use 0 to 1000000",
+            );
+        }
+    }
     f.into_result(())
 }
 
@@ -341,6 +358,9 @@
             _ => {}
         }
     }
+    check_ip(f, "sidecar.target".into(), s.sidecar.target.ip());
+    check_ip(f, "sidecar.control".into(), s.sidecar.control.ip());
+    check_ip(f, "sidecar.ready".into(), s.sidecar.ready.ip());
     check_remote(f, "store.address".into(), s.store.address);
     let mut seeds = HashSet::default();
     for (i, seed) in s.peers.seeds.iter().enumerate() {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -3,7 +3,7 @@
 //! State by life span:
 //!
 //! - request: [`entry`] (route, choice, retries), [`admit`] (slot, exchange with the target)
-//! - connection: [`link`] and [`frame`] (between nodes), [`pool`] (to the target)
+//! - connection: [`link`], [`relay`] and [`frame`] (between nodes), [`pool`] (to the target)
 //! - version: [`routes`]
 //! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`],
 //!   [`fair`], [`watchers`], [`patch`]), their
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod pool;
 pub mod queue;
+pub mod relay;
 pub mod routes;
 pub mod settings;
 pub mod slots;
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 
 use super::edge::Edge;
-use super::link::{self, Links};
+use super::link::Links;
 use super::members::{Members, NodeRecord};
 use super::metrics::Metrics;
 use super::node::{ConfigHint, Node, Phase};
@@ -21,7 +21,7 @@
 use super::pool::Pool;
 use super::slots::Slots;
 use super::target::OwnTarget;
-use super::{admin, config, control, discovery, entry};
+use super::{admin, config, control, discovery, entry, relay};
 use crate::connection::listen;
 use crate::logging::EventLog;
 use crate::prelude::*;
@@ -135,13 +135,13 @@
     store: Arc<dyn Store>,
 ) -> Result<(), Report<NodeError>> {
     let clock: Arc<dyn Clock> = Arc::new(ProcessClock::default());
-    let relay = bind(settings.listen.relay).await?;
+    let links = bind(settings.listen.relay).await?;
     let caller = bind(settings.listen.caller).await?;
     let control_listener = bind(settings.sidecar.control).await?;
     let ready = bind(settings.sidecar.ready).await?;
     let mut settings = settings;
     // Port 0 took a free one, and other nodes have to learn which.
-    settings.listen.relay = relay.local_addr().change_context(NodeError)?;
+    settings.listen.relay = links.local_addr().change_context(NodeError)?;
     let (n, hints) = build(settings, edge, store, clock);
     let admin_address = n.settings().listen.admin;
     let admin =
@@ -152,7 +152,7 @@
         &[
             ("node", &n.id),
             ("caller", &text(&caller)),
-            ("relay", &text(&relay)),
+            ("relay", &text(&links)),
             ("control", &text(&control_listener)),
             ("ready", &text(&ready)),
             ("admin", &admin.local_addr().to_string()),
@@ -162,7 +162,7 @@
     tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::follow(n.clone()));
     tokio::spawn(config::follow_peers(n.clone(), hints));
-    tokio::spawn(link::accept(n.clone(), relay));
+    tokio::spawn(relay::accept(n.clone(), links));
     tokio::spawn(control::watch(n.clone()));
     let limits = n.settings().limits.clone();
     let p = n.clone();
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -404,3 +404,22 @@
         n.send("GET", "/safe/x").is_some_and(|a| a.status == 200)
     });
 }
+
+/// Guards against settings with a wrong unit or sign that reach a running node.
+#[test]
+fn wrong_settings_are_refused() {
+    let dir = workdir::Workdir::new();
+    dir.write(
+        "bad.toml",
+        "[sidecar]\nheartbeat_ms = 1\ngrace_s = 0\nbudget_ratio = -1.0\ntarget = \"0.0.0.0:1\"\n",
+    );
+    let out = dir.run(&["sidecar", "bad.toml"]);
+    assert_eq!(out.status.code(), Some(3));
+    let text = String::from_utf8_lossy(&out.stderr);
+    for place in ["heartbeat_ms", "grace_s", "budget_ratio", "target"] {
+        assert!(
+            text.contains(&format!("sidecar.{place}")),
+            "{place}: {text}"
+        );
+    }
+}
