Remove dead code of the sidecar and register metrics in one place

Nobody read whether the own target is cold, the list of all records, the nodes of the placement or the pruning of split routes. Behaviour is the same. Checked by the formatter, the linter and the tests of sidecar, its policies, platform and docs; the whole script runs after it.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -69,7 +69,7 @@
 }
 
 /// Registers a metric. Names are constants of this file, so a failure is a programming error found by any test.
-fn register<M>(r: &Registry, made: prometheus::Result<M>) -> M
+pub(crate) fn register<M>(r: &Registry, made: prometheus::Result<M>) -> M
 where
     M: prometheus::core::Collector + Clone + 'static,
 {
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 
 use super::admit::{self, strip_answer, Reply, Work};
+use super::edge::CallerFacts;
 use super::node::{Node, Phase};
 use super::placement::{Ask, Choice};
 use super::pool::Whole;
@@ -50,7 +51,7 @@
     let facts = n.edge.caller(req.headers());
     let id = facts.id.clone().unwrap_or_default();
     let _flight = n.flight();
-    let mut job = match accept(&n, req, start).await {
+    let mut job = match accept(&n, req, facts, start).await {
         Ok(job) => job,
         Err(f) => {
             n.metrics.ended("none", 0, Some(&f), Duration::ZERO);
@@ -156,7 +157,12 @@
 }
 
 /// Finds the route and reads the whole body.
-async fn accept(n: &Arc<Node>, req: Request<Incoming>, start: Now) -> Result<Job, Failure> {
+async fn accept(
+    n: &Arc<Node>,
+    req: Request<Incoming>,
+    facts: CallerFacts,
+    start: Now,
+) -> Result<Job, Failure> {
     let table = version(n).await?;
     let (parts, body) = req.into_parts();
     let host = parts
@@ -167,7 +173,6 @@
         .unwrap_or_default();
     let route = table.route(host, parts.uri.path());
     let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
-    let facts = n.edge.caller(&parts.headers);
     let left = facts.left.unwrap_or(DEFAULT_LEFT.max(route.timeout));
     let left = left.min(route.timeout);
     let body = read_body(body, table.limits.body_bytes, left).await?;
--- a/src/sidecar/members.rs
+++ b/src/sidecar/members.rs
@@ -75,11 +75,6 @@
         self.nodes.len() + 1
     }
 
-    /// Records of the other nodes.
-    pub fn records(&self) -> impl Iterator<Item = &NodeRecord> {
-        self.nodes.values().map(|m| &m.record)
-    }
-
     /// Record of a node.
     pub fn get(&self, node: &str) -> Option<&NodeRecord> {
         self.nodes.get(node).map(|m| &m.record)
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::prelude::*;
+use crate::process::metrics::register;
 use crate::request::reason::{Failure, Outcome, Reason};
 
 /// Upper bounds of the histogram buckets, in seconds, around the aims of routes.
@@ -30,16 +31,6 @@
     pub version: IntGauge,
 }
 
-fn register<M>(r: &Registry, made: prometheus::Result<M>) -> M
-where
-    M: prometheus::core::Collector + Clone + 'static,
-{
-    let metric = made.expect("valid metric name");
-    r.register(Box::new(metric.clone()))
-        .expect("unique metric name");
-    metric
-}
-
 impl Default for Metrics {
     fn default() -> Self {
         let r = &Registry::new();
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -253,11 +253,6 @@
         }
     }
 
-    /// Nodes with a target.
-    pub fn nodes(&self) -> impl Iterator<Item = &NodeId> {
-        self.targets.keys()
-    }
-
     /// Chooses the target for a request.
     pub fn choose<R>(&self, now: Now, ask: &Ask<'_>, rng: &mut R) -> Choice
     where
--- a/src/sidecar/split.rs
+++ b/src/sidecar/split.rs
@@ -32,14 +32,6 @@
         credit[best] -= total;
         &parts[best]
     }
-
-    /// Forgets routes that no version has any more.
-    pub fn retain<F>(&mut self, mut keep: F)
-    where
-        F: FnMut(&str) -> bool,
-    {
-        self.routes.retain(|name, _| keep(name));
-    }
 }
 
 /// A random start, so that nodes with few requests do not all begin with the same part.
--- a/src/sidecar/target.rs
+++ b/src/sidecar/target.rs
@@ -85,7 +85,6 @@
     born: u64,
     seq: u64,
     slots: u32,
-    cold_until: Now,
     heard: Now,
     leaving: Option<Now>,
     /// Time until which it is left alone after it refused a connection.
@@ -168,7 +167,6 @@
             born: h.born,
             seq: h.seq,
             slots: h.slots.max(1),
-            cold_until: now + h.cold,
             heard: now,
             leaving: since.or(leaving.then_some(now)),
             down_until: None,
@@ -207,7 +205,6 @@
                 born: 0,
                 seq: 0,
                 slots,
-                cold_until: now,
                 heard: now,
                 leaving: None,
                 down_until: None,
@@ -275,11 +272,6 @@
         self.current.as_ref().map_or(0, |c| c.slots)
     }
 
-    /// Whether the target is still slow after its start.
-    pub fn is_cold(&self, now: Now) -> bool {
-        self.current.as_ref().is_some_and(|c| now < c.cold_until)
-    }
-
     /// What other nodes have to know.
     pub fn state(&self, now: Now) -> Option<TargetState> {
         let c = self.current.as_ref()?;
