Count link bytes, hops and store calls of the sidecar, and sum its work up in the log

Change: counters by hop and kind of message, the store's counting decorator, gauges sampled when metrics are read, and a summary line every 10 s.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 use std::num::NonZeroUsize;
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::SystemTime;
 
 use spdlog::formatter::{Formatter, FormatterContext};
@@ -149,21 +149,34 @@
 struct Rate {
     second: u64,
     lines: u32,
+    /// Dropped lines that no line has reported yet.
     dropped: u64,
+    /// Dropped lines since the start.
+    all_dropped: u64,
 }
 
 impl EventLog {
+    /// Lines above the rate since the start.
+    pub fn dropped(&self) -> u64 {
+        self.rate().all_dropped
+    }
+
+    fn rate(&self) -> MutexGuard<'_, Rate> {
+        self.state.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Whether a line may be written now, and how many were dropped before it.
     fn admit(&self) -> Option<u64> {
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let second = now.unwrap_or_default().as_secs();
-        let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
+        let mut s = self.rate();
         if s.second != second {
             s.second = second;
             s.lines = 0;
         }
         if s.lines >= LINES_PER_SECOND {
             s.dropped += 1;
+            s.all_dropped += 1;
             return None;
         }
         s.lines += 1;
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -41,7 +41,7 @@
     sampled: Sampled,
 }
 
-fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(crate) fn counters(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(r, IntCounterVec::new(Opts::new(name, help), labels))
 }
 
@@ -60,11 +60,11 @@
     register(r, Histogram::with_opts(opts))
 }
 
-pub(super) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+pub(crate) fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     register(r, IntGaugeVec::new(Opts::new(name, help), labels))
 }
 
-pub(super) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(r: &Registry, name: &str, help: &str) -> IntGauge {
     register(r, IntGauge::new(name, help))
 }
 
--- a/src/sidecar/admin.rs
+++ b/src/sidecar/admin.rs
@@ -40,7 +40,8 @@
 /// Metrics in the Prometheus text format.
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(ctx: Ctx) -> Result<Response<dropshot::Body>, HttpError> {
-    let text = ctx.context().metrics.render();
+    let n = ctx.context();
+    let text = n.metrics.render(n);
     Response::builder()
         .header(http::header::CONTENT_TYPE, "text/plain; version=0.0.4")
         .body(text.into())
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -7,6 +7,7 @@
 
 use super::node::{ConfigHint, Node};
 use super::patch;
+use super::sample::Fact;
 use super::watchers::must_watch;
 use crate::prelude::*;
 use crate::store::{Revision, StoreError};
@@ -79,6 +80,7 @@
             _ = back.changed() => return Ok(()),
         };
         *pause = RETRY.0;
+        n.confirmed.note(Fact::Version, n.clock.now());
         from = changes.revision;
         let news = changes.events.into_iter().filter(|e| e.key == key);
         // Only the newest of a series matters.
--- a/src/sidecar/control.rs
+++ b/src/sidecar/control.rs
@@ -7,6 +7,7 @@
 use super::discovery;
 use super::edge::{Dispatch, TargetCall};
 use super::node::Node;
+use super::sample::Fact;
 use super::target::{Heartbeat, Reported, TargetId};
 use crate::prelude::*;
 use crate::request::body::{full, Body};
@@ -68,6 +69,7 @@
     let out = n.target().heartbeat(h, n.clock.now());
     match out {
         Ok(_) => {
+            n.confirmed.note(Fact::Heartbeat, n.clock.now());
             n.refresh_target();
             if h.state == Reported::Draining && !leaving {
                 note_left(n, &h.id, h.born).await;
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -5,6 +5,7 @@
 
 use super::members::NodeRecord;
 use super::node::Node;
+use super::sample::Fact;
 use super::target::TargetId;
 use crate::prelude::*;
 use crate::store::{LeaseId, StoreError};
@@ -121,10 +122,12 @@
         n.store.put(&node_key(&n.id), value, Some(lease)).await?;
         place.written = true;
         place.renewed = now;
+        n.confirmed.note(Fact::Lease, now);
     }
     if now >= place.renew_at(n) {
         n.store.keep(lease).await?;
         place.renewed = now;
+        n.confirmed.note(Fact::Lease, now);
     }
     if now >= place.next_list {
         list(n, place).await?;
@@ -185,6 +188,7 @@
     }
     let changes = n.members().listed(records, n.clock.now());
     changes.into_iter().for_each(|c| n.apply(c));
+    n.confirmed.note(Fact::Members, n.clock.now());
     n.joined.store(true, Ordering::SeqCst);
     Ok(())
 }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -329,7 +329,8 @@
     };
     job.tried.push(node.clone());
     n.place().sent(&node, now);
-    n.metrics.attempts.inc();
+    let hop = n.hop(&node);
+    n.metrics.attempted(job.route.rank, hop);
     // Until the reply says otherwise the request counts as run: the attempt may be cut short.
     job.sent += 1;
     job.ran += 1;
@@ -341,6 +342,10 @@
         }
         false => n.links.call(n, &node, &job.work).await,
     };
+    if let Reply::Answer(_) = reply {
+        let took = n.clock.now().saturating_sub(now);
+        n.metrics.answered(job.route.rank, hop, took);
+    }
     note(n, job, &node, &reply);
     Ok(reply)
 }
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -145,6 +145,19 @@
     Config(VersionNumber),
 }
 
+impl Head {
+    /// Kind of the message, for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Request(_) | Self::Cancel(_) => "request",
+            Self::Answer(..) | Self::Failed(..) => "answer",
+            Self::AskConfig(_) | Self::Config(_) => "config",
+            Self::Hello(..) | Self::Target(..) | Self::News(..) => "state",
+            Self::Ping(_) | Self::Pong(_) => "ping",
+        }
+    }
+}
+
 /// A message.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Message {
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -343,12 +343,13 @@
         waits: Notify::new(),
     });
     let (mut sink, mut source) = stream.split();
-    let greeting = Ws::Binary(hello(n).encode());
+    let hop = n.hop(node);
+    let greeting = Ws::Binary(n.encode(&hello(n), hop));
     if let Err(e) = sink.send(greeting).await {
         return e.to_string();
     }
     // Writing has a task of its own: a peer that does not read must not keep its answers from being read.
-    let writer_link = link.clone();
+    let (writer_node, writer_link) = (n.clone(), link.clone());
     let writer = tokio::spawn(async move {
         while let Some((seq, message)) = queue.recv().await {
             // A request whose caller has gone meanwhile is not sent at all.
@@ -356,7 +357,8 @@
                 continue;
             }
             writer_link.written.fetch_max(seq, Ordering::SeqCst);
-            if sink.send(Ws::Binary(message.encode())).await.is_err() {
+            let data = writer_node.encode(&message, hop);
+            if sink.send(Ws::Binary(data)).await.is_err() {
                 return;
             }
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,7 +7,7 @@
 //! - version: [`routes`]
 //! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`],
 //!   [`fair`], [`watchers`], [`patch`]), their
-//!   drivers ([`slots`], [`discovery`], [`config`], [`control`]) and [`node`], [`start`], [`admin`], [`metrics`]
+//!   drivers ([`slots`], [`discovery`], [`config`], [`control`]) and [`node`], [`start`], [`admin`], [`metrics`], [`sample`]
 //!
 //! [`edge`] is the border to the names and formats of a platform.
 
@@ -31,6 +31,7 @@
 pub mod queue;
 pub mod relay;
 pub mod routes;
+pub mod sample;
 pub mod settings;
 pub mod slots;
 pub mod split;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -12,12 +12,14 @@
 use super::budget::{Budget, BudgetBounds};
 use super::edge::Edge;
 use super::fair::Fair;
+use super::frame::Message;
 use super::link::Links;
 use super::members::{Change, Members, NodeRecord};
-use super::metrics::Metrics;
+use super::metrics::{Hop, Metrics};
 use super::placement::{Ask, Choice, Placement, TargetInfo};
 use super::pool::Pool;
 use super::routes::RouteTable;
+use super::sample::{Confirmed, Fact};
 use super::slots::Slots;
 use super::split::Split;
 use super::target::{OwnTarget, TargetId, TargetState};
@@ -56,6 +58,8 @@
     pub clock: Arc<dyn Clock>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// When the node last confirmed what it believes.
+    pub confirmed: Confirmed,
     /// Log with a bounded rate.
     pub log: EventLog,
     /// Version in force; a request keeps the route that it started with.
@@ -327,8 +331,27 @@
         }
     }
 
+    /// Where the target beside a node is.
+    pub fn hop(&self, node: &str) -> Hop {
+        match self.members().get(node) {
+            _ if node == self.id => Hop::Own,
+            Some(r) if r.az == self.settings().node.az => Hop::Zone,
+            _ => Hop::Cross,
+        }
+    }
+
+    /// Encodes a message for a link to a node, and counts its bytes.
+    pub fn encode(&self, message: &Message, hop: Hop) -> Bytes {
+        let data = message.encode();
+        let labels = [message.head.kind(), hop.as_str()];
+        let bytes = self.metrics.link_bytes.with_label_values(&labels);
+        bytes.inc_by(data.len() as u64);
+        data
+    }
+
     /// Takes the version number that another node holds.
     pub fn heard_version(&self, node: &NodeId, number: VersionNumber) {
+        self.confirmed.note(Fact::Version, self.clock.now());
         if number > self.version() && !node.is_empty() {
             let hint = ConfigHint::Version(node.clone(), number);
             // The receiver lives as long as the process.
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -1,6 +1,6 @@
 //! Links that other nodes opened: their requests for the target beside this node, and what they are told.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -11,6 +11,7 @@
 use super::admit::{self, strip_answer, Reply, Work};
 use super::frame::{join, method, AnswerHead, FailedHead, Head, Message, RequestHead, Seq};
 use super::link::{buffers, hello, lock, OPEN_TIMEOUT, OUTGOING};
+use super::metrics::Hop;
 use super::node::Node;
 use super::patch;
 use crate::prelude::*;
@@ -56,9 +57,13 @@
     };
     let (mut sink, mut source) = stream.split();
     let (tx, mut rx) = mpsc::channel::<Message>(OUTGOING);
+    let peer: Arc<OnceLock<NodeId>> = Arc::default();
+    let (writer_node, writer_peer) = (n.clone(), peer.clone());
     let writer = tokio::spawn(async move {
         while let Some(m) = rx.recv().await {
-            if sink.send(Ws::Binary(m.encode())).await.is_err() {
+            let hop = writer_peer.get().map_or(Hop::Zone, |p| writer_node.hop(p));
+            let data = writer_node.encode(&m, hop);
+            if sink.send(Ws::Binary(data)).await.is_err() {
                 return;
             }
         }
@@ -66,7 +71,6 @@
     let mut changed = n.changed.subscribe();
     let mut told = Told::new(&n);
     let _ = tx.send(hello(&n)).await;
-    let mut peer = NodeId::default();
     // Requests that still run when the link ends are dropped with this.
     let served = Arc::new(Served::default());
     loop {
@@ -95,12 +99,14 @@
                 }
             }
             Head::Hello(record, version, _) => {
-                peer = record.node.clone();
                 n.met(record.as_ref().clone());
-                n.heard_version(&peer, *version);
+                n.heard_version(&record.node, *version);
+                let _ = peer.set(record.node.clone());
             }
             Head::Ping(version) => {
-                n.heard_version(&peer, *version);
+                if let Some(peer) = peer.get() {
+                    n.heard_version(peer, *version);
+                }
                 let _ = tx.try_send(Message::bare(Head::Pong(n.version())));
             }
             Head::AskConfig(have) => {
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -19,6 +19,7 @@
 use super::node::{ConfigHint, Node, Phase};
 use super::placement::Placement;
 use super::pool::Pool;
+use super::sample::{self, Confirmed};
 use super::slots::Slots;
 use super::target::OwnTarget;
 use super::{admin, config, control, discovery, entry, relay};
@@ -28,6 +29,7 @@
 use crate::process::clock::{Clock, ProcessClock};
 use crate::process::node::NodeError;
 use crate::settings::{self, LimitSettings, Settings};
+use crate::store::counted::Counted;
 use crate::store::Store;
 
 /// Time after the order to end in which callers may still begin requests: two missed readiness checks a second apart,
@@ -75,12 +77,15 @@
         Duration::from_millis(s.heartbeat_ms),
         Duration::from_millis(s.drain_ms) / 2,
     );
+    let metrics = Metrics::default();
+    let store = Counted::new(store, &metrics.store_calls, &metrics.store_waiting);
     let node = Node {
         id: settings.node.id.clone(),
         service: s.service.clone(),
         edge,
-        store,
-        metrics: Metrics::default(),
+        store: Arc::new(store),
+        metrics,
+        confirmed: Confirmed::default(),
         log: EventLog::default(),
         routes: ArcSwapOption::empty(),
         slots: Arc::new(Slots::new(clock.clone())),
@@ -164,6 +169,7 @@
     tokio::spawn(config::follow_peers(n.clone(), hints));
     tokio::spawn(relay::accept(n.clone(), links));
     tokio::spawn(control::watch(n.clone()));
+    tokio::spawn(sample::summarize(n.clone()));
     let limits = n.settings().limits.clone();
     let p = n.clone();
     let serve = move |req, _| control::serve(p.clone(), req);
--- a/src/store/counted.rs
+++ b/src/store/counted.rs
@@ -5,7 +5,6 @@
 
 use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
-use crate::process::metrics::Metrics;
 
 /// Records the calls to another store in the metrics of the process.
 pub struct Counted {
@@ -15,12 +14,12 @@
 }
 
 impl Counted {
-    /// Records the calls to `inner`.
-    pub fn new(inner: Arc<dyn Store>, metrics: &Metrics) -> Self {
+    /// Records the calls to `inner` in `calls`, by kind and result, and waiting watches in `waiting`.
+    pub fn new(inner: Arc<dyn Store>, calls: &IntCounterVec, waiting: &IntGauge) -> Self {
         Self {
             inner,
-            calls: metrics.store_calls.clone(),
-            waiting: metrics.store_waiting.clone(),
+            calls: calls.clone(),
+            waiting: waiting.clone(),
         }
     }
 
@@ -53,6 +52,23 @@
         self.count("list", self.inner.list(prefix).await)
     }
 
+    async fn list_stale(&self, prefix: &str) -> Result<Listing, StoreError> {
+        self.count("list_stale", self.inner.list_stale(prefix).await)
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<Revision, StoreError> {
+        self.count("put", self.inner.put(key, value, lease).await)
+    }
+
+    async fn remove(&self, key: &str) -> Result<(), StoreError> {
+        self.count("remove", self.inner.remove(key).await)
+    }
+
     async fn swap(
         &self,
         key: &str,
