Choose targets by the part of late answers, and take first attempts only where there is room

Targets differ threefold in speed, reports of 63 targets are seconds old, and the mean time of a target's mix of routes said little about one route. Ruled out: overload (35% of the slots idle), links (no loss in these seconds). Change: targets report their slowness relative to an average one; entry nodes learn the distribution of each route's times and choose by the part of answers that would be late, crossing zones only for a clear gain. The first attempts are refused at once by a full target, which costs a round trip and no run.

--- a/src/sidecar/admit.rs
+++ b/src/sidecar/admit.rs
@@ -39,6 +39,10 @@
     pub due: Now,
     /// Time at which its caller gives up.
     pub deadline: Now,
+    /// Time that the route takes at an average target; zero if unknown.
+    pub usual: Duration,
+    /// Longest wait for a slot with which this attempt is taken; `None` if the aim decides.
+    pub patience: Option<Duration>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -95,6 +99,8 @@
         aim: work.aim,
         due: work.due,
         deadline: work.deadline,
+        usual: work.usual,
+        patience: work.patience,
     };
     let slot = match n.slots.take(arrival).await {
         Ok(slot) => slot,
@@ -142,8 +148,9 @@
     };
     let send = n.pool.send(req, !work.idempotent, now);
     let out = tokio::time::timeout(left + REPORT_GRACE, send).await;
+    let start = now;
     let now = n.clock.now();
-    let (whole, used) = match out {
+    let (mut whole, used) = match out {
         Ok(Ok(found)) => found,
         Ok(Err(e)) => return broken(n, &e, &mut slot),
         Err(_) => {
@@ -170,6 +177,7 @@
         return Reply::failed(Failure::unknown(Reason::BadAnswer));
     }
     n.pool.keep(used, now);
+    whole.ran = now.saturating_sub(start);
     Reply::Answer(whole)
 }
 
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -20,6 +20,11 @@
 const MAX_ASKED: usize = 4;
 /// Time that a caller waits when it names none and no version is known.
 const DEFAULT_LEFT: Duration = Duration::from_secs(1);
+/// Attempts of a request that are taken only where there is room now. Reports of load are old where there are many targets,
+/// so the first choice is often full while another target is idle.
+const EAGER_ASKS: u32 = 3;
+/// Part of the time to the aim that counts as no wait.
+const PATIENCE_PART: f64 = 0.05;
 /// Least time that a caller is told to wait when no room is foreseen.
 const LEAST_AGAIN: Duration = Duration::from_millis(20);
 /// Time that a request waits for the first version, and the interval in which it looks for it. Short against the time of
@@ -36,6 +41,8 @@
     /// Version that routed it.
     version: VersionNumber,
     tried: Vec<NodeId>,
+    /// Attempts that were to be taken only where there is room.
+    eager: u32,
     /// Targets that got the request.
     sent: u32,
     /// Targets that may have run it.
@@ -194,6 +201,8 @@
             aim: route.aim,
             due: start + due(&route, left),
             deadline: start + left,
+            usual: n.place().usual(&route.name),
+            patience: None,
             method: parts.method,
             path: parts
                 .uri
@@ -206,6 +215,7 @@
         version: table.number,
         route,
         tried: Vec::new(),
+        eager: 0,
         sent: 0,
         ran: 0,
         again: Duration::ZERO,
@@ -308,6 +318,7 @@
     let now = n.clock.now();
     let ask = Ask {
         service: &job.work.service,
+        route: &job.work.route,
         rank: job.work.rank,
         due: job.work.due.saturating_sub(now),
         left: job.work.deadline.saturating_sub(now),
@@ -328,6 +339,10 @@
         }
     };
     job.tried.push(node.clone());
+    let eager = job.eager < EAGER_ASKS && n.place().has_room(&job.work.service);
+    job.eager += u32::from(eager);
+    let patience = job.work.due.saturating_sub(now).mul_f64(PATIENCE_PART);
+    job.work.patience = eager.then_some(patience);
     n.place().sent(&node, now);
     let hop = n.hop(&node);
     n.metrics.attempted(job.route.rank, hop);
@@ -342,7 +357,10 @@
         }
         false => n.links.call(n, &node, &job.work).await,
     };
-    if let Reply::Answer(_) = reply {
+    if let Reply::Answer(whole) = &reply {
+        if whole.status.is_success() {
+            n.place().ran(&node, &job.work.route, whole.ran);
+        }
         let took = n.clock.now().saturating_sub(now);
         n.metrics.answered(job.route.rank, hop, took);
     }
@@ -368,6 +386,11 @@
         return;
     }
     job.ran -= 1;
+    if job.work.patience.is_some() && failure.reason == Reason::QueueFull {
+        // Its load is known now, so it is chosen again only if there is no better one.
+        job.tried.pop();
+        return;
+    }
     let rank = job.work.rank;
     let due = job.work.due.saturating_sub(now);
     match failure.reason {
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -48,6 +48,12 @@
     /// Remaining time, in ms.
     #[serde(rename = "l")]
     pub left_ms: u64,
+    /// Time that the route takes at an average target, in ms; 0 if the sender does not know it.
+    #[serde(rename = "u")]
+    pub usual_ms: u64,
+    /// Longest wait for a slot with which the request is taken, in ms; without it the aim decides.
+    #[serde(rename = "w")]
+    pub patience_ms: Option<u64>,
     /// HTTP method.
     #[serde(rename = "m")]
     pub method: SmolStr,
@@ -68,6 +74,9 @@
     /// HTTP status.
     #[serde(rename = "s")]
     pub status: u16,
+    /// Time for which the target ran it, in ms.
+    #[serde(rename = "t")]
+    pub ran_ms: u64,
     /// Length of the header lines that follow, in bytes.
     #[serde(rename = "h")]
     pub header_len: usize,
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -242,6 +242,8 @@
         aim_ms: work.aim.as_millis() as u64,
         due_ms: work.due.saturating_sub(now).as_millis() as u64,
         left_ms: work.deadline.saturating_sub(now).as_millis() as u64,
+        usual_ms: work.usual.as_millis() as u64,
+        patience_ms: work.patience.map(|p| p.as_millis() as u64),
         method: work.method.as_str().into(),
         path: work.path.clone(),
         header_len,
@@ -456,6 +458,7 @@
                 status,
                 headers,
                 body,
+                ran: Duration::from_millis(a.ran_ms),
             };
             link.finish(a.seq, Reply::Answer(whole));
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -31,6 +31,7 @@
 pub mod queue;
 pub mod relay;
 pub mod routes;
+pub mod runtimes;
 pub mod sample;
 pub mod settings;
 pub mod slots;
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -1,4 +1,9 @@
-//! Choice of the target for a request: own zone while it has room, then wherever the answer is soonest. Without I/O.
+//! Choice of the target for a request: where its answer is least likely to be late or to fail, in the own zone unless
+//! another one is clearly better. Without I/O.
+//!
+//! The load it answers: targets of very different speed, filled by routes with very different aims. A slow target is good
+//! enough for a request with much time, and makes one with little time late; so the choice goes by the part of such
+//! requests that would be late there, not by the mean time.
 //!
 //! Reports come with answers, so they are old where there are many targets. A few targets are drawn by their capacity and
 //! the best of these is chosen: what all nodes believe to be the best target would be overrun. An old report counts as
@@ -8,17 +13,21 @@
 
 use super::queue::Load;
 use super::routes::RANKS;
+use super::runtimes::{RunTime, RunTimes};
 use crate::prelude::*;
 
-/// Part of the time to the aim that an answer from the own zone may take before other zones are compared.
-const OWN_ZONE_PART: f64 = 0.6;
-/// Time by which an answer from another zone has to be sooner; crossing zones is paid by the byte.
-const CROSSING: Duration = Duration::from_millis(25);
+/// Part of late or failed answers that going to another zone has to save, for the most urgent rank and for others:
+/// crossing zones is paid by the byte, and urgent answers are worth more of it.
+const CROSSING: (f64, f64) = (0.03, 0.1);
+/// Difference of that part within which targets count as equally good.
+const EQUAL: f64 = 0.01;
+/// What a late answer loses of its worth; one after the deadline loses all.
+const LATE_LOSS: f64 = 0.7;
 /// Factor by which a target that has just started is slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Service time assumed before any report.
 const SERVICE_START: Duration = Duration::from_millis(100);
-/// Random part of each estimate, so that nodes with the same reports do not all choose the same target.
+/// Random part of each comparison, so that nodes with the same reports do not all choose the same target.
 const NOISE: f64 = 0.15;
 /// Targets that are drawn for a choice, in the own zone and in all others each.
 const DRAWN: usize = 3;
@@ -26,6 +35,8 @@
 const REPORT_LIFE: Duration = Duration::from_millis(300);
 /// Weight of a new report in the mean load of a service.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Mean load of a service below which some targets have free slots.
+const ROOM: f64 = 1.0;
 /// Longest time for which a refusal keeps requests of its rank from a target.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
 /// Expected wait, as a multiple of the time left, above which a request is refused without asking any target.
@@ -83,6 +94,8 @@
 pub struct Ask<'a> {
     /// Service.
     pub service: &'a str,
+    /// Route.
+    pub route: &'a str,
     /// Rank.
     pub rank: usize,
     /// Time to the aim of the request.
@@ -109,6 +122,8 @@
     nodes: Vec<NodeId>,
     /// Mean of running and waiting requests for each slot.
     load: f64,
+    /// Mean slowness of its targets, the unit of theirs.
+    slow: f64,
 }
 
 /// A target that may be chosen.
@@ -116,7 +131,10 @@
     node: &'a NodeId,
     own: bool,
     wait: f64,
-    time: f64,
+    /// Expected loss, as a part of the worth of the answer.
+    cost: f64,
+    /// Requests there for each slot.
+    load: f64,
     /// Requests that it can run in a second.
     capacity: f64,
 }
@@ -127,20 +145,22 @@
     az: Az,
     targets: BTreeMap<NodeId, Target>,
     services: HashMap<ServiceId, Service>,
+    times: RunTimes,
 }
 
 impl Target {
-    /// Expected wait of a request of this rank, where targets of the service hold `mean` requests for each slot.
-    fn wait(&self, rank: usize, mean: f64, now: Now) -> f64 {
-        let slots = f64::from(self.info.slots.max(1));
-        let service = self.service();
+    /// Requests at the target, where targets of the service hold `mean` requests for each slot.
+    fn work(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let old = |t: Now, life: f64| (-now.saturating_sub(t).as_secs_f64() / life).exp();
         let work = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
-        let usual = mean * slots;
+        let usual = mean * self.slots();
         let fresh = old(self.reported, REPORT_LIFE.as_secs_f64());
-        let sent = self.since * old(self.sent_at, service);
-        let work = usual + (work - usual) * fresh + sent;
-        (work + 1.0 - slots).max(0.0) * service / slots
+        let sent = self.since * old(self.sent_at, self.service());
+        usual + (work - usual) * fresh + sent
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.info.slots.max(1))
     }
 
     fn service(&self) -> f64 {
@@ -150,52 +170,92 @@
         }
     }
 
-    fn usable<'a>(&self, node: &'a NodeId, ask: &Ask<'_>, mean: f64, now: Now) -> Usable<'a> {
+    /// Slowness, relative to the mean of the service's targets.
+    fn slow(&self, mean: f64) -> f64 {
+        match self.load.slow {
+            0 => 1.0,
+            percent => f64::from(percent) / 100.0 / mean,
+        }
+    }
+
+    fn usable<'a>(
+        &self,
+        node: &'a NodeId,
+        ask: &Ask<'_>,
+        service: &Service,
+        times: &RunTimes,
+        now: Now,
+    ) -> Usable<'a> {
         let cold = match now < self.cold_until {
             true => COLD_FACTOR,
             false => 1.0,
         };
+        let work = self.work(ask.rank, service.load, now);
+        let wait = (work + 1.0 - self.slots()).max(0.0) * self.service() / self.slots();
+        let (time, slow) = match times.get(ask.route) {
+            Some(time) => (*time, self.slow(service.slow_or_one()) * cold),
+            None => (RunTime::around(Duration::from_secs_f64(self.service())), cold),
+        };
+        let late = |end: Duration| time.late(end.saturating_sub(seconds(wait)), slow);
+        let lost = LATE_LOSS * late(ask.due) + (1.0 - LATE_LOSS) * late(ask.left);
         let failed = f64::from(self.load.failed) / 100.0;
-        let wait = self.wait(ask.rank, mean, now);
-        let service = self.service() * cold;
         Usable {
             node,
             own: false,
             wait,
-            time: wait + service + failed * ask.due.as_secs_f64(),
-            capacity: f64::from(self.info.slots) / service,
+            cost: 1.0 - (1.0 - lost) * (1.0 - failed),
+            load: work / self.slots(),
+            capacity: self.slots() / (self.service() * cold),
+        }
+    }
+}
+
+impl Service {
+    fn slow_or_one(&self) -> f64 {
+        match self.slow > 0.0 {
+            true => self.slow,
+            false => 1.0,
         }
     }
 }
 
-/// Draws some of the targets by their capacity, and returns the one with the soonest answer. Of few targets all are
-/// compared: each gets enough requests for its reports to be fresh.
-fn draw<'a, R>(list: &[Usable<'a>], own: bool, rng: &mut R) -> Option<(f64, &'a NodeId)>
+fn seconds(s: f64) -> Duration {
+    Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX)
+}
+
+/// Draws some of the targets by their capacity. Of few targets all are compared: each gets enough requests for its reports
+/// to be fresh.
+fn draw<'u, 'a, R>(list: &'u [Usable<'a>], own: bool, rng: &mut R) -> Vec<&'u Usable<'a>>
 where
     R: Rng,
 {
-    let side = || list.iter().filter(|u| u.own == own);
-    if side().count() <= 2 * DRAWN {
-        let noisy = side().map(|u| (u.time * (1.0 + NOISE * rng.random::<f64>()), u.node));
-        return noisy.min_by(|a, b| a.0.total_cmp(&b.0));
+    let side: Vec<_> = list.iter().filter(|u| u.own == own).collect();
+    if side.len() <= 2 * DRAWN {
+        return side;
     }
-    let total: f64 = side().map(|u| u.capacity).sum();
-    let mut best: Option<(f64, &NodeId)> = None;
+    let total: f64 = side.iter().map(|u| u.capacity).sum();
+    let mut drawn = Vec::with_capacity(DRAWN);
     for _ in 0..DRAWN {
         let mut at = rng.random::<f64>() * total;
-        let drawn = side().find(|u| {
+        let found = side.iter().find(|u| {
             at -= u.capacity;
             at <= 0.0
         });
-        let Some(u) = drawn.or(side().next_back()) else {
-            return best;
-        };
-        let time = u.time * (1.0 + NOISE * rng.random::<f64>());
-        if best.is_none_or(|(t, _)| time < t) {
-            best = Some((time, u.node));
-        }
+        drawn.extend(found.or(side.last()));
     }
-    best
+    drawn
+}
+
+/// The target with the least cost; of equally good ones that with the most room.
+fn best<'u, 'a, R>(drawn: &[&'u Usable<'a>], rng: &mut R) -> Option<&'u Usable<'a>>
+where
+    R: Rng,
+{
+    let least = drawn.iter().map(|u| u.cost).fold(f64::MAX, f64::min);
+    let equal = drawn.iter().filter(|u| u.cost <= least + EQUAL);
+    let noisy = equal.map(|u| (u.load * (1.0 + NOISE * rng.random::<f64>()), *u));
+    let found = noisy.min_by(|a, b| a.0.total_cmp(&b.0));
+    found.map(|(_, u)| u)
 }
 
 impl Placement {
@@ -205,9 +265,25 @@
             az,
             targets: BTreeMap::new(),
             services: HashMap::default(),
+            times: RunTimes::default(),
         }
     }
 
+    /// Time that a route takes at an average target; zero if it is not known yet.
+    pub fn usual(&self, route: &str) -> Duration {
+        self.times.get(route).map_or(Duration::ZERO, RunTime::median)
+    }
+
+    /// A target ran a request of a route and answered.
+    pub fn ran(&mut self, node: &NodeId, route: &SmolStr, ran: Duration) {
+        let Some(t) = self.targets.get(node) else {
+            return;
+        };
+        let service = self.services.get(&t.info.service);
+        let slow = t.slow(service.map_or(1.0, Service::slow_or_one));
+        self.times.add(route, ran, slow);
+    }
+
     /// Takes a target from its node's record.
     pub fn set(&mut self, node: &NodeId, info: TargetInfo, now: Now) {
         match self.targets.get_mut(node) {
@@ -253,6 +329,11 @@
         }
     }
 
+    /// Whether the targets of a service have room on average.
+    pub fn has_room(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|s| s.load < ROOM)
+    }
+
     /// Chooses the target for a request.
     pub fn choose<R>(&self, now: Now, ask: &Ask<'_>, rng: &mut R) -> Choice
     where
@@ -277,7 +358,7 @@
             }
             usable.push(Usable {
                 own: t.info.az == self.az,
-                ..t.usable(node, ask, service.load, now)
+                ..t.usable(node, ask, service, &self.times, now)
             });
         }
         let least = usable.iter().map(|u| u.wait).fold(f64::MAX, f64::min);
@@ -286,7 +367,7 @@
             (true, Some(hold)) => Choice::Full(hold),
             (true, None) => Choice::None,
             _ if least > hopeless => Choice::Full(Duration::from_secs_f64(least) - ask.left),
-            _ => best(&usable, ask, rng),
+            _ => nearest(&usable, ask, rng),
         }
     }
 
@@ -309,6 +390,10 @@
             let part = work / f64::from(t.info.slots.max(1));
             if let Some(s) = self.services.get_mut(&t.info.service) {
                 s.load += MEAN_WEIGHT * (part - s.load);
+                let slow = s.nodes.iter().filter_map(|n| self.targets.get(n));
+                let slow = slow.map(|t| f64::from(t.load.slow)).filter(|p| *p > 0.0);
+                let (count, sum) = slow.fold((0.0, 0.0), |(n, s), p| (n + 1.0, s + p));
+                s.slow = sum / f64::max(count, 1.0) / 100.0;
             }
         }
     }
@@ -339,20 +424,23 @@
     }
 }
 
-/// The own zone while its answer comes soon enough, then wherever it is soonest.
-fn best<R>(usable: &[Usable<'_>], ask: &Ask<'_>, rng: &mut R) -> Choice
+/// The own zone unless another one is clearly better.
+fn nearest<R>(usable: &[Usable<'_>], ask: &Ask<'_>, rng: &mut R) -> Choice
 where
     R: Rng,
 {
-    let near = draw(usable, true, rng);
-    let good = ask.due.as_secs_f64() * OWN_ZONE_PART;
-    if let Some((_, node)) = near.filter(|(time, _)| *time <= good) {
-        return Choice::Target(node.clone());
+    let near = best(&draw(usable, true, rng), rng);
+    let gain = match ask.rank {
+        0 => CROSSING.0,
+        _ => CROSSING.1,
+    };
+    if let Some(u) = near.filter(|u| u.cost <= gain) {
+        return Choice::Target(u.node.clone());
     }
-    let far = draw(usable, false, rng).map(|(time, node)| (time + CROSSING.as_secs_f64(), node));
-    let found = near
-        .into_iter()
-        .chain(far)
-        .min_by(|a, b| a.0.total_cmp(&b.0));
-    found.map_or(Choice::None, |(_, node)| Choice::Target(node.clone()))
+    let far = best(&draw(usable, false, rng), rng);
+    let found = match (near, far) {
+        (Some(near), Some(far)) if far.cost + gain < near.cost => Some(far),
+        (near, far) => near.or(far),
+    };
+    found.map_or(Choice::None, |u| Choice::Target(u.node.clone()))
 }
--- a/src/sidecar/pool.rs
+++ b/src/sidecar/pool.rs
@@ -34,6 +34,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Time for which the target ran the request; zero if unknown.
+    pub ran: Duration,
 }
 
 struct Conn {
@@ -168,6 +170,7 @@
         status: parts.status,
         headers: parts.headers,
         body: body.to_bytes(),
+        ran: Duration::ZERO,
     };
     Ok((whole, Used(Some(Conn { keep, ..conn }))))
 }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -16,6 +16,10 @@
 const LATE_PART: f64 = 0.125;
 /// Weight of a new sample in the averages of service times.
 const SERVICE_WEIGHT: f64 = 0.1;
+/// Weight of a new sample in the slowness of the target; times of single requests vary by half their mean.
+const SLOW_WEIGHT: f64 = 0.05;
+/// Least and greatest slowness that a sample counts as.
+const SLOW_RANGE: (f64, f64) = (0.05, 20.0);
 /// Time over which the use of slots by each rank is averaged.
 const USE_TIME: Duration = Duration::from_secs(2);
 /// Least part of the slots that the estimate for a rank leaves to it beside more urgent ranks.
@@ -41,6 +45,10 @@
     pub due: Now,
     /// Time at which its caller gives up.
     pub deadline: Now,
+    /// Time that its route takes at an average target; zero if unknown.
+    pub usual: Duration,
+    /// Longest wait with which it is taken, because other targets may have room; `None` if its aim decides.
+    pub patience: Option<Duration>,
 }
 
 /// What the driver has to do.
@@ -64,6 +72,9 @@
     /// Mean service time, in microseconds.
     #[serde(rename = "s")]
     pub service_us: u32,
+    /// Time of requests at this target, in percent of what they take at an average one; 0 before any is known.
+    #[serde(rename = "p")]
+    pub slow: u16,
     /// Failed answers, in percent.
     #[serde(rename = "f")]
     pub failed: u8,
@@ -83,6 +94,16 @@
     route: SmolStr,
     rank: usize,
     since: Now,
+    usual: Duration,
+}
+
+impl Running {
+    /// Its age, relative to the time that its route takes at an average target; `None` if that is unknown.
+    fn slowness(&self, now: Now) -> Option<f64> {
+        let usual = self.usual.as_secs_f64();
+        let age = now.saturating_sub(self.since).as_secs_f64();
+        (usual > 0.0).then(|| (age / usual).clamp(SLOW_RANGE.0, SLOW_RANGE.1))
+    }
 }
 
 /// Slots of the target and the requests that wait for them.
@@ -94,6 +115,8 @@
     running: Vec<Running>,
     service: Option<f64>,
     routes: HashMap<SmolStr, f64>,
+    /// Mean logarithm of the time of a request, relative to an average target.
+    slow_ln: Option<f64>,
     /// Slots that each rank used on average.
     used: [f64; RANKS],
     used_at: Now,
@@ -108,6 +131,7 @@
             running: Vec::new(),
             service: None,
             routes: HashMap::default(),
+            slow_ln: None,
             used: [0.0; RANKS],
             used_at: Now::ZERO,
             failed: 0.0,
@@ -153,6 +177,9 @@
         if wait.is_zero() {
             return None;
         }
+        if a.patience.is_some_and(|p| wait > p) {
+            return Some((Reason::QueueFull, Duration::ZERO));
+        }
         if self.waiting.len() >= MAX_WAITING {
             return Some((Reason::QueueFull, wait));
         }
@@ -214,6 +241,10 @@
             let r = self.running.swap_remove(i);
             // Failures are often quick, and would make a broken target look fast.
             if !failed {
+                if let Some(slow) = r.slowness(now) {
+                    let old = self.slow_ln.unwrap_or_default();
+                    self.slow_ln = Some(old + SLOW_WEIGHT * (slow.ln() - old));
+                }
                 let sample = now.saturating_sub(r.since).as_secs_f64();
                 self.service = Some(average(self.service, sample));
                 let old = self.routes.get(&r.route).copied();
@@ -233,6 +264,7 @@
     /// A new target has the slots: nothing of the last one's times holds.
     pub fn reset(&mut self) {
         self.service = None;
+        self.slow_ln = None;
         self.routes.clear();
         self.failed = 0.0;
     }
@@ -265,10 +297,19 @@
             running: self.running.len() as u32,
             waiting,
             service_us: (self.mean_service().max(age) * 1e6) as u32,
+            slow: self.slow_percent(now),
             failed: (self.failed * 100.0) as u8,
         }
     }
 
+    /// Slowness for other nodes: of what ended, or of what runs when that takes longer already.
+    fn slow_percent(&self, now: Now) -> u16 {
+        let ages: Vec<f64> = self.running.iter().filter_map(|r| r.slowness(now)).collect();
+        let running = ages.iter().sum::<f64>() / ages.len().max(1) as f64;
+        let ended = self.slow_ln.map_or(0.0, f64::exp);
+        (ended.max(running) * 100.0) as u16
+    }
+
     /// Time passes: refuses what cannot be served any more and fills free slots.
     pub fn advance(&mut self, now: Now) -> Vec<Action> {
         let mut out = Vec::new();
@@ -286,6 +327,7 @@
                 route: a.route,
                 rank: a.rank,
                 since: now,
+                usual: a.usual,
             });
             out.push(Action::Dispatch(a.ticket));
         }
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -218,6 +218,8 @@
         aim: Duration::from_millis(head.aim_ms),
         due: now + Duration::from_millis(head.due_ms),
         deadline: now + Duration::from_millis(head.left_ms),
+        usual: Duration::from_millis(head.usual_ms),
+        patience: head.patience_ms.map(Duration::from_millis),
         method: method(&head.method).ok()?,
         path: head.path.clone(),
         headers,
@@ -234,6 +236,7 @@
             let head = AnswerHead {
                 seq,
                 status: whole.status.as_u16(),
+                ran_ms: whole.ran.as_millis() as u64,
                 header_len,
             };
             Message {
