Keep the usual load of each target, and leave out probed targets until the last attempt

Cause: fast targets had up to 22 requests waiting while others of their zone had free slots: an old report counted as the service's mean load, which is far below the load of fast targets, and an attempt went back to targets that had just refused it. Change: an old report counts as the target's own usual load; the first four attempts go to different targets, the last waits at the best of all.

--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -22,7 +22,7 @@
 const DEFAULT_LEFT: Duration = Duration::from_secs(1);
 /// Attempts of a request that are taken only where there is room now. Reports of load are old where there are many targets,
 /// so the first choice is often full while another target is idle.
-const EAGER_ASKS: u32 = 3;
+const EAGER_ASKS: usize = 4;
 /// Part of the time to the aim that counts as no wait.
 const PATIENCE_PART: f64 = 0.05;
 /// Least time that a caller is told to wait when no room is foreseen.
@@ -41,8 +41,8 @@
     /// Version that routed it.
     version: VersionNumber,
     tried: Vec<NodeId>,
-    /// Attempts that were to be taken only where there is room.
-    eager: u32,
+    /// Nodes whose targets had no room at once. They are left out until the last attempt, which waits at the best one.
+    full: Vec<NodeId>,
     /// Targets that got the request.
     sent: u32,
     /// Targets that may have run it.
@@ -215,7 +215,7 @@
         version: table.number,
         route,
         tried: Vec::new(),
-        eager: 0,
+        full: Vec::new(),
         sent: 0,
         ran: 0,
         again: Duration::ZERO,
@@ -316,15 +316,20 @@
 /// No target can be asked.
 async fn attempt(n: &Arc<Node>, job: &mut Job) -> Result<Reply, Failure> {
     let now = n.clock.now();
+    let eager = job.full.len() < EAGER_ASKS && n.place().has_room(&job.work.service);
+    let mut left_out = job.tried.clone();
+    if eager {
+        left_out.extend_from_slice(&job.full);
+    }
     let ask = Ask {
         service: &job.work.service,
         route: &job.work.route,
         rank: job.work.rank,
         due: job.work.due.saturating_sub(now),
         left: job.work.deadline.saturating_sub(now),
-        tried: &job.tried,
+        tried: &left_out,
     };
-    let node = match n.choose(&ask) {
+    let node = match choose(n, &ask, &job.tried) {
         Choice::Target(node) => node,
         Choice::Full(back_off) => {
             job.again = longest_hint(job.again, back_off);
@@ -339,8 +344,6 @@
         }
     };
     job.tried.push(node.clone());
-    let eager = job.eager < EAGER_ASKS && n.place().has_room(&job.work.service);
-    job.eager += u32::from(eager);
     let patience = job.work.due.saturating_sub(now).mul_f64(PATIENCE_PART);
     job.work.patience = eager.then_some(patience);
     n.place().sent(&node, now);
@@ -368,6 +371,15 @@
     Ok(reply)
 }
 
+/// Chooses a target, and one that had no room at once if there is no other.
+fn choose(n: &Node, ask: &Ask<'_>, tried: &[NodeId]) -> Choice {
+    match n.choose(ask) {
+        Choice::Target(node) => Choice::Target(node),
+        _ if tried.len() < ask.tried.len() => n.choose(&Ask { tried, ..*ask }),
+        none => none,
+    }
+}
+
 /// Notes what the reply of a node says about the request and about its target.
 fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply) {
     let now = n.clock.now();
@@ -388,7 +400,7 @@
     job.ran -= 1;
     if job.work.patience.is_some() && failure.reason == Reason::QueueFull {
         // Its load is known now, so it is chosen again only if there is no better one.
-        job.tried.pop();
+        job.full.extend(job.tried.pop());
         return;
     }
     let rank = job.work.rank;
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -7,7 +7,7 @@
 //!
 //! Reports come with answers, so they are old where there are many targets. A few targets are drawn by their capacity and
 //! the best of these is chosen: what all nodes believe to be the best target would be overrun. An old report counts as
-//! the mean load of the service.
+//! the usual load of its target.
 
 use rand::{Rng, RngExt};
 
@@ -37,6 +37,8 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// Mean load of a service below which some targets have free slots.
 const ROOM: f64 = 1.0;
+/// Weight of a new report in the usual load of a target.
+const USUAL_WEIGHT: f64 = 0.2;
 /// Longest time for which a refusal keeps requests of its rank from a target.
 const LONGEST_HOLD: Duration = Duration::from_millis(250);
 /// Expected wait, as a multiple of the time left, above which a request is refused without asking any target.
@@ -82,6 +84,8 @@
     info: TargetInfo,
     load: Load,
     reported: Now,
+    /// Mean of the reported requests at the target; `None` before any report.
+    usual: Option<f64>,
     /// Requests sent since the report that may still be there, as of the last one.
     since: f64,
     sent_at: Now,
@@ -149,11 +153,12 @@
 }
 
 impl Target {
-    /// Requests at the target, where targets of the service hold `mean` requests for each slot.
+    /// Requests at the target: as reported, or its usual ones where the report is old. Before any report it counts as
+    /// targets of its service, which hold `mean` requests for each slot.
     fn work(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let old = |t: Now, life: f64| (-now.saturating_sub(t).as_secs_f64() / life).exp();
         let work = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
-        let usual = mean * self.slots();
+        let usual = self.usual.unwrap_or(mean * self.slots());
         let fresh = old(self.reported, REPORT_LIFE.as_secs_f64());
         let sent = self.since * old(self.sent_at, self.service());
         usual + (work - usual) * fresh + sent
@@ -303,6 +308,7 @@
                         info,
                         load: Load::default(),
                         reported: Now::ZERO,
+                        usual: None,
                         since: 0.0,
                         sent_at: now,
                         hold: [Hold::default(); RANKS],
@@ -387,6 +393,8 @@
             t.reported = now;
             t.since = 0.0;
             let work = f64::from(load.running + load.waiting[RANKS - 1]);
+            let usual = t.usual.unwrap_or(work);
+            t.usual = Some(usual + USUAL_WEIGHT * (work - usual));
             let part = work / f64::from(t.info.slots.max(1));
             if let Some(s) = self.services.get_mut(&t.info.service) {
                 s.load += MEAN_WEIGHT * (part - s.load);
