Count calls that repeated runs make in the retry budget

While a called service declines more than half of its requests, lookups fail with their calls and are repeated, and each repeated run makes 1.4 calls that count as repeats too. Change: the part of the own target's running requests that are repeats is charged for each call to another service; a node whose charges have spent a budget refuses repeats as not run (budget-spent). 0.6 of the budget is used.

--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -82,6 +82,8 @@
     Quarantined,
     /// Another suspected request runs at the target.
     SuspectBusy,
+    /// The budget for repeats is spent, also by calls that repeated runs make.
+    BudgetSpent,
     /// The node takes no new work because of a planned stop.
     Draining,
     /// The request body is larger than the limit.
@@ -104,7 +106,7 @@
 
 impl Reason {
     /// Every reason.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
@@ -130,6 +132,7 @@
         Self::OwnerUnreachable,
         Self::Quarantined,
         Self::SuspectBusy,
+        Self::BudgetSpent,
         Self::Draining,
     ];
 
@@ -166,6 +169,7 @@
             Self::OwnerUnreachable => "owner-unreachable",
             Self::Quarantined => "quarantined",
             Self::SuspectBusy => "suspect-busy",
+            Self::BudgetSpent => "budget-spent",
             Self::Draining => "draining",
             Self::TooLarge => "too-large",
             Self::SlowCaller => "slow-caller",
--- a/src/sidecar/admit.rs
+++ b/src/sidecar/admit.rs
@@ -43,6 +43,8 @@
     pub usual: Duration,
     /// Longest wait for a slot with which this attempt is taken; `None` if the aim decides.
     pub patience: Option<Duration>,
+    /// Whether it reached a target before.
+    pub repeat: bool,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -92,6 +94,9 @@
     if let Err(f) = check(n, &work) {
         return Reply::refused(f);
     }
+    if work.repeat && !n.affords_repeat(n.clock.now()) {
+        return Reply::refused(Failure::not_run(Reason::BudgetSpent));
+    }
     let arrival = Arrival {
         ticket: 0,
         route: work.route.clone(),
@@ -101,6 +106,7 @@
         deadline: work.deadline,
         usual: work.usual,
         patience: work.patience,
+        repeat: work.repeat,
     };
     let slot = match n.slots.take(arrival).await {
         Ok(slot) => slot,
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -7,8 +7,8 @@
 /// Parts into which the window is divided.
 const BUCKETS: u32 = 10;
 /// Part of the budget that is used, so that the sum over all nodes stays within it whatever they cannot tell each other:
-/// nodes that restarted have an empty window, and calls of a repeated run count as repeats too.
-const SAFE_PART: f64 = 0.5;
+/// nodes that restarted have an empty window, and which calls a repeated run makes is only estimated.
+const SAFE_PART: f64 = 0.6;
 
 /// Bounds of the budget of a service over all nodes.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,8 +24,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     index: u128,
-    requests: u32,
-    repeats: u32,
+    requests: f64,
+    repeats: f64,
 }
 
 /// Requests and repeats of one service within the window.
@@ -55,21 +55,29 @@
         &mut self.buckets[last]
     }
 
-    /// Counts a request of a caller for the service.
-    pub fn request(&mut self, b: &BudgetBounds, now: Now) {
-        self.at(b, now).requests += 1;
+    /// Counts a request for the service. `repeated` is the probability that a repeated run made it: such a call counts as
+    /// a repeat although it is sent only once.
+    pub fn request(&mut self, b: &BudgetBounds, repeated: f64, now: Now) {
+        let bucket = self.at(b, now);
+        bucket.requests += 1.0;
+        bucket.repeats += repeated;
     }
 
-    /// Takes one repeat if the part of `nodes` nodes allows it.
-    pub fn take(&mut self, b: &BudgetBounds, nodes: usize, now: Now) -> bool {
+    /// Whether the part of `nodes` nodes allows another repeat.
+    pub fn has_room(&mut self, b: &BudgetBounds, nodes: usize, now: Now) -> bool {
         self.at(b, now);
-        let sum = |f: fn(&Bucket) -> u32| self.buckets.iter().map(f).sum::<u32>();
+        let sum = |f: fn(&Bucket) -> f64| self.buckets.iter().map(f).sum::<f64>();
         let (requests, repeats) = (sum(|x| x.requests), sum(|x| x.repeats));
         let least = b.least / nodes.max(1) as f64;
-        let allowed = SAFE_PART * (b.ratio * f64::from(requests) + least);
-        let free = f64::from(repeats + 1) <= allowed;
+        let allowed = SAFE_PART * (b.ratio * requests + least);
+        repeats + 1.0 <= allowed
+    }
+
+    /// Takes one repeat if the part of `nodes` nodes allows it.
+    pub fn take(&mut self, b: &BudgetBounds, nodes: usize, now: Now) -> bool {
+        let free = self.has_room(b, nodes, now);
         if free {
-            self.at(b, now).repeats += 1;
+            self.at(b, now).repeats += 1.0;
         }
         free
     }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -203,6 +203,7 @@
             deadline: start + left,
             usual: n.place().usual(&route.name),
             patience: None,
+            repeat: false,
             method: parts.method,
             path: parts
                 .uri
@@ -346,6 +347,7 @@
     job.tried.push(node.clone());
     let patience = job.work.due.saturating_sub(now).mul_f64(PATIENCE_PART);
     job.work.patience = eager.then_some(patience);
+    job.work.repeat = job.sent > 0;
     n.place().sent(&node, now);
     let hop = n.hop(&node);
     n.metrics.attempted(job.route.rank, hop);
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -39,6 +39,9 @@
     /// Whether it may run again.
     #[serde(rename = "e")]
     pub idempotent: bool,
+    /// Whether it reached a target before.
+    #[serde(rename = "r")]
+    pub repeat: bool,
     /// Time within which its answer has its full worth, in ms.
     #[serde(rename = "a")]
     pub aim_ms: u64,
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -239,6 +239,7 @@
         caller: work.caller.clone(),
         rank: work.rank,
         idempotent: work.idempotent,
+        repeat: work.repeat,
         aim_ms: work.aim.as_millis() as u64,
         due_ms: work.due.saturating_sub(now).as_millis() as u64,
         left_ms: work.deadline.saturating_sub(now).as_millis() as u64,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -417,13 +417,28 @@
         }
     }
 
-    /// Counts a request of a caller for a service.
+    /// Counts a request for a service. Requests of callers and calls of the own target look the same; for another service
+    /// than its own, each counts as a call of a run that is a repeat as often as the target's runs are.
     pub fn count_request(&self, service: &ServiceId, now: Now) {
         let bounds = self.bounds();
+        let repeated = match *service == self.service {
+            true => 0.0,
+            false => self.slots.repeat_part(),
+        };
         let mut all = lock(&self.budgets);
         all.entry(service.clone())
             .or_default()
-            .request(&bounds, now);
+            .request(&bounds, repeated, now);
+    }
+
+    /// Whether calls to other services that the own target makes leave room in the budgets: a repeated run would make
+    /// more of them.
+    pub fn affords_repeat(&self, now: Now) -> bool {
+        let bounds = self.bounds();
+        let nodes = self.members().count();
+        let mut all = lock(&self.budgets);
+        let mut others = all.iter_mut().filter(|(s, _)| **s != self.service);
+        others.all(|(_, b)| b.has_room(&bounds, nodes, now))
     }
 
     /// Takes one repeat from the budget of a service.
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -49,6 +49,8 @@
     pub usual: Duration,
     /// Longest wait with which it is taken, because other targets may have room; `None` if its aim decides.
     pub patience: Option<Duration>,
+    /// Whether it reached a target before.
+    pub repeat: bool,
 }
 
 /// What the driver has to do.
@@ -95,6 +97,7 @@
     rank: usize,
     since: Now,
     usual: Duration,
+    repeat: bool,
 }
 
 impl Running {
@@ -302,6 +305,12 @@
         }
     }
 
+    /// Part of the running requests that reached a target before. Calls that the target makes belong to them as often.
+    pub fn repeat_part(&self) -> f64 {
+        let repeats = self.running.iter().filter(|r| r.repeat).count();
+        repeats as f64 / self.running.len().max(1) as f64
+    }
+
     /// Slowness for other nodes: of what ended, or of what runs when that takes longer already.
     fn slow_percent(&self, now: Now) -> u16 {
         let ages: Vec<f64> = self.running.iter().filter_map(|r| r.slowness(now)).collect();
@@ -328,6 +337,7 @@
                 rank: a.rank,
                 since: now,
                 usual: a.usual,
+                repeat: a.repeat,
             });
             out.push(Action::Dispatch(a.ticket));
         }
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -215,6 +215,7 @@
         caller: head.caller.clone(),
         rank: head.rank.min(super::routes::RANKS - 1),
         idempotent: head.idempotent,
+        repeat: head.repeat,
         aim: Duration::from_millis(head.aim_ms),
         due: now + Duration::from_millis(head.due_ms),
         deadline: now + Duration::from_millis(head.left_ms),
--- a/src/sidecar/slots.rs
+++ b/src/sidecar/slots.rs
@@ -75,6 +75,11 @@
         self.state().queue.load(self.clock.now())
     }
 
+    /// Part of the running requests that reached a target before.
+    pub fn repeat_part(&self) -> f64 {
+        self.state().queue.repeat_part()
+    }
+
     /// Running and waiting requests.
     pub fn len(&self) -> usize {
         self.state().queue.len()
