Let the usual load of a target age, and test the placement and budget policies

Change: without reports the usual load tends to the mean of the service within seconds. Tests play mixed speeds, full targets and calls of repeated runs.

--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -37,6 +37,8 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// Mean load of a service below which some targets have free slots.
 const ROOM: f64 = 1.0;
+/// Time without a report after which the usual load of a target says little more than the mean of its service does.
+const USUAL_LIFE: Duration = Duration::from_secs(4);
 /// Weight of a new report in the usual load of a target.
 const USUAL_WEIGHT: f64 = 0.2;
 /// Longest time for which a refusal keeps requests of its rank from a target.
@@ -153,12 +155,14 @@
 }
 
 impl Target {
-    /// Requests at the target: as reported, or its usual ones where the report is old. Before any report it counts as
-    /// targets of its service, which hold `mean` requests for each slot.
+    /// Requests at the target: as reported, or its usual ones where the report is old. Without reports it counts as
+    /// targets of its service do on average, which hold `mean` requests for each slot.
     fn work(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let old = |t: Now, life: f64| (-now.saturating_sub(t).as_secs_f64() / life).exp();
         let work = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
-        let usual = self.usual.unwrap_or(mean * self.slots());
+        let mean = mean * self.slots();
+        let known = old(self.reported, USUAL_LIFE.as_secs_f64());
+        let usual = self.usual.map_or(mean, |u| mean + (u - mean) * known);
         let fresh = old(self.reported, REPORT_LIFE.as_secs_f64());
         let sent = self.since * old(self.sent_at, self.service());
         usual + (work - usual) * fresh + sent
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -36,6 +36,9 @@
         aim: ms(aim),
         due: now + ms(aim),
         deadline: now + ms(aim * 3),
+        usual: Duration::ZERO,
+        patience: None,
+        repeat: false,
     }
 }
 
@@ -193,6 +196,7 @@
         running,
         waiting: [waiting; 4],
         service_us: 100_000,
+        slow: 100,
         failed: 0,
     }
 }
@@ -200,6 +204,7 @@
 fn ask<'a>(tried: &'a [dragonflyquay::prelude::NodeId]) -> Ask<'a> {
     Ask {
         service: "s",
+        route: "r",
         rank: 1,
         due: ms(300),
         left: ms(800),
@@ -230,6 +235,109 @@
             Choice::Target("b".into())
         );
     }
+    // Nothing is gained by crossing when the other zone is as full.
+    p.reported(now, &"b".into(), load(4, 8));
+    for _ in 0..50 {
+        assert_eq!(
+            p.choose(now, &ask(&[]), &mut rng),
+            Choice::Target("a".into())
+        );
+    }
+}
+
+/// A service of 8 targets in one zone, two of them at half the speed of the others; each has learned it, and the entry
+/// node has learned the times of a route.
+fn mixed_speeds() -> Placement {
+    let mut p = Placement::new("a".into());
+    let now = ms(1000);
+    for i in 0..8 {
+        let node = format!("n{i}").into();
+        p.set(&node, info("a"), now);
+        let slow = if i < 2 { 200 } else { 100 };
+        p.reported(now, &node, Load { slow, ..load(1, 0) });
+    }
+    // 200 ms on average with a wide spread, as seen at a target of average speed.
+    for i in 0..200 {
+        p.ran(&"n7".into(), &"r".into(), ms(120 + i % 160));
+    }
+    p
+}
+
+fn share_of_slow(p: &Placement, due: u64, seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let ask = Ask {
+        due: ms(due),
+        left: ms(due * 3),
+        ..ask(&[])
+    };
+    let slow = |c: &Choice| *c == Choice::Target("n0".into()) || *c == Choice::Target("n1".into());
+    let chosen = (0..400).map(|_| p.choose(ms(1000), &ask, &mut rng));
+    chosen.filter(slow).count() as f64 / 400.0
+}
+
+/// Guards against requests with little time at targets that make half of them late, while targets that are fast enough
+/// have room; and against slow targets that stay idle although they are good enough for requests with much time.
+#[test]
+fn slow_targets_get_requests_with_time() {
+    let p = mixed_speeds();
+    assert!(share_of_slow(&p, 400, 1) < 0.02, "little time");
+    let share = share_of_slow(&p, 5000, 2);
+    assert!((0.08..0.4).contains(&share), "much time: {share}");
+}
+
+/// Guards against a target whose slowness is taken from its mix of routes: one that runs only a long route at usual speed
+/// is not slow, and one that runs a short route at half the speed is.
+#[test]
+fn slowness_is_relative_to_the_route() {
+    let ran = |usual: u64, took: u64| {
+        let mut q = Queue::default();
+        q.set_slots(ms(0), 1);
+        for t in 0..100 {
+            let a = Arrival {
+                usual: ms(usual),
+                ..arrival(t, 1, ms(0), 60_000)
+            };
+            q.arrive(ms(0), a);
+            q.finished(ms(took), t, false);
+        }
+        f64::from(q.load(ms(0)).slow) / 100.0
+    };
+    assert!((ran(800, 800) - 1.0).abs() < 0.05);
+    assert!((ran(50, 100) - 2.0).abs() < 0.1);
+}
+
+/// Guards against a wait at a full target while others are idle: an attempt that may go elsewhere is refused at once, and
+/// without a time to come back, since the target asks for none.
+#[test]
+fn an_attempt_that_may_go_elsewhere_does_not_wait() {
+    let mut q = warm(1);
+    let now = ms(1000);
+    let eager = |t| Arrival {
+        patience: Some(ms(15)),
+        ..arrival(t, 1, now, 300)
+    };
+    assert_eq!(dispatched(&q.arrive(now, eager(1))), [1]);
+    let refused = Action::Refuse(2, Reason::QueueFull, Duration::ZERO);
+    assert_eq!(q.arrive(now, eager(2)), [refused]);
+    assert!(q.arrive(now, arrival(3, 1, now, 300)).is_empty(), "waits");
+}
+
+/// Guards against an old report that counts as the load of an average target: one that is always full is not chosen before
+/// one that never is.
+#[test]
+fn an_old_report_counts_as_the_usual_load() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut p = Placement::new("a".into());
+    for (node, running, waiting) in [("x", 4, 12), ("y", 1, 0)] {
+        p.set(&node.into(), info("a"), ms(0));
+        for t in 0..20 {
+            p.reported(ms(t), &node.into(), load(running, waiting));
+        }
+    }
+    for _ in 0..50 {
+        let choice = p.choose(ms(3000), &ask(&[]), &mut rng);
+        assert_eq!(choice, Choice::Target("y".into()));
+    }
 }
 
 /// Guards against choosing a target that was tried, that leaves, that cannot be reached or that just had no room.
@@ -318,7 +426,7 @@
                 now += ms(dt);
                 match request {
                     true => {
-                        budget.request(&b, now);
+                        budget.request(&b, 0.0, now);
                         requests.push(now);
                     }
                     false if budget.take(&b, 4, now) => repeats.push(now),
@@ -336,6 +444,30 @@
     );
 }
 
+/// Guards against calls of repeated runs that exceed the budget of the called service: they count as repeats, and the part
+/// of a node that they have spent covers no other repeat.
+#[test]
+fn calls_of_repeated_runs_spend_the_budget() {
+    let b = BudgetBounds {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        least: 0.0,
+    };
+    let taken = |repeated: f64| {
+        let mut budget = Budget::default();
+        (0..1000)
+            .filter(|i| {
+                budget.request(&b, repeated, ms(*i));
+                budget.take(&b, 4, ms(*i))
+            })
+            .count() as f64
+    };
+    let alone = taken(0.0);
+    assert!(alone > 0.0 && alone <= 200.0, "{alone}");
+    assert!((taken(0.05) - (alone - 50.0)).abs() <= 2.0);
+    assert!(taken(0.25) <= 1.0, "calls alone spend it");
+}
+
 /// Guards against parts of a route whose shares drift from their weights, also over few requests.
 #[test]
 fn shares_follow_weights_closely() {
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -316,7 +316,11 @@
 async fn calls_are_counted() {
     let metrics = Metrics::default();
     let faulty = Arc::new(FaultyStore::default());
-    let s = Arc::new(Counted::new(faulty.clone(), &metrics));
+    let s = Arc::new(Counted::new(
+        faulty.clone(),
+        &metrics.store_calls,
+        &metrics.store_waiting,
+    ));
     done(put(s.as_ref(), "k", 0, "x").await);
     put(s.as_ref(), "k", 0, "x").await.unwrap();
     let lease = s.grant(LONG).await.unwrap();
