--- a/src/process/start.rs
+++ b/src/process/start.rs
@@ -208,7 +208,11 @@
         config: ArcSwapOption::empty(),
         records: ArcSwap::from_pointee(BTreeMap::new()),
         upstream,
-        store: Arc::new(Counted::new(store, &metrics.store_calls, &metrics.store_waiting)),
+        store: Arc::new(Counted::new(
+            store,
+            &metrics.store_calls,
+            &metrics.store_waiting,
+        )),
         notices: Notices::new(clock.clone()),
         routing: Arc::new(Routing::new(&settings, clock.clone(), rand::random())),
         slots: Arc::new(Slots::new(
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -106,7 +106,11 @@
                 &["kind", "hop"],
             ),
             store_calls: many("dq_store_calls_total", "Store calls", &["kind", "result"]),
-            store_waiting: gauge(r, "dq_store_waiting_watches", "Watches waiting at the store"),
+            store_waiting: gauge(
+                r,
+                "dq_store_waiting_watches",
+                "Watches waiting at the store",
+            ),
             request_seconds: seconds(
                 r,
                 "dq_sidecar_request_seconds",
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -203,7 +203,10 @@
         let wait = (work + 1.0 - self.slots()).max(0.0) * self.service() / self.slots();
         let (time, slow) = match times.get(ask.route) {
             Some(time) => (*time, self.slow(service.slow_or_one()) * cold),
-            None => (RunTime::around(Duration::from_secs_f64(self.service())), cold),
+            None => (
+                RunTime::around(Duration::from_secs_f64(self.service())),
+                cold,
+            ),
         };
         let late = |end: Duration| time.late(end.saturating_sub(seconds(wait)), slow);
         let lost = LATE_LOSS * late(ask.due) + (1.0 - LATE_LOSS) * late(ask.left);
@@ -280,7 +283,9 @@
 
     /// Time that a route takes at an average target; zero if it is not known yet.
     pub fn usual(&self, route: &str) -> Duration {
-        self.times.get(route).map_or(Duration::ZERO, RunTime::median)
+        self.times
+            .get(route)
+            .map_or(Duration::ZERO, RunTime::median)
     }
 
     /// A target ran a request of a route and answered.
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -313,7 +313,11 @@
 
     /// Slowness for other nodes: of what ended, or of what runs when that takes longer already.
     fn slow_percent(&self, now: Now) -> u16 {
-        let ages: Vec<f64> = self.running.iter().filter_map(|r| r.slowness(now)).collect();
+        let ages: Vec<f64> = self
+            .running
+            .iter()
+            .filter_map(|r| r.slowness(now))
+            .collect();
         let running = ages.iter().sum::<f64>() / ages.len().max(1) as f64;
         let ended = self.slow_ln.map_or(0.0, f64::exp);
         (ended.max(running) * 100.0) as u16
--- a/src/sidecar/sample.rs
+++ b/src/sidecar/sample.rs
@@ -146,7 +146,10 @@
                 ("cross", &total(&m.attempts, "hop", "cross")),
                 ("cross_bytes", &total(&m.link_bytes, "hop", "cross")),
                 ("running", &load.running.to_string()),
-                ("waiting", &load.waiting[super::routes::RANKS - 1].to_string()),
+                (
+                    "waiting",
+                    &load.waiting[super::routes::RANKS - 1].to_string(),
+                ),
                 ("service_ms", &(load.service_us / 1000).to_string()),
                 ("version", &n.version().to_string()),
                 ("links", &n.links.len().to_string()),
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -18,6 +18,8 @@
     pub control: SocketAddr,
     /// Address that answers readiness checks.
     pub ready: SocketAddr,
+    /// Address at which other nodes reach `listen.relay`, where that differs.
+    pub advertise: Option<SocketAddr>,
     /// Interval of the target's heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
     /// Time after an acknowledged leave in which the target may still get requests, in milliseconds.
@@ -40,6 +42,7 @@
             service: ServiceId::default(),
             control: local(7404),
             ready: local(7405),
+            advertise: None,
             heartbeat_ms: 1500,
             drain_ms: 2000,
             grace_s: 6,
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -66,7 +66,7 @@
         incarnation: since.unwrap_or_default().as_millis() as u64,
         sequence: 1,
         az: settings.node.az.clone(),
-        relay: settings.listen.relay,
+        relay: s.advertise.unwrap_or(settings.listen.relay),
         service: s.service.clone(),
         target: None,
         leaving: false,
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Lines that were not waited for yet.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.try_iter().collect()
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
