Send nothing that cannot end in time, and keep retry budget for the most urgent rank

Change: a request is sent only while four fifths of its mean service time are left; the most urgent rank of a service may use 0.8 of the budget, others 0.5; refused store calls are repeated after up to 1.7 s in place of 1.35 s.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -150,15 +150,15 @@
     second: u64,
     lines: u32,
     /// Dropped lines that no line has reported yet.
-    dropped: u64,
+    unreported: u64,
     /// Dropped lines since the start.
-    all_dropped: u64,
+    dropped: u64,
 }
 
 impl EventLog {
     /// Lines above the rate since the start.
     pub fn dropped(&self) -> u64 {
-        self.rate().all_dropped
+        self.rate().dropped
     }
 
     fn rate(&self) -> MutexGuard<'_, Rate> {
@@ -175,12 +175,12 @@
             s.lines = 0;
         }
         if s.lines >= LINES_PER_SECOND {
+            s.unreported += 1;
             s.dropped += 1;
-            s.all_dropped += 1;
             return None;
         }
         s.lines += 1;
-        Some(std::mem::take(&mut s.dropped))
+        Some(std::mem::take(&mut s.unreported))
     }
 
     /// Writes an event with its pairs.
--- a/src/sidecar/budget.rs
+++ b/src/sidecar/budget.rs
@@ -8,7 +8,9 @@
 const BUCKETS: u32 = 10;
 /// Part of the budget that is used, so that the sum over all nodes stays within it whatever they cannot tell each other:
 /// nodes that restarted have an empty window, and which calls a repeated run makes is only estimated.
-const SAFE_PART: f64 = 0.6;
+const SAFE_PART: f64 = 0.8;
+/// Part of the budget that less urgent ranks use at most, so that some is left when the most urgent one needs it.
+const OTHERS_PART: f64 = 0.5;
 
 /// Bounds of the budget of a service over all nodes.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +28,8 @@
     index: u128,
     requests: f64,
     repeats: f64,
+    /// The most urgent rank that was asked for.
+    top: usize,
 }
 
 /// Requests and repeats of one service within the window.
@@ -48,6 +52,7 @@
         if self.buckets.back().is_none_or(|x| x.index != index) {
             self.buckets.push_back(Bucket {
                 index,
+                top: usize::MAX,
                 ..Bucket::default()
             });
         }
@@ -55,27 +60,33 @@
         &mut self.buckets[last]
     }
 
-    /// Counts a request for the service. `repeated` is the probability that a repeated run made it: such a call counts as
+    /// Counts a request of a rank for the service. `repeated` is the probability that a repeated run made it: such a call counts as
     /// a repeat although it is sent only once.
-    pub fn request(&mut self, b: &BudgetBounds, repeated: f64, now: Now) {
+    pub fn request(&mut self, b: &BudgetBounds, rank: usize, repeated: f64, now: Now) {
         let bucket = self.at(b, now);
         bucket.requests += 1.0;
+        bucket.top = bucket.top.min(rank);
         bucket.repeats += repeated;
     }
 
-    /// Whether the part of `nodes` nodes allows another repeat.
-    pub fn has_room(&mut self, b: &BudgetBounds, nodes: usize, now: Now) -> bool {
+    /// Whether the part of `nodes` nodes allows another repeat of this rank.
+    pub fn has_room(&mut self, b: &BudgetBounds, rank: usize, nodes: usize, now: Now) -> bool {
         self.at(b, now);
         let sum = |f: fn(&Bucket) -> f64| self.buckets.iter().map(f).sum::<f64>();
         let (requests, repeats) = (sum(|x| x.requests), sum(|x| x.repeats));
         let least = b.least / nodes.max(1) as f64;
-        let allowed = SAFE_PART * (b.ratio * requests + least);
+        let top = self.buckets.iter().map(|x| x.top).min();
+        let part = match top.is_none_or(|t| rank <= t) {
+            true => SAFE_PART,
+            false => OTHERS_PART,
+        };
+        let allowed = part * (b.ratio * requests + least);
         repeats + 1.0 <= allowed
     }
 
-    /// Takes one repeat if the part of `nodes` nodes allows it.
-    pub fn take(&mut self, b: &BudgetBounds, nodes: usize, now: Now) -> bool {
-        let free = self.has_room(b, nodes, now);
+    /// Takes one repeat of this rank if the part of `nodes` nodes allows it.
+    pub fn take(&mut self, b: &BudgetBounds, rank: usize, nodes: usize, now: Now) -> bool {
+        let free = self.has_room(b, rank, nodes, now);
         if free {
             self.at(b, now).repeats += 1.0;
         }
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -35,7 +35,7 @@
 /// Interval of later lists.
 const LIST_EVERY: Duration = Duration::from_secs(25);
 /// Pauses between failed calls: a record is back within two seconds of the store's return.
-const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
+const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1400));
 
 fn node_key(node: &str) -> String {
     format!("{NODES}{node}")
@@ -79,7 +79,7 @@
             Err(e) => {
                 away = true;
                 n.log.event("announce_failed", &[("error", &e.to_string())]);
-                let wait = pause.mul_f64(0.5 + rand::random::<f64>());
+                let wait = pause.mul_f64(0.7 + 0.5 * rand::random::<f64>());
                 tokio::time::sleep(wait).await;
                 pause = (pause * 2).min(RETRY.1);
             }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -188,7 +188,7 @@
     context::strip_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     n.edge.strip(&mut headers);
-    n.count_request(&service, start);
+    n.count_request(&service, route.rank, start);
     let rank = n.fair().rank(&service, route.rank);
     Ok(Job {
         work: Work {
@@ -306,7 +306,7 @@
         Reason::BadRequest | Reason::TooLarge => false,
         _ if job.tried.len() >= MAX_ASKED => false,
         _ if job.ran >= job.route.attempts.max(1) => false,
-        _ => job.sent == 0 || n.take_repeat(&job.work.service, now),
+        _ => job.sent == 0 || n.take_repeat(&job.work.service, job.route.rank, now),
     }
 }
 
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -18,7 +18,7 @@
 use super::metrics::{Hop, Metrics};
 use super::placement::{Ask, Choice, Placement, TargetInfo};
 use super::pool::Pool;
-use super::routes::RouteTable;
+use super::routes::{RouteTable, RANKS};
 use super::sample::{Confirmed, Fact};
 use super::slots::Slots;
 use super::split::Split;
@@ -33,6 +33,9 @@
 /// Versions that are kept as bases of patches: nodes that ask are a few changes behind at most.
 const HISTORY: usize = 4;
 
+/// The least urgent rank.
+const LAST_RANK: usize = RANKS - 1;
+
 /// Step of the end of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -419,7 +422,7 @@
 
     /// Counts a request for a service. Requests of callers and calls of the own target look the same; for another service
     /// than its own, each counts as a call of a run that is a repeat as often as the target's runs are.
-    pub fn count_request(&self, service: &ServiceId, now: Now) {
+    pub fn count_request(&self, service: &ServiceId, rank: usize, now: Now) {
         let bounds = self.bounds();
         let repeated = match *service == self.service {
             true => 0.0,
@@ -428,7 +431,7 @@
         let mut all = lock(&self.budgets);
         all.entry(service.clone())
             .or_default()
-            .request(&bounds, repeated, now);
+            .request(&bounds, rank, repeated, now);
     }
 
     /// Whether calls to other services that the own target makes leave room in the budgets: a repeated run would make
@@ -438,16 +441,16 @@
         let nodes = self.members().count();
         let mut all = lock(&self.budgets);
         let mut others = all.iter_mut().filter(|(s, _)| **s != self.service);
-        others.all(|(_, b)| b.has_room(&bounds, nodes, now))
+        others.all(|(_, b)| b.has_room(&bounds, LAST_RANK, nodes, now))
     }
 
     /// Takes one repeat from the budget of a service.
-    pub fn take_repeat(&self, service: &ServiceId, now: Now) -> bool {
+    pub fn take_repeat(&self, service: &ServiceId, rank: usize, now: Now) -> bool {
         let bounds = self.bounds();
         let nodes = self.members().count();
         let mut all = lock(&self.budgets);
         let budget = all.entry(service.clone()).or_default();
-        budget.take(&bounds, nodes, now)
+        budget.take(&bounds, rank, nodes, now)
     }
 }
 
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -14,6 +14,9 @@
 const MAX_WAITING: usize = 256;
 /// Part of its aim for which a request that cannot meet it any more may wait for a free slot.
 const LATE_PART: f64 = 0.125;
+/// Part of the mean service time that has to be left to the deadline for a request to be sent to the target. With less, most
+/// would run in vain and keep their slots from others.
+const FIT_PART: f64 = 0.8;
 /// Weight of a new sample in the averages of service times.
 const SERVICE_WEIGHT: f64 = 0.1;
 /// Weight of a new sample in the slowness of the target; times of single requests vary by half their mean.
@@ -173,7 +176,7 @@
             return Some((Reason::NotReady, Duration::ZERO));
         }
         let service = self.service_of(&a.route);
-        if a.deadline < now + service / 2 {
+        if a.deadline < now + service.mul_f64(FIT_PART) {
             return Some((Reason::Deadline, Duration::ZERO));
         }
         let wait = self.wait(a.rank);
@@ -358,7 +361,7 @@
             }
             let spare = w.arrival.aim.mul_f64(LATE_PART);
             let too_late = w.late.is_some_and(|t| now > t + spare) && now > w.since;
-            match too_late || now + service / 2 > w.arrival.deadline {
+            match too_late || now + service.mul_f64(FIT_PART) > w.arrival.deadline {
                 true => {
                     let w = self.waiting.remove(i);
                     out.push(Action::Refuse(
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -426,10 +426,10 @@
                 now += ms(dt);
                 match request {
                     true => {
-                        budget.request(&b, 0.0, now);
+                        budget.request(&b, 1, 0.0, now);
                         requests.push(now);
                     }
-                    false if budget.take(&b, 4, now) => repeats.push(now),
+                    false if budget.take(&b, 1, 4, now) => repeats.push(now),
                     false => {}
                 }
                 let within = |list: &[Duration], time: Duration| {
@@ -457,8 +457,8 @@
         let mut budget = Budget::default();
         (0..1000)
             .filter(|i| {
-                budget.request(&b, repeated, ms(*i));
-                budget.take(&b, 4, ms(*i))
+                budget.request(&b, 1, repeated, ms(*i));
+                budget.take(&b, 1, 4, ms(*i))
             })
             .count() as f64
     };
@@ -468,6 +468,47 @@
     assert!(taken(0.25) <= 1.0, "calls alone spend it");
 }
 
+/// Guards against less urgent repeats that leave nothing to urgent ones.
+#[test]
+fn urgent_repeats_find_some_budget() {
+    let b = BudgetBounds {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        least: 0.0,
+    };
+    let mut budget = Budget::default();
+    for i in 0..1000 {
+        budget.request(&b, (i % 2) as usize, 0.0, ms(i));
+    }
+    let taken = |budget: &mut Budget, rank| {
+        let take = |_: &u32| budget.take(&b, rank, 4, ms(1000));
+        (0..1000).filter(take).count()
+    };
+    let others = taken(&mut budget, 1);
+    let urgent = taken(&mut budget, 0);
+    assert!(others >= 50 && urgent >= 50, "{others} {urgent}");
+    assert_eq!(taken(&mut budget, 1), 0);
+    assert!(others + urgent <= 200);
+    // Where a service has less urgent work only, that is the most urgent.
+    let mut alone = Budget::default();
+    (0..1000).for_each(|i| alone.request(&b, 2, 0.0, ms(i)));
+    assert!(taken(&mut alone, 2) > others);
+}
+
+/// Guards against requests that are sent to a target with too little time to end there: they run in vain and keep slots.
+#[test]
+fn what_cannot_end_in_time_is_not_sent() {
+    let mut q = warm(1);
+    let now = ms(1000);
+    let short = |t, left| Arrival {
+        deadline: now + ms(left),
+        ..arrival(t, 1, now, 300)
+    };
+    let refused = [Action::Refuse(1, Reason::Deadline, Duration::ZERO)];
+    assert_eq!(q.arrive(now, short(1, 70)), refused);
+    assert_eq!(dispatched(&q.arrive(now, short(2, 110))), [2]);
+}
+
 /// Guards against parts of a route whose shares drift from their weights, also over few requests.
 #[test]
 fn shares_follow_weights_closely() {
