--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -5,10 +5,10 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use super::admit::{self, strip_answer, Reply, Work};
+use super::admit::{strip_answer, Reply, Work};
+use super::attempt::{attempt, Job, NOT_READY_AGAIN};
 use super::edge::CallerFacts;
 use super::node::{Node, Phase};
-use super::placement::{Ask, Choice};
 use super::pool::Whole;
 use super::routes::{Route, RouteTable};
 use crate::prelude::*;
@@ -20,38 +20,12 @@
 const MAX_ASKED: usize = 4;
 /// Time that a caller waits when it names none and no version is known.
 const DEFAULT_LEFT: Duration = Duration::from_secs(1);
-/// Attempts of a request that are taken only where there is room now. Reports of load are old where there are many targets,
-/// so the first choice is often full while another target is idle.
-const EAGER_ASKS: usize = 4;
-/// Part of the time to the aim that counts as no wait.
-const PATIENCE_PART: f64 = 0.05;
 /// Least time that a caller is told to wait when no room is foreseen.
 const LEAST_AGAIN: Duration = Duration::from_millis(20);
 /// Time that a request waits for the first version, and the interval in which it looks for it. Short against the time of
 /// any caller, so that it can still come back.
 const VERSION_WAIT: Duration = Duration::from_millis(150);
 const VERSION_LOOK: Duration = Duration::from_millis(10);
-/// Wait that a caller is told while the node knows no version or no target.
-const NOT_READY_AGAIN: Duration = Duration::from_millis(150);
-
-/// A request of a caller, from its arrival to its answer.
-struct Job {
-    work: Work,
-    route: Arc<Route>,
-    /// Version that routed it.
-    version: VersionNumber,
-    tried: Vec<NodeId>,
-    /// Nodes whose targets had no room at once. They are left out until the last attempt, which waits at the best one.
-    full: Vec<NodeId>,
-    /// Targets that got the request.
-    sent: u32,
-    /// Targets that may have run it.
-    ran: u32,
-    /// Time after which there may be room.
-    again: Duration,
-    trace: String,
-}
-
 /// Serves one request of a caller.
 pub async fn serve(n: Arc<Node>, req: Request<Incoming>) -> Response<Body> {
     let start = n.clock.now();
@@ -309,132 +283,3 @@
         _ => job.sent == 0 || n.take_repeat(&job.work.service, job.route.rank, now),
     }
 }
-
-/// Chooses a target and sends the request there.
-///
-/// # Errors
-///
-/// No target can be asked.
-async fn attempt(n: &Arc<Node>, job: &mut Job) -> Result<Reply, Failure> {
-    let now = n.clock.now();
-    let eager = job.full.len() < EAGER_ASKS && n.place().has_room(&job.work.service);
-    let mut left_out = job.tried.clone();
-    if eager {
-        left_out.extend_from_slice(&job.full);
-    }
-    let ask = Ask {
-        service: &job.work.service,
-        route: &job.work.route,
-        rank: job.work.rank,
-        due: job.work.due.saturating_sub(now),
-        left: job.work.deadline.saturating_sub(now),
-        tried: &left_out,
-    };
-    let node = match choose(n, &ask, &job.tried) {
-        Choice::Target(node) => node,
-        Choice::Full(back_off) => {
-            job.again = longest_hint(job.again, back_off);
-            return Err(Failure {
-                back_off: job.again,
-                ..Failure::not_run(Reason::HeldOff)
-            });
-        }
-        Choice::None => {
-            job.again = longest_hint(job.again, NOT_READY_AGAIN);
-            return Err(Failure::not_run(Reason::NoTarget));
-        }
-    };
-    job.tried.push(node.clone());
-    let patience = job.work.due.saturating_sub(now).mul_f64(PATIENCE_PART);
-    job.work.patience = eager.then_some(patience);
-    job.work.repeat = job.sent > 0;
-    n.place().sent(&node, now);
-    let hop = n.hop(&node);
-    n.metrics.attempted(job.route.rank, hop);
-    // Until the reply says otherwise the request counts as run: the attempt may be cut short.
-    job.sent += 1;
-    job.ran += 1;
-    let reply = match node == n.id {
-        true => {
-            let reply = admit::run(n, job.work.clone()).await;
-            n.place().reported(n.clock.now(), &node, n.slots.load());
-            reply
-        }
-        false => n.links.call(n, &node, &job.work).await,
-    };
-    if let Reply::Answer(whole) = &reply {
-        if whole.status.is_success() {
-            n.place().ran(&node, &job.work.route, whole.ran);
-        }
-        let took = n.clock.now().saturating_sub(now);
-        n.metrics.answered(job.route.rank, hop, took);
-    }
-    note(n, job, &node, &reply);
-    Ok(reply)
-}
-
-/// Chooses a target, and one that had no room at once if there is no other.
-fn choose(n: &Node, ask: &Ask<'_>, tried: &[NodeId]) -> Choice {
-    match n.choose(ask) {
-        Choice::Target(node) => Choice::Target(node),
-        _ if tried.len() < ask.tried.len() => n.choose(&Ask { tried, ..*ask }),
-        none => none,
-    }
-}
-
-/// Notes what the reply of a node says about the request and about its target.
-fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply) {
-    let now = n.clock.now();
-    let failure = match reply {
-        Reply::Answer(whole) => {
-            job.trace_attempt(node, whole.status.as_str());
-            return;
-        }
-        Reply::Failed { failure, at_target } => {
-            job.sent -= u32::from(!at_target);
-            failure
-        }
-    };
-    job.trace_attempt(node, failure.reason.as_str());
-    if failure.outcome != Outcome::NotRun {
-        return;
-    }
-    job.ran -= 1;
-    if job.work.patience.is_some() && failure.reason == Reason::QueueFull {
-        // Its load is known now, so it is chosen again only if there is no better one.
-        job.full.extend(job.tried.pop());
-        return;
-    }
-    let rank = job.work.rank;
-    let due = job.work.due.saturating_sub(now);
-    match failure.reason {
-        Reason::QueueFull | Reason::Declined => {
-            n.place().full(now, node, rank, due, failure.back_off);
-            job.again = longest_hint(job.again, failure.back_off);
-        }
-        Reason::NotReady | Reason::Draining | Reason::NotSent => {
-            let any = Duration::MAX;
-            n.place().full(now, node, 0, any, NOT_READY_AGAIN);
-        }
-        _ => {}
-    }
-}
-
-fn longest_hint(a: Duration, b: Duration) -> Duration {
-    match (a.is_zero(), b.is_zero()) {
-        (true, _) => b,
-        (_, true) => a,
-        _ => a.min(b),
-    }
-}
-
-impl Job {
-    fn trace_attempt(&mut self, node: &str, result: &str) {
-        if !self.trace.is_empty() {
-            self.trace.push(',');
-        }
-        self.trace.push_str(node);
-        self.trace.push('=');
-        self.trace.push_str(result);
-    }
-}
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -7,42 +7,22 @@
 
 use futures_util::{SinkExt, StreamExt};
 use http::StatusCode;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Message as Ws;
-use tokio_tungstenite::WebSocketStream;
 
 use super::admit::{Reply, Work};
+use super::dial::{self, Stream};
 use super::frame::{join, Head, Message, RequestHead, Seq};
 use super::node::Node;
 use super::pool::Whole;
+use super::silence::{Silence, Step, AVOID_AFTER, DEAD_AFTER, DOUBT_AFTER, IDLE_PING, PING_AFTER};
 use super::watchers::Candidate;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Reason};
 
-/// Time to open a link: several round trips between zones, and the pauses of a busy process.
-pub(super) const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
-/// Shortest and longest pause before a link is opened again; a node that restarts is back within seconds.
-const REOPEN: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
-/// Silence on a link with waiting requests after which it is pinged.
-const PING_AFTER: Duration = Duration::from_millis(120);
-/// Time for the answer to a ping after which new work goes elsewhere; the pauses of a process that has used up its share
-/// of the processor are about as long.
-const AVOID_AFTER: Duration = Duration::from_millis(110);
-/// Time for the answer to a ping after which work that may run again is sent elsewhere too.
-const DOUBT_AFTER: Duration = Duration::from_millis(250);
-/// Time for the answer to a ping after which the link is closed.
-const DEAD_AFTER: Duration = Duration::from_millis(1200);
-/// Silence on an idle link after which it is pinged.
-const IDLE_PING: Duration = Duration::from_secs(10);
-/// Buffers of a link, in bytes. A node has two links with every other one, and most messages are short.
-const BUFFER: usize = 4 << 10;
 /// Messages that wait to be written; beyond it the other side does not read.
 pub(super) const OUTGOING: usize = 512;
 
-type Stream = WebSocketStream<TcpStream>;
-
 struct Pending {
     reply: oneshot::Sender<Reply>,
     idempotent: bool,
@@ -148,10 +128,15 @@
     /// Keeps a link to this node open until it is forgotten.
     pub fn ensure(&self, n: &Arc<Node>, node: &NodeId) {
         if lock(&self.kept).insert(node.clone()) {
-            tokio::spawn(keep(n.clone(), node.clone()));
+            tokio::spawn(dial::keep(n.clone(), node.clone()));
         }
     }
 
+    /// Ends the keeping of a link to a node that is forgotten.
+    pub(super) fn let_go(&self, node: &NodeId) {
+        lock(&self.kept).remove(node);
+    }
+
     /// Whether a link to this node is open.
     pub fn is_open(&self, node: &str) -> bool {
         lock(&self.open).contains_key(node)
@@ -255,84 +240,8 @@
     }
 }
 
-/// Opens the link to a node again and again until the node is forgotten.
-async fn keep(n: Arc<Node>, node: NodeId) {
-    let mut pause = REOPEN.0;
-    loop {
-        let address = n.members().get(&node).map(|r| r.relay);
-        let Some(address) = address else {
-            lock(&n.links.kept).remove(&node);
-            return;
-        };
-        let opened = tokio::time::timeout(OPEN_TIMEOUT, open(address)).await;
-        match opened {
-            Ok(Ok(stream)) => {
-                pause = REOPEN.0;
-                n.log.event("link_opened", &[("node", &node)]);
-                let why = drive(&n, &node, stream).await;
-                n.log
-                    .event("link_lost", &[("node", &node), ("reason", &why)]);
-            }
-            Ok(Err(e)) => spdlog::debug!("event=link_failed", kv: { error = e }),
-            Err(_) => spdlog::debug!("event=link_failed", kv: { error = "timeout" }),
-        }
-        let wait = pause.mul_f64(0.5 + rand::random::<f64>());
-        tokio::time::sleep(wait).await;
-        pause = (pause * 2).min(REOPEN.1);
-    }
-}
-
-pub(super) fn buffers() -> WebSocketConfig {
-    WebSocketConfig::default()
-        .read_buffer_size(BUFFER)
-        .write_buffer_size(0)
-}
-
-async fn open(address: std::net::SocketAddr) -> Result<Stream, String> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|e| e.to_string())?;
-    let _ = stream.set_nodelay(true);
-    let url = format!("ws://{address}/link");
-    let opened = tokio_tungstenite::client_async_with_config(url, stream, Some(buffers())).await;
-    opened.map(|(s, _)| s).map_err(|e| e.to_string())
-}
-
-/// What a link knows about the silence of the other side.
-struct Silence {
-    heard: Now,
-    pinged: Option<Now>,
-    step: Step,
-}
-
-/// How far an unanswered ping has changed the use of a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Step {
-    Trusted,
-    Avoided,
-    Doubted,
-}
-
-impl Silence {
-    /// Time until the next look.
-    fn next(&self, waiting: Option<Now>, now: Now) -> Duration {
-        let at = match (self.pinged, waiting) {
-            (Some(t), _) => {
-                t + match self.step {
-                    Step::Trusted => AVOID_AFTER,
-                    Step::Avoided => DOUBT_AFTER,
-                    Step::Doubted => DEAD_AFTER,
-                }
-            }
-            (None, Some(since)) => self.heard.max(since) + PING_AFTER,
-            (None, None) => self.heard + IDLE_PING,
-        };
-        at.saturating_sub(now).max(Duration::from_millis(5))
-    }
-}
-
 /// Moves messages on an open link until it ends; returns why.
-async fn drive(n: &Arc<Node>, node: &NodeId, stream: Stream) -> String {
+pub(super) async fn drive(n: &Arc<Node>, node: &NodeId, stream: Stream) -> String {
     let (outgoing, mut queue) = mpsc::channel(OUTGOING);
     let link = Arc::new(Link {
         node: node.clone(),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -2,10 +2,10 @@
 //!
 //! State by life span:
 //!
-//! - request: [`entry`] (route, choice, retries), [`admit`] (slot, exchange with the target)
-//! - connection: [`link`], [`relay`] and [`frame`] (between nodes), [`pool`] (to the target)
+//! - request: [`entry`] (route, retries), [`attempt`] (choice, reply), [`admit`] (slot, exchange with the target)
+//! - connection: [`link`], `dial`, `silence`, [`relay`] and [`frame`] (between nodes), [`pool`] (to the target)
 //! - version: [`routes`]
-//! - process: policies without I/O ([`queue`], [`placement`], [`members`], [`target`], [`budget`], [`split`],
+//! - process: policies without I/O ([`queue`], [`placement`], [`runtimes`], [`members`], [`target`], [`budget`], [`split`],
 //!   [`fair`], [`watchers`], [`patch`]), their
 //!   drivers ([`slots`], [`discovery`], [`config`], [`control`]) and [`node`], [`start`], [`admin`], [`metrics`], [`sample`]
 //!
@@ -13,9 +13,12 @@
 
 pub mod admin;
 pub mod admit;
+pub mod attempt;
 pub mod budget;
+mod candidates;
 pub mod config;
 pub mod control;
+mod dial;
 pub mod discovery;
 pub mod edge;
 pub mod entry;
@@ -25,15 +28,18 @@
 pub mod members;
 pub mod metrics;
 pub mod node;
+mod own;
 pub mod patch;
 pub mod placement;
 pub mod pool;
 pub mod queue;
 pub mod relay;
+mod repeats;
 pub mod routes;
 pub mod runtimes;
 pub mod sample;
 pub mod settings;
+mod silence;
 pub mod slots;
 pub mod split;
 pub mod start;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, watch, Notify};
 
-use super::budget::{Budget, BudgetBounds};
+use super::budget::Budget;
 use super::edge::Edge;
 use super::fair::Fair;
 use super::frame::Message;
@@ -18,24 +18,20 @@
 use super::metrics::{Hop, Metrics};
 use super::placement::{Ask, Choice, Placement, TargetInfo};
 use super::pool::Pool;
-use super::routes::{RouteTable, RANKS};
+use super::routes::RouteTable;
 use super::sample::{Confirmed, Fact};
 use super::slots::Slots;
 use super::split::Split;
-use super::target::{OwnTarget, TargetId, TargetState};
+use super::target::{OwnTarget, TargetState};
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
-use crate::request::reason::Reason;
 use crate::settings::Settings;
 use crate::store::Store;
 
 /// Versions that are kept as bases of patches: nodes that ask are a few changes behind at most.
 const HISTORY: usize = 4;
 
-/// The least urgent rank.
-const LAST_RANK: usize = RANKS - 1;
-
 /// Step of the end of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -130,7 +126,7 @@
     }
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -241,34 +237,6 @@
         lock(&self.own).clone()
     }
 
-    /// Takes the state of the own target over into the own record, the placement and the queue.
-    pub fn refresh_target(self: &Arc<Self>) {
-        let now = self.clock.now();
-        let state = self.target().state(now);
-        let slots = self.target().slots();
-        let mut own = lock(&self.own);
-        let before = own.target.clone();
-        if before == state {
-            return;
-        }
-        own.target = state.clone();
-        own.sequence += 1;
-        let record = own.clone();
-        drop(own);
-        let id = |t: &Option<TargetState>| t.as_ref().map(|t| t.id.clone());
-        if id(&before) != id(&state) {
-            self.pool.clear();
-            self.slots.change(|q, _| {
-                q.reset();
-                Vec::new()
-            });
-        }
-        self.slots.change(|q, now| q.set_slots(now, slots));
-        self.log.event("target_changed", &target_pairs(&state));
-        self.set_place(&record);
-        self.changed.send_modify(|n| *n += 1);
-    }
-
     /// Raises the own record above one that another process of the same name wrote.
     pub fn outrank(&self, other: &NodeRecord) {
         let mut own = lock(&self.own);
@@ -277,15 +245,7 @@
         }
     }
 
-    /// The target's address belongs to another target now.
-    pub fn target_replaced(self: &Arc<Self>, id: &TargetId) {
-        self.target().replaced(id);
-        self.log.event("target_replaced", &[("target", id)]);
-        self.slots.change(|q, _| q.refuse_all(Reason::NotReady));
-        self.refresh_target();
-    }
-
-    fn set_place(&self, r: &NodeRecord) {
+    pub(super) fn set_place(&self, r: &NodeRecord) {
         let own = r.node == self.id;
         let now = self.clock.now();
         match &r.target {
@@ -410,60 +370,11 @@
         let found = history.iter().find(|(n, _)| *n == number);
         found.map(|(_, d)| d.clone())
     }
-
-    fn bounds(&self) -> BudgetBounds {
-        let s = &self.settings().sidecar;
-        BudgetBounds {
-            window: Duration::from_secs(s.budget_window_s),
-            ratio: s.budget_ratio,
-            least: s.budget_least,
-        }
-    }
-
-    /// Counts a request for a service. Requests of callers and calls of the own target look the same; for another service
-    /// than its own, each counts as a call of a run that is a repeat as often as the target's runs are.
-    pub fn count_request(&self, service: &ServiceId, rank: usize, now: Now) {
-        let bounds = self.bounds();
-        let repeated = match *service == self.service {
-            true => 0.0,
-            false => self.slots.repeat_part(),
-        };
-        let mut all = lock(&self.budgets);
-        all.entry(service.clone())
-            .or_default()
-            .request(&bounds, rank, repeated, now);
-    }
-
-    /// Whether calls to other services that the own target makes leave room in the budgets: a repeated run would make
-    /// more of them.
-    pub fn affords_repeat(&self, now: Now) -> bool {
-        let bounds = self.bounds();
-        let nodes = self.members().count();
-        let mut all = lock(&self.budgets);
-        let mut others = all.iter_mut().filter(|(s, _)| **s != self.service);
-        others.all(|(_, b)| b.has_room(&bounds, LAST_RANK, nodes, now))
-    }
-
-    /// Takes one repeat from the budget of a service.
-    pub fn take_repeat(&self, service: &ServiceId, rank: usize, now: Now) -> bool {
-        let bounds = self.bounds();
-        let nodes = self.members().count();
-        let mut all = lock(&self.budgets);
-        let budget = all.entry(service.clone()).or_default();
-        budget.take(&bounds, rank, nodes, now)
-    }
 }
 
-fn flag(b: bool) -> &'static str {
+pub(super) fn flag(b: bool) -> &'static str {
     match b {
         true => "true",
         false => "false",
     }
 }
-
-fn target_pairs(t: &Option<TargetState>) -> [(&'static str, &str); 2] {
-    match t {
-        Some(t) => [("target", &t.id), ("ready", flag(t.ready))],
-        None => [("target", "none"), ("ready", "false")],
-    }
-}
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -9,28 +9,20 @@
 //! the best of these is chosen: what all nodes believe to be the best target would be overrun. An old report counts as
 //! the usual load of its target.
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+use super::candidates::{nearest, Usable};
 use super::queue::Load;
 use super::routes::RANKS;
 use super::runtimes::{RunTime, RunTimes};
 use crate::prelude::*;
 
-/// Part of late or failed answers that going to another zone has to save, for the most urgent rank and for others:
-/// crossing zones is paid by the byte, and urgent answers are worth more of it.
-const CROSSING: (f64, f64) = (0.03, 0.1);
-/// Difference of that part within which targets count as equally good.
-const EQUAL: f64 = 0.01;
 /// What a late answer loses of its worth; one after the deadline loses all.
 const LATE_LOSS: f64 = 0.7;
 /// Factor by which a target that has just started is slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Service time assumed before any report.
 const SERVICE_START: Duration = Duration::from_millis(100);
-/// Random part of each comparison, so that nodes with the same reports do not all choose the same target.
-const NOISE: f64 = 0.15;
-/// Targets that are drawn for a choice, in the own zone and in all others each.
-const DRAWN: usize = 3;
 /// Time after which a report of a target says little more than the mean of its service does.
 const REPORT_LIFE: Duration = Duration::from_millis(300);
 /// Weight of a new report in the mean load of a service.
@@ -132,19 +124,6 @@
     slow: f64,
 }
 
-/// A target that may be chosen.
-struct Usable<'a> {
-    node: &'a NodeId,
-    own: bool,
-    wait: f64,
-    /// Expected loss, as a part of the worth of the answer.
-    cost: f64,
-    /// Requests there for each slot.
-    load: f64,
-    /// Requests that it can run in a second.
-    capacity: f64,
-}
-
 /// Targets of all services as this node sees them.
 #[derive(Debug)]
 pub struct Placement {
@@ -235,41 +214,6 @@
     Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX)
 }
 
-/// Draws some of the targets by their capacity. Of few targets all are compared: each gets enough requests for its reports
-/// to be fresh.
-fn draw<'u, 'a, R>(list: &'u [Usable<'a>], own: bool, rng: &mut R) -> Vec<&'u Usable<'a>>
-where
-    R: Rng,
-{
-    let side: Vec<_> = list.iter().filter(|u| u.own == own).collect();
-    if side.len() <= 2 * DRAWN {
-        return side;
-    }
-    let total: f64 = side.iter().map(|u| u.capacity).sum();
-    let mut drawn = Vec::with_capacity(DRAWN);
-    for _ in 0..DRAWN {
-        let mut at = rng.random::<f64>() * total;
-        let found = side.iter().find(|u| {
-            at -= u.capacity;
-            at <= 0.0
-        });
-        drawn.extend(found.or(side.last()));
-    }
-    drawn
-}
-
-/// The target with the least cost; of equally good ones that with the most room.
-fn best<'u, 'a, R>(drawn: &[&'u Usable<'a>], rng: &mut R) -> Option<&'u Usable<'a>>
-where
-    R: Rng,
-{
-    let least = drawn.iter().map(|u| u.cost).fold(f64::MAX, f64::min);
-    let equal = drawn.iter().filter(|u| u.cost <= least + EQUAL);
-    let noisy = equal.map(|u| (u.load * (1.0 + NOISE * rng.random::<f64>()), *u));
-    let found = noisy.min_by(|a, b| a.0.total_cmp(&b.0));
-    found.map(|(_, u)| u)
-}
-
 impl Placement {
     /// No targets; `az` is the own zone.
     pub fn new(az: Az) -> Self {
@@ -382,7 +326,10 @@
             (true, Some(hold)) => Choice::Full(hold),
             (true, None) => Choice::None,
             _ if least > hopeless => Choice::Full(Duration::from_secs_f64(least) - ask.left),
-            _ => nearest(&usable, ask, rng),
+            _ => match nearest(&usable, ask.rank, rng) {
+                Some(node) => Choice::Target(node.clone()),
+                None => Choice::None,
+            },
         }
     }
 
@@ -440,24 +387,3 @@
         }
     }
 }
-
-/// The own zone unless another one is clearly better.
-fn nearest<R>(usable: &[Usable<'_>], ask: &Ask<'_>, rng: &mut R) -> Choice
-where
-    R: Rng,
-{
-    let near = best(&draw(usable, true, rng), rng);
-    let gain = match ask.rank {
-        0 => CROSSING.0,
-        _ => CROSSING.1,
-    };
-    if let Some(u) = near.filter(|u| u.cost <= gain) {
-        return Choice::Target(u.node.clone());
-    }
-    let far = best(&draw(usable, false, rng), rng);
-    let found = match (near, far) {
-        (Some(near), Some(far)) if far.cost + gain < near.cost => Some(far),
-        (near, far) => near.or(far),
-    };
-    found.map_or(Choice::None, |u| Choice::Target(u.node.clone()))
-}
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -9,8 +9,9 @@
 use tokio_tungstenite::tungstenite::Message as Ws;
 
 use super::admit::{self, strip_answer, Reply, Work};
+use super::dial::{buffers, OPEN_TIMEOUT};
 use super::frame::{join, method, AnswerHead, FailedHead, Head, Message, RequestHead, Seq};
-use super::link::{buffers, hello, lock, OPEN_TIMEOUT, OUTGOING};
+use super::link::{hello, lock, OUTGOING};
 use super::metrics::Hop;
 use super::node::Node;
 use super::patch;
