Test the way from a failed request to its cause, and name the last refusal

Change: when every target has been asked, the next attempt waits at the best one, and the failure of the last attempt is what is reported. Tests follow the page for a refusal under load, an unknown outcome and a change, read the metrics, and stop reading the log of a busy node.

--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -53,7 +53,18 @@
         left: job.work.deadline.saturating_sub(now),
         tried: &left_out,
     };
-    let node = match choose(n, &ask, &job.tried) {
+    let choice = n.choose(&ask);
+    // Of the targets that had no room at once, the last attempt waits at the best one.
+    let all_full = eager && !job.full.is_empty() && !matches!(choice, Choice::Target(_));
+    let eager = eager && !all_full;
+    let choice = match all_full {
+        true => n.choose(&Ask {
+            tried: &job.tried,
+            ..ask
+        }),
+        false => choice,
+    };
+    let node = match choice {
         Choice::Target(node) => node,
         Choice::Full(back_off) => {
             job.again = longest_hint(job.again, back_off);
@@ -96,15 +107,6 @@
     Ok(reply)
 }
 
-/// Chooses a target, and one that had no room at once if there is no other.
-fn choose(n: &Node, ask: &Ask<'_>, tried: &[NodeId]) -> Choice {
-    match n.choose(ask) {
-        Choice::Target(node) => Choice::Target(node),
-        _ if tried.len() < ask.tried.len() => n.choose(&Ask { tried, ..*ask }),
-        none => none,
-    }
-}
-
 /// Notes what the reply of a node says about the request and about its target.
 fn note(n: &Node, job: &mut Job, node: &NodeId, reply: &Reply) {
     let now = n.clock.now();
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -233,6 +233,7 @@
 /// Runs the request at one target, or at several one after the other when the rules allow it.
 async fn run(n: &Arc<Node>, job: &mut Job) -> Result<Whole, Failure> {
     let mut kept: Option<Whole> = None;
+    let mut last: Option<Failure> = None;
     loop {
         let left = job.work.deadline.saturating_sub(n.clock.now());
         let reply = match tokio::time::timeout(left, attempt(n, job)).await {
@@ -249,13 +250,17 @@
                 Failure::unknown(Reason::BadAnswer)
             }
             Ok(Reply::Failed { failure, .. }) => failure,
-            // No target is left to ask.
-            Err(f) => return kept.map_or_else(|| Err(report(job, f)), Ok),
+            // No target is left to ask; what the last one said explains more than that.
+            Err(f) => {
+                let f = last.unwrap_or(f);
+                return kept.map_or_else(|| Err(report(job, f)), Ok);
+            }
         };
         if !may_repeat(n, job, &f) {
             return kept.map_or_else(|| Err(report(job, f)), Ok);
         }
         n.metrics.retried(f.reason);
+        last = Some(f);
     }
 }
 
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,227 @@
+//! Follows the steps of docs/OPERATIONS.md, "Explaining a failed request", for requests that fail in the three ways that
+//! the page describes.
+
+mod site_kit;
+mod workdir;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+use site_kit::{config, fresh_id, Node, Site};
+use workdir::{http, http_json, wait_until, Workdir};
+
+/// The lines of a node's log, as far as they are needed.
+struct Log<'a> {
+    node: &'a Node,
+    lines: Vec<String>,
+}
+
+impl<'a> Log<'a> {
+    fn of(node: &'a Node) -> Self {
+        Self {
+            node,
+            lines: Vec::new(),
+        }
+    }
+
+    /// Waits for a line that contains all of `parts`.
+    fn find(&mut self, parts: &[&str]) -> String {
+        let mut found = None;
+        wait_until(&format!("a line with {parts:?}"), || {
+            self.lines.extend(self.node.process.lines());
+            let mut lines = self.lines.iter();
+            found = lines.find(|l| parts.iter().all(|p| l.contains(p))).cloned();
+            found.is_some()
+        });
+        found.unwrap()
+    }
+}
+
+fn metrics(node: &Node) -> String {
+    http(node.admin, "GET", "/metrics", &[], "").unwrap().body
+}
+
+/// Sends a request to the caller address of a node.
+fn send(caller: SocketAddr, id: &str, path: &str, left: &str) -> Option<u16> {
+    let headers = [
+        ("dragonflyquay-request-id", id),
+        ("dragonflyquay-deadline-ms", left),
+        ("host", site_kit::HOST),
+    ];
+    http(caller, "GET", path, &headers, "").map(|a| a.status)
+}
+
+/// Sends requests at the same time; returns their ids and statuses.
+fn together(node: &Node, path: &str, count: usize, left: &str) -> Vec<(String, u16)> {
+    let caller = node.caller;
+    std::thread::scope(|s| {
+        let begin = |_| {
+            s.spawn(|| {
+                let id = fresh_id();
+                let status = send(caller, &id, path, left);
+                (id, status.unwrap_or_default())
+            })
+        };
+        let threads: Vec<_> = (0..count).map(begin).collect();
+        threads.into_iter().map(|t| t.join().unwrap()).collect()
+    })
+}
+
+/// Guards against a request that is refused under load without a line that says what decided it.
+#[test]
+fn refused_under_load() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    // The slow path takes 600 ms at each of 4 slots; the queue learns that from the first requests.
+    together(n, "/once/slow", 8, "4000");
+    let all = together(n, "/once/slow", 40, "1500");
+    let (id, _) = all.iter().find(|(_, status)| *status == 503).unwrap();
+    let mut log = Log::of(n);
+    let line = log.find(&["event=request_failed", &format!("request={id} ")]);
+    for part in ["outcome=not-run", "rank=1", "version=1", "attempts="] {
+        assert!(line.contains(part), "{part} in {line}");
+    }
+    let reasons = ["queue-full", "held-off", "deadline"];
+    let reason = reasons
+        .iter()
+        .find(|r| line.contains(&format!("reason={r}")));
+    let reason = reason.unwrap_or_else(|| panic!("{line}"));
+    let counted =
+        format!(r#"dq_sidecar_refusals_total{{rank="1",reason="{reason}",route="once"}}"#);
+    assert!(metrics(n).contains(&counted), "{counted}");
+}
+
+/// Guards against an unknown outcome whose log does not lead to the link that was lost.
+#[test]
+fn unknown_outcome_after_a_lost_link() {
+    let mut site = Site::start(2);
+    site.nodes[0].target.state.lock().unwrap().state = "draining";
+    wait_until("requests cross", || {
+        let id = fresh_id();
+        site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
+        site.nodes[1].target.runs(&id) == 1
+    });
+    let id = fresh_id();
+    let from = site.nodes[0].caller;
+    let status = std::thread::scope(|s| {
+        let to = &site.nodes[1];
+        let sent = s.spawn(|| send(from, &id, "/once/slow", "4000"));
+        wait_until("it runs", || to.target.runs(&id) == 1);
+        to.process.signal("KILL");
+        sent.join().unwrap()
+    });
+    assert_eq!(status, Some(502));
+    let mut log = Log::of(&site.nodes[0]);
+    let line = log.find(&["event=request_failed", &format!("request={id} ")]);
+    assert!(line.contains("outcome=unknown"), "{line}");
+    assert!(line.contains("reason=lost"), "{line}");
+    assert!(line.contains("n1=lost"), "{line}");
+    log.find(&["event=link_lost", "node=n1"]);
+    site.nodes.clear();
+}
+
+/// Guards against requests that fail by a change, of the configuration or of a target, whose log does not name the change.
+#[test]
+fn failed_by_a_change() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    let mut log = Log::of(n);
+    site.store.put_config(&config(2, ""));
+    log.find(&["event=version_adopted", "number=2"]);
+    let id = fresh_id();
+    assert_eq!(
+        n.send_as(&id, "GET", "/gone/x", "4000").unwrap().status,
+        404
+    );
+    let line = log.find(&["event=request_refused", &format!("request={id} ")]);
+    assert!(line.contains("version=2"), "{line}");
+    assert!(line.contains("reason=no-route"), "{line}");
+    n.stop_beating();
+    std::thread::sleep(Duration::from_millis(400));
+    let left = http_json(
+        n.control,
+        "DELETE",
+        "/api/instances/i-0",
+        r#"{"born":1000}"#,
+    );
+    assert_eq!(left.unwrap().status, 200);
+    let mut id = String::new();
+    wait_until("refused", || {
+        id = fresh_id();
+        n.send_as(&id, "GET", "/safe/x", "4000").unwrap().status == 503
+    });
+    let line = log.find(&["event=request_failed", &format!("request={id} ")]);
+    assert!(line.contains("outcome=not-run"), "{line}");
+    log.find(&["event=target_leaving", "target=i-0"]);
+    log.find(&["event=target_changed", "target=i-0", "ready=false"]);
+}
+
+/// Guards against metrics that lack what the page explains: hops, store calls, ages and lengths.
+#[test]
+fn metrics_show_state_and_ages() {
+    let site = Site::start(2);
+    let n = &site.nodes[0];
+    for _ in 0..4 {
+        n.send("GET", "/safe/x").unwrap();
+    }
+    let text = metrics(n);
+    for part in [
+        r#"dq_sidecar_attempts_total{hop="own",rank="1"}"#,
+        r#"dq_sidecar_attempt_seconds_count{hop="own",rank="1"}"#,
+        r#"dq_sidecar_link_bytes_total{hop="cross",kind="state"}"#,
+        r#"dq_store_calls_total{kind="grant",result="ok"} 1"#,
+        r#"dq_sidecar_known_nodes{state="linked"} 1"#,
+        r#"dq_sidecar_age_milliseconds{of="heartbeat"}"#,
+        r#"dq_sidecar_queued_requests{state="waiting"} 0"#,
+        "dq_sidecar_in_flight_requests 0",
+        "dq_sidecar_log_lines_dropped 0",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
+
+/// Guards against a reader of the log that stops reading and holds up requests.
+#[test]
+fn an_unread_log_slows_nothing() {
+    let dir = Workdir::new();
+    let any = "\"127.0.0.1:0\"";
+    let text = format!(
+        "[listen]\ncaller = {any}\nrelay = {any}\nadmin = {any}\n\
+         [store]\naddress = \"127.0.0.1:1\"\n[sidecar]\nservice = \"s\"\ncontrol = {any}\nready = {any}\n"
+    );
+    dir.write("n.toml", &text);
+    let mut child = dir
+        .command(&["sidecar", "n.toml"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut out = BufReader::new(child.stdout.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("event=started") {
+        line.clear();
+        assert!(out.read_line(&mut line).unwrap() > 0);
+    }
+    let field = line.split("caller=").nth(1).unwrap();
+    let field = field.split_whitespace().next().unwrap();
+    let caller: SocketAddr = field.parse().unwrap();
+    // The id is logged with each refusal, so that 40 lines a second fill the pipe within a second or two.
+    let id = "x".repeat(6000);
+    let headers = [("dragonflyquay-request-id", id.as_str())];
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(4) {
+        std::thread::scope(|s| {
+            for _ in 0..16 {
+                s.spawn(|| http(caller, "GET", "/x", &headers, ""));
+            }
+        });
+    }
+    let start = Instant::now();
+    let a = http(caller, "GET", "/x", &headers, "").unwrap();
+    // Far above the time of an answer on a busy machine; a blocked process never answers.
+    assert!(start.elapsed() < Duration::from_secs(10));
+    assert_eq!(a.status, 503);
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
