Give the state of the process a folder for each subject, and forget times of removed routes

The 41 files of src/process move into members, versions, routing, target, once, life and observe; only paths change (routing.rs is routing/driver.rs, target.rs is target/monitor.rs). Times that entry nodes learned of a route are dropped with the route, so that they do not grow with renamed routes; a test holds that.

--- a/examples/weigh_path/sim.rs
+++ b/examples/weigh_path/sim.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use dragonflyquay::prelude::{NodeId, Now};
-use dragonflyquay::process::admission::{Action, Admission, Arrival, RankShare, Ticket};
-use dragonflyquay::process::balance::{Balance, Choice, End, Hint, TargetInfo};
+use dragonflyquay::process::routing::admission::{Action, Admission, Arrival, RankShare, Ticket};
+use dragonflyquay::process::routing::balance::{Balance, Choice, End, Hint, TargetInfo};
 use dragonflyquay::settings::{BalancePolicy, QueuePolicy};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
--- a/src/cmd/devbackend.rs
+++ b/src/cmd/devbackend.rs
@@ -15,7 +15,7 @@
 
 use super::{block_on, fail, usage, CmdResult, Exit};
 use crate::prelude::*;
-use crate::process::admin::Announcement;
+use crate::process::observe::admin::Announcement;
 
 mod behavior;
 
--- a/src/cmd/devbackend/behavior.rs
+++ b/src/cmd/devbackend/behavior.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::prelude::*;
-use crate::process::record::TargetState;
+use crate::process::members::record::TargetState;
 use crate::request::body::{full, Body, BodyError};
 use crate::request::context::{self, DEADLINE, NOT_RUN};
 
--- a/src/connection/entry.rs
+++ b/src/connection/entry.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::wire::{next, Address, Name};
-use crate::process::record::{Addresses, Record, Target, TargetState};
+use crate::process::members::record::{Addresses, Record, Target, TargetState};
 use crate::version::snapshot::VersionRef;
 
 /// What is known about the process behind a record. A later mark replaces an earlier one of the same record; only a
--- a/src/connection/frame.rs
+++ b/src/connection/frame.rs
@@ -13,7 +13,7 @@
 use super::wire::{next, Blob, List, Name};
 use crate::digest::Digest;
 use crate::prelude::*;
-use crate::process::notices::Notice;
+use crate::process::members::notices::Notice;
 use crate::version::snapshot::VersionRef;
 
 /// Largest message on a link, in bytes. Only [`Frame::Content`] may be that large.
--- a/src/process/control.rs
+++ b/src/process/life/control.rs
@@ -6,18 +6,18 @@
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
-use super::link_task::{self, Incoming, LinkSender};
-use super::links::{LinkId, FIRST_CONTACTS};
-use super::membership::{self, Membership};
-use super::node::Process;
-use super::spread::{self, Spread};
-use super::view::{ControlStatus, Members, Post};
-use super::watch::{self, Call, Watch};
-use super::watch_calls::Outcome;
 use crate::connection::frame::Frame;
 use crate::connection::handshake::{Identity, Remote};
 use crate::connection::peer::{LinkError, PeerTransport, RawLink};
 use crate::prelude::*;
+use crate::process::members::link_task::{self, Incoming, LinkSender};
+use crate::process::members::links::{LinkId, FIRST_CONTACTS};
+use crate::process::members::membership::{self, Membership};
+use crate::process::members::view::{ControlStatus, Members, Post};
+use crate::process::node::Process;
+use crate::process::versions::spread::{self, Spread};
+use crate::process::versions::watch::{self, Call, Watch};
+use crate::process::versions::watch_calls::Outcome;
 use crate::store::StoreError;
 use crate::version::adopt::{AdoptSettings, FloorEvent};
 use crate::version::snapshot::Snapshot;
@@ -46,17 +46,17 @@
 }
 
 /// State of the control task.
-pub(super) struct Control {
-    pub(super) p: Arc<Process>,
+pub(in crate::process) struct Control {
+    pub(in crate::process) p: Arc<Process>,
     identity: Identity,
     transport: Arc<dyn PeerTransport>,
-    pub(super) membership: Membership,
-    pub(super) spread: Spread,
-    pub(super) watch: Watch,
-    pub(super) rng: StdRng,
+    pub(in crate::process) membership: Membership,
+    pub(in crate::process) spread: Spread,
+    pub(in crate::process) watch: Watch,
+    pub(in crate::process) rng: StdRng,
     links: BTreeMap<LinkId, LinkSender>,
     next_link: LinkId,
-    pub(super) inputs: mpsc::Sender<Input>,
+    pub(in crate::process) inputs: mpsc::Sender<Input>,
 }
 
 /// Runs the control task for ever.
@@ -221,7 +221,7 @@
         }
     }
 
-    pub(super) fn spread_actions(&mut self, now: Now, actions: Vec<spread::Action>) {
+    pub(in crate::process) fn spread_actions(&mut self, now: Now, actions: Vec<spread::Action>) {
         use spread::Action;
         for a in actions {
             match a {
@@ -263,7 +263,12 @@
         }
     }
 
-    fn send_notices(&mut self, now: Now, links: &[LinkId], list: Vec<super::notices::Notice>) {
+    fn send_notices(
+        &mut self,
+        now: Now,
+        links: &[LinkId],
+        list: Vec<crate::process::members::notices::Notice>,
+    ) {
         let mut batch = Vec::new();
         let mut size = 0;
         let mut frames = Vec::new();
@@ -290,7 +295,7 @@
         tokio::spawn(link_task::dial(incoming, self.transport.clone(), address));
     }
 
-    pub(super) fn wake(&mut self) {
+    pub(in crate::process) fn wake(&mut self) {
         let now = self.now();
         self.membership.set_own(now, self.p.own_record());
         for post in self.p.view.take_posts() {
--- a/src/process/control_store.rs
+++ b/src/process/life/control_store.rs
@@ -1,17 +1,17 @@
 //! Store calls of the control task and what follows from their results.
 
-use super::control::{Control, Input};
-use super::watch::{Call, Reply};
-use super::watch_calls::{self, Outcome};
 use crate::connection::frame::Mark;
 use crate::prelude::*;
+use crate::process::life::control::{Control, Input};
+use crate::process::versions::watch::{Call, Reply};
+use crate::process::versions::watch_calls::{self, Outcome};
 use crate::store::StoreError;
 use crate::version::adopt::HeadAction;
 use crate::version::publish::Head;
 use crate::version::snapshot::{Snapshot, VersionRef};
 
 impl Control {
-    pub(super) fn call(&self, call: Call) {
+    pub(in crate::process) fn call(&self, call: Call) {
         let (p, inputs) = (self.p.clone(), self.inputs.clone());
         let held = self.spread.snapshot().cloned();
         let zone: Vec<_> = {
@@ -26,7 +26,7 @@
         });
     }
 
-    pub(super) fn store_reply(
+    pub(in crate::process) fn store_reply(
         &mut self,
         now: Now,
         call: &Call,
--- /dev/null
+++ b/src/process/life/mod.rs
@@ -0,0 +1,10 @@
+//! Start, control tasks, planned stop and end of the process.
+
+pub mod control;
+pub(in crate::process) mod control_store;
+pub mod drain;
+pub mod faults;
+pub mod operate;
+pub mod shutdown;
+pub mod start;
+pub mod stop;
--- a/src/process/operate.rs
+++ b/src/process/life/operate.rs
@@ -9,15 +9,15 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::admin::Ctx;
-use super::backend;
-use super::drain::Phase;
-use super::node::Process;
-use super::notices::Notice;
-use super::quarantine::is_quarantined;
-use super::record::TargetState;
-use super::stop::{self, StopError};
 use crate::digest::Digest;
+use crate::process::life::drain::Phase;
+use crate::process::life::stop::{self, StopError};
+use crate::process::members::notices::Notice;
+use crate::process::members::record::TargetState;
+use crate::process::node::Process;
+use crate::process::observe::admin::Ctx;
+use crate::process::target::backend;
+use crate::process::target::quarantine::is_quarantined;
 
 /// Asks for a planned stop.
 #[derive(Debug, Clone, Default, Serialize, Deserialize, JsonSchema)]
--- a/src/process/shutdown.rs
+++ b/src/process/life/shutdown.rs
@@ -2,8 +2,8 @@
 
 use tokio::signal::unix::{signal, SignalKind};
 
-use super::backend;
-use super::start::Running;
+use crate::process::life::start::Running;
+use crate::process::target::backend;
 
 /// Waits for a signal. SIGINT ends the process at once. SIGTERM drains it first; a second signal ends it at once.
 ///
--- a/src/process/stop.rs
+++ b/src/process/life/stop.rs
@@ -2,11 +2,11 @@
 
 use std::fmt;
 
-use super::backend;
-use super::drain::{plan, Candidate, Phase, Stop, Stops};
-use super::node::Process;
-use super::record::TargetState;
 use crate::prelude::*;
+use crate::process::life::drain::{plan, Candidate, Phase, Stop, Stops};
+use crate::process::members::record::TargetState;
+use crate::process::node::Process;
+use crate::process::target::backend;
 use crate::store::{Revision, StoreError, Swap};
 
 /// Attempts at a compare-and-swap that other plans win, before the command is told to try again.
--- a/src/process/link_task.rs
+++ b/src/process/members/link_task.rs
@@ -4,14 +4,14 @@
 
 use tokio::sync::mpsc;
 
-use super::control::Input;
-use super::links::LinkId;
-use super::node::Process;
 use crate::connection::frame::Frame;
 use crate::connection::handshake::{self, Identity, Remote};
 use crate::connection::peer::{LinkError, PeerTransport, RawLink};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::life::control::Input;
+use crate::process::members::links::LinkId;
+use crate::process::node::Process;
 
 /// Frames that wait to be sent; a peer that falls further behind is disconnected.
 const QUEUE: usize = 64;
--- a/src/process/links.rs
+++ b/src/process/members/links.rs
@@ -5,12 +5,12 @@
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, IteratorRandom};
 
-use super::reconnect::{around, jitter, Backoff};
-use super::table::Table;
 use crate::connection::frame::{Entry, Frame, Mark, MAX_ITEMS};
 use crate::connection::handshake::Remote;
 use crate::connection::peer::LinkError;
 use crate::prelude::*;
+use crate::process::members::reconnect::{around, jitter, Backoff};
+use crate::process::members::table::Table;
 
 /// Names a link within the process.
 pub type LinkId = u64;
--- a/src/process/membership.rs
+++ b/src/process/members/membership.rs
@@ -5,14 +5,14 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 
-use super::links::{resolve_duplicate, Dialer, Link, LinkId};
-use super::reconnect::{around, jitter};
-use super::record::Record;
-use super::table::{version_wait, Table, RETURN};
 use crate::connection::frame::{Entry, Frame, Mark, BUCKETS};
 use crate::connection::handshake::Remote;
 use crate::connection::peer::LinkError;
 use crate::prelude::*;
+use crate::process::members::links::{resolve_duplicate, Dialer, Link, LinkId};
+use crate::process::members::reconnect::{around, jitter};
+use crate::process::members::record::Record;
+use crate::process::members::table::{version_wait, Table, RETURN};
 use crate::version::snapshot::VersionRef;
 
 /// Interval of batches of records.
--- a/src/process/notices.rs
+++ b/src/process/members/notices.rs
@@ -6,10 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::clock::{Clock, ProcessClock};
-use super::quarantine::{Suspects, Verdict};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::clock::{Clock, ProcessClock};
+use crate::process::target::quarantine::{Suspects, Verdict};
 use crate::request::reason::Reason;
 
 /// Index of a shard of idempotency keys.
--- a/src/process/table.rs
+++ b/src/process/members/table.rs
@@ -5,7 +5,7 @@
 use crate::connection::frame::{Entry, Mark, BUCKETS};
 use crate::digest::Digest;
 use crate::prelude::*;
-use crate::process::record::Record;
+use crate::process::members::record::Record;
 use crate::version::snapshot::VersionRef;
 
 /// Time in which the owner may refute a suspicion.
--- a/src/process/view.rs
+++ b/src/process/members/view.rs
@@ -5,9 +5,9 @@
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
 
-use super::notices::Notice;
 use crate::connection::frame::Mark;
 use crate::prelude::*;
+use crate::process::members::notices::Notice;
 use crate::version::snapshot::VersionRef;
 
 /// How far a node's record may be used.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,42 +1,11 @@
-//! State that lives as long as the process.
+//! State that lives as long as the process, by what it is about.
 
-pub mod admin;
-pub mod admission;
-pub mod backend;
-pub mod balance;
-pub mod budget;
-pub mod callers;
-pub mod choice;
 pub mod clock;
-pub mod content;
-pub mod control;
-mod control_store;
-pub mod dedup;
-pub mod drain;
-pub mod faults;
-pub mod floor;
-pub mod grants;
-pub mod link_task;
-pub mod links;
-pub mod membership;
-pub mod metrics;
+pub mod life;
+pub mod members;
 pub mod node;
-pub mod notices;
-mod observed;
-pub mod operate;
-pub mod ownership;
-pub mod quarantine;
-pub mod reconnect;
-pub mod record;
+pub mod observe;
+pub mod once;
 pub mod routing;
-pub mod sample;
-pub mod shutdown;
-pub mod slots;
-pub mod spread;
-pub mod start;
-pub mod stop;
-pub mod table;
 pub mod target;
-pub mod view;
-pub mod watch;
-pub mod watch_calls;
+pub mod versions;
--- a/src/process/admin.rs
+++ b/src/process/observe/admin.rs
@@ -10,14 +10,15 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::faults::FaultList;
-use super::node::Process;
-use super::record::TargetState;
-use super::target::{Announced, TTL};
-use super::view::Members;
-use super::{backend, operate};
 use crate::connection::frame::Mark;
 use crate::prelude::*;
+use crate::process::life::faults::FaultList;
+use crate::process::life::operate;
+use crate::process::members::record::TargetState;
+use crate::process::members::view::Members;
+use crate::process::node::Process;
+use crate::process::target::backend;
+use crate::process::target::monitor::{Announced, TTL};
 
 /// Longest name of a service in an announcement, in bytes.
 const MAX_NAME_BYTES: usize = 64;
@@ -115,7 +116,7 @@
     }
 }
 
-pub(super) type Ctx = RequestContext<Arc<Process>>;
+pub(in crate::process) type Ctx = RequestContext<Arc<Process>>;
 
 fn bad_request(message: &str) -> HttpError {
     HttpError::for_client_error(None, ClientErrorStatusCode::BAD_REQUEST, message.to_owned())
--- a/src/process/metrics.rs
+++ b/src/process/observe/metrics.rs
@@ -5,8 +5,8 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
-use super::node::Process;
-use super::sample::Sampled;
+use crate::process::node::Process;
+use crate::process::observe::sample::Sampled;
 use crate::request::reason::Reason;
 
 /// Counters and gauges of a node.
--- a/src/process/sample.rs
+++ b/src/process/observe/sample.rs
@@ -2,12 +2,12 @@
 
 use prometheus::{IntGauge, IntGaugeVec, Registry};
 
-use super::drain::Phase;
-use super::metrics::{gauge, gauges};
-use super::node::Process;
-use super::quarantine::is_quarantined;
-use super::record::TargetState;
 use crate::connection::entry::Mark;
+use crate::process::life::drain::Phase;
+use crate::process::members::record::TargetState;
+use crate::process::node::Process;
+use crate::process::observe::metrics::{gauge, gauges};
+use crate::process::target::quarantine::is_quarantined;
 
 /// Gauges of the process's state.
 pub struct Sampled {
--- a/src/process/choice.rs
+++ b/src/process/once/choice.rs
@@ -1,8 +1,8 @@
 //! Choice of the node that should own each shard: the same on all nodes that know the same members.
 
-use super::grants::SHARDS;
-use super::notices::Shard;
 use crate::prelude::*;
+use crate::process::members::notices::Shard;
+use crate::process::once::grants::SHARDS;
 
 /// State of a member, as far as ownership matters.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/process/grants.rs
+++ b/src/process/once/grants.rs
@@ -5,11 +5,11 @@
 //! range, after it has stopped accepting keys above the cut. The wall clock decides when and how far to extend, so
 //! clock differences change availability, never ownership.
 
-use super::notices::{Grant, KeyRange, Shard};
 use crate::prelude::*;
+use crate::process::members::notices::{Grant, KeyRange, Shard};
 use crate::store::Revision;
 
-pub use super::choice::{choices, Member, MemberState, Members};
+pub use crate::process::once::choice::{choices, Member, MemberState, Members};
 
 /// Number of shards. With 16, owners spread over 5 zones while extensions cost 16 store writes a minute.
 pub const SHARDS: Shard = 16;
--- a/src/process/ownership.rs
+++ b/src/process/once/ownership.rs
@@ -8,14 +8,16 @@
 use rand::RngExt;
 use tokio::sync::Notify;
 
-use super::dedup::{Begin, Dedup, End, Limits};
-use super::grants::{Action, Grants, Member, MemberState, Members, Owner, Swapped, View, SHARDS};
-use super::node::Process;
-use super::notices::{Grant, KeyRange, Notice, Shard};
-use super::record::{Record, TargetState};
-use super::view::Usable;
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::members::notices::{Grant, KeyRange, Notice, Shard};
+use crate::process::members::record::{Record, TargetState};
+use crate::process::members::view::Usable;
+use crate::process::node::Process;
+use crate::process::once::dedup::{Begin, Dedup, End, Limits};
+use crate::process::once::grants::{
+    Action, Grants, Member, MemberState, Members, Owner, Swapped, View, SHARDS,
+};
 use crate::request::body::{full, Body};
 use crate::request::key::Key;
 use crate::store::{Revision, StoreError, Swap};
--- a/src/process/balance.rs
+++ b/src/process/routing/balance.rs
@@ -5,9 +5,11 @@
 
 use rand::{Rng, RngExt};
 
-use super::observed::{average, Group, Target};
-pub use super::observed::{COLD_WEIGHT, EJECT_PERCENT, LOAD_FRESH, OBSERVED_FOR, RAMP};
 use crate::prelude::*;
+use crate::process::observe::observed::{average, Group, Target};
+pub use crate::process::observe::observed::{
+    COLD_WEIGHT, EJECT_PERCENT, LOAD_FRESH, OBSERVED_FOR, RAMP,
+};
 use crate::settings::BalancePolicy;
 
 /// Mean use of the own zone's slots above which other zones are considered too.
--- a/src/process/slots.rs
+++ b/src/process/routing/slots.rs
@@ -6,9 +6,9 @@
 use prometheus::IntGaugeVec;
 use tokio::sync::oneshot;
 
-use super::admission::{Action, Admission, Arrival, RankShare, Ticket};
-use super::clock::Clock;
 use crate::prelude::*;
+use crate::process::clock::Clock;
+use crate::process::routing::admission::{Action, Admission, Arrival, RankShare, Ticket};
 use crate::request::reason::{Failure, Reason};
 use crate::settings::QueuePolicy;
 use crate::version::snapshot::Snapshot;
--- a/src/process/backend.rs
+++ b/src/process/target/backend.rs
@@ -7,15 +7,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::drain::{self, Drain, Phase};
-use super::node::Process;
-use super::notices::Notice;
-use super::quarantine::{FlightEnd, FlightId, Flights, Start};
-use super::record::TargetState;
-use super::stop;
-use super::target::{self, Announced, Monitor};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::life::drain::{self, Drain, Phase};
+use crate::process::life::stop;
+use crate::process::members::notices::Notice;
+use crate::process::members::record::TargetState;
+use crate::process::node::Process;
+use crate::process::target::monitor::{self, Announced, Monitor};
+use crate::process::target::quarantine::{FlightEnd, FlightId, Flights, Start};
 use crate::request::reason::{Failure, Outcome, Reason};
 
 /// Interval in which time passes for the state machines.
@@ -93,14 +93,14 @@
     p.local_backend.phase() == Phase::Drained
 }
 
-fn apply(p: &Arc<Process>, actions: Vec<target::Action>) {
+fn apply(p: &Arc<Process>, actions: Vec<monitor::Action>) {
     for a in actions {
         match a {
-            target::Action::Publish(t) => p.set_target(t),
-            target::Action::Probe(address) => {
+            monitor::Action::Publish(t) => p.set_target(t),
+            monitor::Action::Probe(address) => {
                 tokio::spawn(probe(p.clone(), address));
             }
-            target::Action::Crashed(incarnation) => crashed(p, incarnation),
+            monitor::Action::Crashed(incarnation) => crashed(p, incarnation),
         }
     }
 }
--- a/src/process/target.rs
+++ b/src/process/target/monitor.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::record::{Target, TargetState};
 use crate::prelude::*;
+use crate::process::members::record::{Target, TargetState};
 
 /// Time after which a backend server counts as gone without another announcement.
 pub const TTL: Duration = Duration::from_secs(5);
--- a/src/process/quarantine.rs
+++ b/src/process/target/quarantine.rs
@@ -3,9 +3,9 @@
 //! [`Suspects`] is the table that all nodes share by notices. [`Flights`] is what runs at the backend server beside
 //! this node.
 
-use super::notices::{Crash, Suspect};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::members::notices::{Crash, Suspect};
 
 /// Time after which a suspect is forgotten.
 pub const EXPIRY: Duration = Duration::from_secs(600);
--- a/src/process/content.rs
+++ b/src/process/versions/content.rs
@@ -1,9 +1,9 @@
 //! Content of versions as it is sent between nodes: whole or as a delta.
 
-use super::links::LinkId;
 use crate::connection::frame::Form;
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::members::links::LinkId;
 use crate::version::delta::Delta;
 use crate::version::pack::{deflate, inflate, MAX_CONTENT_BYTES};
 use crate::version::snapshot::{Snapshot, VersionRef};
@@ -15,10 +15,10 @@
     pub from: LinkId,
     /// Version that it claims to be.
     pub version: VersionRef,
-    pub(super) parent: Digest,
-    pub(super) form: Form,
-    pub(super) data: Vec<u8>,
-    pub(super) base: Option<Arc<Snapshot>>,
+    pub(in crate::process) parent: Digest,
+    pub(in crate::process) form: Form,
+    pub(in crate::process) data: Vec<u8>,
+    pub(in crate::process) base: Option<Arc<Snapshot>>,
 }
 
 impl Candidate {
@@ -45,7 +45,7 @@
 }
 
 /// Packs content for a peer that holds `base`: a delta when it is smaller.
-pub(super) fn pack(base: Option<&Snapshot>, s: &Snapshot) -> (Form, Vec<u8>) {
+pub(in crate::process) fn pack(base: Option<&Snapshot>, s: &Snapshot) -> (Form, Vec<u8>) {
     let whole = deflate(&s.content);
     match base.and_then(|b| Delta::new(&b.content, &s.content)) {
         Some(d) if d.to_bytes().len() < whole.len() => (Form::Delta, d.to_bytes()),
--- a/src/process/spread.rs
+++ b/src/process/versions/spread.rs
@@ -5,13 +5,13 @@
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 
-use super::content::pack;
-pub use super::content::Candidate;
-use super::links::LinkId;
-use super::reconnect::{around, jitter};
 use crate::connection::frame::{Form, Frame, MAX_FRAME_BYTES};
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::members::links::LinkId;
+use crate::process::members::reconnect::{around, jitter};
+use crate::process::versions::content::pack;
+pub use crate::process::versions::content::Candidate;
 use crate::version::adopt::{AdoptSettings, FloorEvent, HeadAction, Selection, Verdict};
 use crate::version::delta::Delta;
 use crate::version::snapshot::{Snapshot, VersionRef};
--- a/src/process/watch.rs
+++ b/src/process/versions/watch.rs
@@ -4,11 +4,11 @@
 
 use rand::rngs::StdRng;
 
-use super::reconnect::{around, jitter, Backoff};
-use super::table::Table;
 use crate::connection::frame::Mark;
 use crate::digest::Digest;
 use crate::prelude::*;
+use crate::process::members::reconnect::{around, jitter, Backoff};
+use crate::process::members::table::Table;
 use crate::store::{LeaseId, Revision};
 
 /// Watchers of each zone.
--- a/src/process/watch_calls.rs
+++ b/src/process/versions/watch_calls.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::node::Process;
-use super::watch::{correct_list, Call, Reply, LEASE_TTL, WATCHERS, WATCH_WAIT};
 use crate::prelude::*;
+use crate::process::node::Process;
+use crate::process::versions::watch::{correct_list, Call, Reply, LEASE_TTL, WATCHERS, WATCH_WAIT};
 use crate::store::{Revision, StoreError, Swap};
 use crate::version::publish::{publish_again, read_content, read_watched_head, Head, Keys};
 use crate::version::snapshot::Snapshot;
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -14,8 +14,8 @@
 use super::reason::{Failure, Outcome, Reason, OUTCOME, REASON};
 use crate::digest::Digest;
 use crate::prelude::*;
-use crate::process::backend::Pass;
 use crate::process::node::Process;
+use crate::process::target::backend::Pass;
 
 /// A relayed request as the admitting node holds it.
 struct Work {
--- a/src/request/gate.rs
+++ b/src/request/gate.rs
@@ -8,10 +8,10 @@
 use super::reason::{Failure, Reason};
 use crate::digest::Digest;
 use crate::prelude::*;
-use crate::process::backend::{self, Pass};
+use crate::process::members::notices::{Notice, Suspect};
 use crate::process::node::Process;
-use crate::process::notices::{Notice, Suspect};
-use crate::process::quarantine::Verdict;
+use crate::process::target::backend::{self, Pass};
+use crate::process::target::quarantine::Verdict;
 
 /// How the entry node goes on with a request.
 pub enum Way {
--- a/src/request/key.rs
+++ b/src/request/key.rs
@@ -6,8 +6,8 @@
 use super::reason::{Failure, Reason};
 use crate::digest::Digest;
 use crate::prelude::*;
-use crate::process::grants::SHARDS;
-use crate::process::notices::Shard;
+use crate::process::members::notices::Shard;
+use crate::process::once::grants::SHARDS;
 
 /// Header that carries the key.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
--- a/src/request/owner.rs
+++ b/src/request/owner.rs
@@ -15,11 +15,11 @@
 use super::key::Key;
 use super::reason::{Failure, Outcome, Reason};
 use crate::prelude::*;
-use crate::process::dedup::{Begin, End, MAX_ANSWER_BYTES};
+use crate::process::members::notices::KeyRange;
 use crate::process::node::Process;
-use crate::process::notices::KeyRange;
-use crate::process::ownership::{self, Stored};
-use crate::process::quarantine::Verdict;
+use crate::process::once::dedup::{Begin, End, MAX_ANSWER_BYTES};
+use crate::process::once::ownership::{self, Stored};
+use crate::process::target::quarantine::Verdict;
 
 /// Names the role in which a relayed request reaches a node; absent for admission.
 pub const ROLE: HeaderName = HeaderName::from_static("dq-role");
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -4,7 +4,7 @@
 
 use super::reason::{Failure, Outcome, Reason};
 use crate::prelude::*;
-use crate::process::budget::Bucket;
+use crate::process::routing::budget::Bucket;
 use crate::settings::RetryPolicy;
 
 /// Upper bound of the delay before the first delayed retry; it doubles with each further one.
--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -67,14 +67,14 @@
     let node = match choice {
         Choice::Target(node) => node,
         Choice::Full(back_off) => {
-            job.again = longest_hint(job.again, back_off);
+            job.again = shortest_hint(job.again, back_off);
             return Err(Failure {
                 back_off: job.again,
                 ..Failure::not_run(Reason::HeldOff)
             });
         }
         Choice::None => {
-            job.again = longest_hint(job.again, NOT_READY_AGAIN);
+            job.again = shortest_hint(job.again, NOT_READY_AGAIN);
             return Err(Failure::not_run(Reason::NoTarget));
         }
     };
@@ -135,7 +135,7 @@
     match failure.reason {
         Reason::QueueFull | Reason::Declined => {
             n.place().full(now, node, rank, due, failure.back_off);
-            job.again = longest_hint(job.again, failure.back_off);
+            job.again = shortest_hint(job.again, failure.back_off);
         }
         Reason::NotReady | Reason::Draining | Reason::NotSent => {
             let any = Duration::MAX;
@@ -145,7 +145,8 @@
     }
 }
 
-fn longest_hint(a: Duration, b: Duration) -> Duration {
+/// The shorter of two waits; zero stands for none.
+fn shortest_hint(a: Duration, b: Duration) -> Duration {
     match (a.is_zero(), b.is_zero()) {
         (true, _) => b,
         (_, true) => a,
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -7,7 +7,7 @@
 use super::node::Node;
 use super::sample::Sampled;
 use crate::prelude::*;
-use crate::process::metrics::{counters, gauge, register};
+use crate::process::observe::metrics::{counters, gauge, register};
 use crate::request::reason::{Failure, Outcome, Reason};
 
 /// Upper bounds of the histogram buckets, in seconds, around the aims of routes.
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -219,6 +219,8 @@
             "version_adopted",
             &[("number", &number), ("source", source)],
         );
+        let names = table.names();
+        self.place().retain_routes(|route| names.contains(route));
         let mut history = lock(&self.history);
         if history.len() == HISTORY {
             history.pop_front();
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -232,6 +232,14 @@
             .map_or(Duration::ZERO, RunTime::median)
     }
 
+    /// Forgets what was learned of routes that a version does not have.
+    pub fn retain_routes<F>(&mut self, has: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.times.retain(has);
+    }
+
     /// A target ran a request of a route and answered.
     pub fn ran(&mut self, node: &NodeId, route: &SmolStr, ran: Duration) {
         let Some(t) = self.targets.get(node) else {
--- a/src/sidecar/routes.rs
+++ b/src/sidecar/routes.rs
@@ -112,6 +112,12 @@
         list.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Names of all routes.
+    pub fn names(&self) -> HashSet<&str> {
+        let all = self.hosts.values().flatten();
+        all.map(|r| r.name.as_str()).collect()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/src/sidecar/runtimes.rs
+++ b/src/sidecar/runtimes.rs
@@ -68,6 +68,14 @@
         self.routes.get(route)
     }
 
+    /// Forgets routes that a version does not have.
+    pub fn retain<F>(&mut self, has: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.routes.retain(|route, _| has(route));
+    }
+
     /// Takes the time of a request at a target of this slowness.
     pub fn add(&mut self, route: &SmolStr, ran: Duration, slow: f64) {
         let time = ran.div_f64(slow);
--- a/src/sidecar/sample.rs
+++ b/src/sidecar/sample.rs
@@ -6,7 +6,7 @@
 
 use super::node::Node;
 use crate::prelude::*;
-use crate::process::metrics::{gauge, gauges};
+use crate::process::observe::metrics::{gauge, gauges};
 
 /// Interval of the summary in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -1,6 +1,6 @@
 //! Description of the admin API.
 
-use dragonflyquay::process::admin::api;
+use dragonflyquay::process::observe::admin::api;
 
 /// Guards against a description that no longer matches the code. `DQ_UPDATE=1` writes it anew.
 #[test]
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dragonflyquay::process::admission::{
+use dragonflyquay::process::routing::admission::{
     Action, Admission, Arrival, RankShare, Ticket, CALLER_QUEUE, RANK_QUEUE,
 };
 use dragonflyquay::request::reason::Reason;
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use dragonflyquay::prelude::{NodeId, RankId};
-use dragonflyquay::process::balance::{Balance, Choice, End, Hint, TargetInfo, EJECT_PERCENT};
+use dragonflyquay::process::routing::balance::{
+    Balance, Choice, End, Hint, TargetInfo, EJECT_PERCENT,
+};
 use dragonflyquay::settings::BalancePolicy;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
--- a/tests/dedup.rs
+++ b/tests/dedup.rs
@@ -4,11 +4,11 @@
 
 use dragonflyquay::digest::Digest;
 use dragonflyquay::prelude::Duration;
-use dragonflyquay::process::dedup::{Begin, Dedup, End, Limits, MAX_ANSWER_BYTES};
-use dragonflyquay::process::grants::{
+use dragonflyquay::process::members::notices::Grant;
+use dragonflyquay::process::once::dedup::{Begin, Dedup, End, Limits, MAX_ANSWER_BYTES};
+use dragonflyquay::process::once::grants::{
     choices, Action, Grants, Member, MemberState, Members, Owner, Swapped, View, SHARDS,
 };
-use dragonflyquay::process::notices::Grant;
 use dragonflyquay::request::key::Key;
 use dragonflyquay::request::reason::Reason;
 use proptest::prelude::*;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -6,10 +6,10 @@
 
 use async_trait::async_trait;
 use dragonflyquay::connection::upstream::{SendError, Upstream};
-use dragonflyquay::process::admin::Announcement;
+use dragonflyquay::process::life::start::{self, Listeners, Running};
+use dragonflyquay::process::members::record::TargetState;
 use dragonflyquay::process::node::Process;
-use dragonflyquay::process::record::TargetState;
-use dragonflyquay::process::start::{self, Listeners, Running};
+use dragonflyquay::process::observe::admin::Announcement;
 use dragonflyquay::request::body::{full, Body};
 use dragonflyquay::request::context::RETRIES;
 use dragonflyquay::request::entry;
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -4,11 +4,11 @@
 
 use dragonflyquay::digest::Digest;
 use dragonflyquay::prelude::Duration;
-use dragonflyquay::process::dedup::{Begin, Dedup, End, Limits};
-use dragonflyquay::process::grants::{
+use dragonflyquay::process::members::notices::{Grant, Notice, Notices};
+use dragonflyquay::process::once::dedup::{Begin, Dedup, End, Limits};
+use dragonflyquay::process::once::grants::{
     Action, Grants, Member, MemberState, Members, Owner, Swapped, View,
 };
-use dragonflyquay::process::notices::{Grant, Notice, Notices};
 use dragonflyquay::request::key::Key;
 use dragonflyquay::request::reason::Reason;
 use proptest::prelude::*;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -206,6 +206,17 @@
     );
 }
 
+/// Guards against times of routes that are kept for ever although no version has them any more.
+#[test]
+fn times_of_removed_routes_are_forgotten() {
+    let mut p = mixed_speeds();
+    assert!(p.usual("r") > ms(100));
+    p.retain_routes(|route| route == "r");
+    assert!(p.usual("r") > ms(100));
+    p.retain_routes(|_| false);
+    assert_eq!(p.usual("r"), Duration::ZERO);
+}
+
 /// Guards against an estimate of lateness that contradicts itself, or that does not follow the times that were seen.
 #[test]
 fn lateness_follows_the_times_seen() {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -7,8 +7,8 @@
 
 use dragonflyquay::digest::Digest;
 use dragonflyquay::prelude::Duration;
-use dragonflyquay::process::notices::{Crash, Suspect};
-use dragonflyquay::process::quarantine::{
+use dragonflyquay::process::members::notices::{Crash, Suspect};
+use dragonflyquay::process::target::quarantine::{
     FlightEnd, Flights, Start, Suspects, Verdict, EXPIRY, MAX_SUSPECTS,
 };
 use proptest::prelude::*;
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use dragonflyquay::process::budget::{Bucket, BURST};
+use dragonflyquay::process::routing::budget::{Bucket, BURST};
 use dragonflyquay::request::reason::{Failure, Reason};
 use dragonflyquay::request::retry::{decide, Decision, Failed, Stop, DELAY_LONGEST};
 use dragonflyquay::settings::RetryPolicy;
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -16,11 +16,13 @@
 use dragonflyquay::connection::handshake::Remote;
 use dragonflyquay::connection::peer::LinkError;
 use dragonflyquay::digest::Digest;
-use dragonflyquay::process::links::LinkId;
-use dragonflyquay::process::membership::{self, Membership};
-use dragonflyquay::process::record::{Addresses, Record};
-use dragonflyquay::process::spread::{self, Spread};
-use dragonflyquay::process::watch::{self, Call, Reply, Watch, LEASE_TTL, WATCHERS, WATCH_WAIT};
+use dragonflyquay::process::members::links::LinkId;
+use dragonflyquay::process::members::membership::{self, Membership};
+use dragonflyquay::process::members::record::{Addresses, Record};
+use dragonflyquay::process::versions::spread::{self, Spread};
+use dragonflyquay::process::versions::watch::{
+    self, Call, Reply, Watch, LEASE_TTL, WATCHERS, WATCH_WAIT,
+};
 use dragonflyquay::version::adopt::{AdoptSettings, FloorEvent, HeadAction};
 use dragonflyquay::version::manifest::{Manifest, Service};
 use dragonflyquay::version::snapshot::{canonical, Snapshot, VersionRef};
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use dragonflyquay::process::metrics::Metrics;
+use dragonflyquay::process::observe::metrics::Metrics;
 use dragonflyquay::store::counted::Counted;
 use dragonflyquay::store::faults::{Faults, FaultyStore};
 use dragonflyquay::store::http::{decode_answer, HttpStore};
