--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -12,6 +12,8 @@
 const EAGER_ASKS: usize = 4;
 /// Part of the time to the aim that counts as no wait.
 const PATIENCE_PART: f64 = 0.05;
+/// Result of an attempt in the log when the deadline came before its reply.
+const NO_REPLY: &str = "no-reply";
 /// Wait that a caller is told while the node knows no version or no target.
 pub(super) const NOT_READY_AGAIN: Duration = Duration::from_millis(150);
 
@@ -155,6 +157,17 @@
 }
 
 impl Job {
+    /// The deadline ended an attempt before its reply came.
+    pub(super) fn gave_up(&mut self) -> Failure {
+        if self.sent == 0 {
+            return Failure::not_run(Reason::Deadline);
+        }
+        if let Some(node) = self.tried.last().cloned() {
+            self.trace_attempt(&node, NO_REPLY);
+        }
+        Failure::unknown(Reason::Deadline)
+    }
+
     fn trace_attempt(&mut self, node: &str, result: &str) {
         if !self.trace.is_empty() {
             self.trace.push(',');
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -238,10 +238,7 @@
         let left = job.work.deadline.saturating_sub(n.clock.now());
         let reply = match tokio::time::timeout(left, attempt(n, job)).await {
             Ok(reply) => reply,
-            Err(_) => Err(match job.sent {
-                0 => Failure::not_run(Reason::Deadline),
-                _ => Failure::unknown(Reason::Deadline),
-            }),
+            Err(_) => Err(job.gave_up()),
         };
         let f = match reply {
             Ok(Reply::Answer(whole)) if !whole.status.is_server_error() => return Ok(whole),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -122,6 +122,26 @@
     site.nodes.clear();
 }
 
+/// Guards against a request that ran into its deadline and whose log does not name the node that kept it.
+#[test]
+fn a_deadline_names_the_node() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    let id = fresh_id();
+    // The slow path takes 600 ms.
+    let status = send(n.caller, &id, "/once/slow", "300");
+    assert_eq!(status, Some(504));
+    let line = Log::of(n).find(&["event=request_failed", &format!("request={id} ")]);
+    for part in [
+        "outcome=unknown",
+        "reason=deadline",
+        "attempts=",
+        "n0=no-reply",
+    ] {
+        assert!(line.contains(part), "{part} in {line}");
+    }
+}
+
 /// Guards against requests that fail by a change, of the configuration or of a target, whose log does not name the change.
 #[test]
 fn failed_by_a_change() {
