Show that a request delayed between nodes runs after its deadline

The caller waits for 250 ms and leaves; the target runs the request all the same, as in the users' record, where a call with a timeout of 800 ms reached its target after 1.26 s. The admitting node counts the remaining time from the moment at which it reads the request, so time on the link extends the deadline.

--- /dev/null
+++ b/tests/sidecar_cancel.rs
@@ -0,0 +1,78 @@
+//! Requests of the `sidecar` command whose callers leave or whose deadlines pass while they wait or travel.
+
+#[allow(dead_code)]
+#[path = "soak_kit/proxy.rs"]
+mod proxy;
+mod site_kit;
+mod workdir;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use proxy::{Mode, Proxy};
+use site_kit::{config, fresh_id, Site, HOST};
+use tokio::runtime::Runtime;
+use workdir::wait_until;
+
+/// Two nodes; links to the second one go through a proxy, and the target of the first one is draining.
+struct DelayedSite {
+    site: Site,
+    proxy: Proxy,
+    _runtime: Runtime,
+}
+
+impl DelayedSite {
+    fn start() -> Self {
+        let runtime = Runtime::new().unwrap();
+        let proxy = runtime.block_on(Proxy::start());
+        let mut site = Site::empty();
+        site.store.put_config(&config(1, ""));
+        site.add_node(0);
+        let relay = site
+            .add_node_with(1, &format!("advertise = \"{}\"\n", proxy.address))
+            .relay;
+        proxy.forward(relay);
+        site.nodes.iter().for_each(site_kit::Node::wait_ready);
+        site.wait_linked();
+        site.nodes[0].target.state.lock().unwrap().reported = "draining";
+        wait_until("requests go to the second node", || {
+            let id = fresh_id();
+            site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
+            site.nodes[1].target.runs(&id) == 1
+        });
+        // The target of the first node gets no more requests after half the drain time.
+        std::thread::sleep(Duration::from_millis(1100));
+        Self {
+            site,
+            proxy,
+            _runtime: runtime,
+        }
+    }
+
+    fn runs(&self, id: &str) -> usize {
+        self.site.nodes.iter().map(|n| n.target.runs(id)).sum()
+    }
+
+    /// Waits until the second node has handled everything that was sent to it before.
+    fn wait_passed(&self) {
+        wait_until("requests pass again", || {
+            let res = self.site.nodes[0].send("GET", "/safe/x");
+            res.is_some_and(|res| res.status == 200)
+        });
+    }
+}
+
+/// Guards against a target that runs a request whose deadline passed while the request was under way between nodes.
+#[test]
+fn a_request_delayed_past_its_deadline_is_not_run() {
+    let s = DelayedSite::start();
+    s.proxy.set(Mode::Delay(Duration::from_millis(900)));
+    let id = fresh_id();
+    let res = s.site.nodes[0].send_as(&id, "GET", "/safe/x", "250");
+    assert_ne!(res.unwrap().status, 200);
+    std::thread::sleep(Duration::from_millis(1500));
+    s.proxy.set(Mode::Pass);
+    s.wait_passed();
+    assert_eq!(s.runs(&id), 0);
+}
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -24,6 +24,7 @@
 pub struct Node {
     pub process: ChildProcess,
     pub caller: SocketAddr,
+    pub relay: SocketAddr,
     pub control: SocketAddr,
     pub ready: SocketAddr,
     pub admin: SocketAddr,
@@ -93,15 +94,28 @@
         &self.nodes[self.nodes.len() - 1]
     }
 
+    /// Starts a target and its node, with `extra` lines in the `sidecar` section of its settings.
+    pub fn add_node_with(&mut self, i: usize, extra: &str) -> &Node {
+        let target = Arc::new(Target::start(&format!("i-{i}")));
+        let node = self.start_node_with(&format!("n{i}"), &format!("az{i}"), target, extra);
+        self.nodes.push(node);
+        &self.nodes[self.nodes.len() - 1]
+    }
+
     /// Starts the node process of a target, and the heartbeats of the target.
     pub fn start_node(&self, id: &str, az: &str, target: Arc<Target>) -> Node {
+        self.start_node_with(id, az, target, "")
+    }
+
+    /// Starts a node as [`Site::start_node`] does, with `extra` lines in the `sidecar` section of its settings.
+    pub fn start_node_with(&self, id: &str, az: &str, target: Arc<Target>, extra: &str) -> Node {
         let any_port = "\"127.0.0.1:0\"";
         let text = format!(
             "[node]\nid = \"{id}\"\naz = \"{az}\"\nthreads = 1\n\
              [listen]\ncaller = {any_port}\nrelay = {any_port}\nadmin = {any_port}\n\
              [store]\naddress = \"{}\"\ntimeout_ms = 500\n\
              [sidecar]\ntarget = \"{}\"\nservice = \"{SERVICE}\"\ncontrol = {any_port}\nready = {any_port}\n\
-             heartbeat_ms = {}\nbudget_least = 1000.0\n",
+             heartbeat_ms = {}\nbudget_least = 1000.0\n{extra}",
             self.store.address,
             target.address,
             HEARTBEAT_INTERVAL.as_millis()
@@ -125,6 +139,7 @@
         });
         Node {
             caller: field("caller"),
+            relay: field("relay"),
             control,
             ready: field("ready"),
             admin: field("admin"),
