--- a/tests/sidecar_cancel.rs
+++ b/tests/sidecar_cancel.rs
@@ -1,6 +1,6 @@
 //! Requests of the `sidecar` command whose callers leave or whose deadlines pass while they wait or travel.
 
-#[allow(dead_code)]
+#[allow(dead_code, unreachable_pub)]
 #[path = "soak_kit/proxy.rs"]
 mod proxy;
 mod site_kit;
