Measure how long requests are delayed on links

Nothing told whether a request was late because it queued on the sender's link, because a process was busy, or because its cancellation was never sent. Requests now carry the sender's time, and the receiving node takes what exceeds the smallest difference between both clocks as the delay: dq_sidecar_link_delay_seconds, and the event request_delayed from 250 ms on. The time includes suspensions of the VM (CLOCK_BOOTTIME by the rustix crate), so that a suspended sender does not look late.

--- a/src/sidecar/frame.rs
+++ b/src/sidecar/frame.rs
@@ -56,6 +56,9 @@
     /// Time that the route takes at an average target, in ms; 0 if the sender does not know it.
     #[serde(rename = "u")]
     pub baseline_ms: u64,
+    /// Sender's [`Clock::boot_time`](crate::process::clock::Clock::boot_time) when the request was queued, in ms.
+    #[serde(rename = "z", default)]
+    pub sent_ms: u64,
     /// Longest expected wait for a slot with which the request is admitted, in ms; `None` if only the latency objective
     /// limits the wait.
     #[serde(rename = "w")]
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -241,6 +241,7 @@
         until_due_ms: request.due.saturating_sub(now).as_millis() as u64,
         remaining_ms: request.deadline.saturating_sub(now).as_millis() as u64,
         baseline_ms: request.baseline.as_millis() as u64,
+        sent_ms: n.clock.boot_time().as_millis() as u64,
         max_wait_ms: request.max_wait.map(|w| w.as_millis() as u64),
         method: request.method.as_str().into(),
         path: request.path.clone(),
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -60,6 +60,8 @@
     pub request_seconds: HistogramVec,
     /// Duration of attempts that got a response from a target, by rank and hop.
     pub attempt_seconds: HistogramVec,
+    /// Delay of requests on links that other nodes opened, beyond the shortest transit.
+    pub link_delay_seconds: HistogramVec,
     /// Number of the version in force; 0 if there is none.
     pub version: IntGauge,
     gauges: SampledGauges,
@@ -123,6 +125,12 @@
                 "Duration of attempts that got a response from a target",
                 &["rank", "hop"],
             ),
+            link_delay_seconds: histogram(
+                r,
+                "dq_sidecar_link_delay_seconds",
+                "Delay of requests on links of other nodes",
+                &["hop"],
+            ),
             version: gauge(
                 r,
                 "dq_sidecar_version_number",
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! - request: [`entry`] (route, retries), [`attempt`] (choice of a target, result), [`admit`] (slot, exchange with the
 //!   target)
-//! - connection: [`link`], `dial`, `liveness`, [`relay`] and [`frame`] (between nodes), [`pool`] (to the target)
+//! - connection: [`link`], `dial`, `liveness`, [`relay`], [`transit`] and [`frame`] (between nodes), [`pool`] (to the target)
 //! - version: [`routes`]
 //! - process: policies without I/O ([`queue`], [`placement`], `candidates`, [`service_times`], [`members`], [`target`],
 //!   [`budget`], [`split`], [`fairness`], [`watchers`], [`patch`]), the modules that run them ([`slots`],
@@ -46,4 +46,5 @@
 pub mod start;
 pub mod target;
 mod target_change;
+pub mod transit;
 pub mod watchers;
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -17,12 +17,16 @@
 use super::metrics::Hop;
 use super::node::Node;
 use super::patch;
+use super::transit::TransitDelay;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 
 /// Delay after a failed `accept`, which usually means that the process ran out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Delay on a link from which on a request is logged; a multiple of what a loaded process needs to read it.
+const LOGGED_DELAY: Duration = Duration::from_millis(250);
+
 /// Accepts links of other nodes. Never returns.
 pub async fn accept(n: Arc<Node>, listener: TcpListener) {
     loop {
@@ -78,6 +82,7 @@
     let _ = tx.send(hello_message(&n)).await;
     // Dropped when the link is closed, which cancels the requests that are still running.
     let requests = Arc::new(RunningRequests::default());
+    let mut transit = TransitDelay::default();
     loop {
         let data = tokio::select! {
             message = source.next() => match message {
@@ -97,7 +102,11 @@
             break;
         };
         match &message.head {
-            Head::Request(head) => start_request(&n, &requests, &tx, head, &message),
+            Head::Request(head) => {
+                let delay = transit.record(head.sent_ms, n.clock.boot_time());
+                record_delay(&n, peer.get(), head, delay);
+                start_request(&n, &requests, &tx, head, &message);
+            }
             Head::Cancel(seq) => {
                 if let Some(task) = lock(&requests.tasks).remove(seq) {
                     task.abort();
@@ -125,6 +134,27 @@
     writer.abort();
 }
 
+/// Records for how long a request was delayed on its link.
+fn record_delay(n: &Node, peer: Option<&NodeId>, head: &RequestHead, delay: Duration) {
+    let hop = peer.map_or(Hop::SameAz, |p| n.hop(p));
+    let seconds = n
+        .metrics
+        .link_delay_seconds
+        .with_label_values(&[hop.as_str()]);
+    seconds.observe(delay.as_secs_f64());
+    if delay >= LOGGED_DELAY {
+        n.log.event(
+            "request_delayed",
+            &[
+                ("request", &head.id),
+                ("from", peer.map_or("", |p| p)),
+                ("delay_ms", &delay.as_millis().to_string()),
+                ("remaining_ms", &head.remaining_ms.to_string()),
+            ],
+        );
+    }
+}
+
 /// State of this node as it was last sent on an accepted link.
 struct SentState {
     sequence: u64,
--- a/tests/sidecar_cancel.rs
+++ b/tests/sidecar_cancel.rs
@@ -6,12 +6,10 @@
 mod site_kit;
 mod workdir;
 
-use std::io::Write;
-use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use proxy::{Mode, Proxy};
-use site_kit::{config, fresh_id, Site, HOST};
+use site_kit::{config, fresh_id, Site};
 use tokio::runtime::Runtime;
 use workdir::wait_until;
 
