Count the time on a link against the deadline of a request

What callers saw: work went on for them after they had left. A request that queued on a link for 1.26 s reached its target with the whole 0.8 s that its caller had had when it was sent.

Cause: only durations travel between nodes, because clocks differ, and the receiver added the remaining time to its own clock when it read the request. Time on the way extended the deadline without limit.

Change: the delay beyond the shortest transit of the link is taken off the remaining time and the time to the objective. A request whose deadline passed on the way is rejected as not run, with the reason 'expired'. If the sender gets this reason before the deadline, a clock jumped; it sends its hello again and the receiver measures anew.

--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -60,6 +60,8 @@
     QueueFull,
     /// The deadline passed or cannot be met.
     Deadline,
+    /// The deadline passed while the request was under way to the admitting node.
+    Expired,
     /// The connection to the target could not be opened.
     NotSent,
     /// The connection to the target was lost after the request was sent.
@@ -106,13 +108,14 @@
 
 impl Reason {
     /// Every reason, for the parsing of headers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
         Self::NotReady,
         Self::QueueFull,
         Self::Deadline,
+        Self::Expired,
         Self::NotSent,
         Self::Lost,
         Self::BadRequest,
@@ -158,6 +161,7 @@
             Self::NotReady => "not-ready",
             Self::QueueFull => "queue-full",
             Self::Deadline => "deadline",
+            Self::Expired => "expired",
             Self::NotSent => "not-sent",
             Self::Lost => "lost",
             Self::BadRequest => "bad-request",
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -28,6 +28,7 @@
 struct PendingRequest {
     result: oneshot::Sender<AttemptResult>,
     idempotent: bool,
+    deadline: Now,
 }
 
 /// An open link from this node to another one.
@@ -96,6 +97,11 @@
         pending.insert(seq, p);
     }
 
+    fn is_before_deadline(&self, seq: Seq, now: Now) -> bool {
+        let pending = lock(&self.pending);
+        pending.get(&seq).is_some_and(|p| now < p.deadline)
+    }
+
     /// Time since which there have been pending requests; `None` if there are none.
     fn pending_since(&self) -> Option<Now> {
         let since = || Duration::from_millis(self.pending_since.load(Ordering::SeqCst));
@@ -169,6 +175,7 @@
         let pending = PendingRequest {
             result: tx,
             idempotent: request.idempotent,
+            deadline: request.deadline,
         };
         link.add(n, seq, pending);
         let mut guard = CancelOnDrop {
@@ -391,6 +398,10 @@
         }
         Head::Failed(f, load) => {
             n.placement().record_load(now, &link.node, *load);
+            if f.failure().reason == Reason::Expired && link.is_before_deadline(f.seq, now) {
+                // The clock of one side jumped; another hello makes the peer measure delays anew.
+                let _ = link.outgoing.try_send((0, hello_message(n)));
+            }
             let result = AttemptResult::Failed {
                 failure: f.failure(),
                 delivered: f.delivered,
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -105,7 +105,7 @@
             Head::Request(head) => {
                 let delay = transit.record(head.sent_ms, n.clock.boot_time());
                 record_delay(&n, peer.get(), head, delay);
-                start_request(&n, &requests, &tx, head, &message);
+                start_request(&n, &requests, &tx, head, &message, delay);
             }
             Head::Cancel(seq) => {
                 if let Some(task) = lock(&requests.tasks).remove(seq) {
@@ -113,6 +113,7 @@
                 }
             }
             Head::Hello(record, version, _) => {
+                transit.reset();
                 n.on_peer_record(record.as_ref().clone());
                 n.on_peer_version(&record.node, *version);
                 let _ = peer.set(record.node.clone());
@@ -223,12 +224,16 @@
     tx: &mpsc::Sender<Message>,
     head: &RequestHead,
     message: &Message,
+    delay: Duration,
 ) {
     let seq = head.seq;
-    let Some(request) = decode_request(n, head, message) else {
-        let rejection = AttemptResult::undelivered(Failure::not_run(Reason::BadRequest));
-        let _ = tx.try_send(result_message(n, seq, rejection));
-        return;
+    let request = match decode_request(n, head, message, delay) {
+        Ok(request) => request,
+        Err(reason) => {
+            let rejection = AttemptResult::undelivered(Failure::not_run(reason));
+            let _ = tx.try_send(result_message(n, seq, rejection));
+            return;
+        }
     };
     let (n, tx, weak) = (n.clone(), tx.clone(), Arc::downgrade(requests));
     let task = tokio::spawn(async move {
@@ -246,10 +251,21 @@
     }
 }
 
-fn decode_request(n: &Node, head: &RequestHead, message: &Message) -> Option<TargetRequest> {
+/// Decodes a request that was delayed on its link for `delay`, which counts against its deadline.
+fn decode_request(
+    n: &Node,
+    head: &RequestHead,
+    message: &Message,
+    delay: Duration,
+) -> Result<TargetRequest, Reason> {
     let now = n.clock.now();
-    let (headers, body) = message.split_payload(head.header_len).ok()?;
-    Some(TargetRequest {
+    let remaining = Duration::from_millis(head.remaining_ms).saturating_sub(delay);
+    if remaining.is_zero() {
+        return Err(Reason::Expired);
+    }
+    let payload = message.split_payload(head.header_len);
+    let (headers, body) = payload.map_err(|_| Reason::BadRequest)?;
+    Ok(TargetRequest {
         id: head.id.clone(),
         route: head.route.clone(),
         service: head.service.clone(),
@@ -258,11 +274,11 @@
         idempotent: head.idempotent,
         retry: head.retry,
         objective: Duration::from_millis(head.objective_ms),
-        due: now + Duration::from_millis(head.until_due_ms),
-        deadline: now + Duration::from_millis(head.remaining_ms),
+        due: now + Duration::from_millis(head.until_due_ms).saturating_sub(delay),
+        deadline: now + remaining,
         baseline: Duration::from_millis(head.baseline_ms),
         max_wait: head.max_wait_ms.map(Duration::from_millis),
-        method: parse_method(&head.method).ok()?,
+        method: parse_method(&head.method).map_err(|_| Reason::BadRequest)?,
         path: head.path.clone(),
         headers,
         body,
--- a/src/sidecar/transit.rs
+++ b/src/sidecar/transit.rs
@@ -19,7 +19,7 @@
 impl TransitDelay {
     /// Records a message with the sender's time, in ms, and returns its delay.
     pub fn record(&mut self, sent_ms: u64, received: Now) -> Duration {
-        if received >= self.window_start + WINDOW {
+        if received.saturating_sub(self.window_start) >= WINDOW {
             self.least = [None, self.least[0]];
             self.window_start = received;
         }
