Cancel requests that are given up on an unresponsive link

What callers saw: a request that its entry node had given up, and sent to another target or answered with a failure, ran once more when the link responded again.

Cause: after 250 ms without a response to a ping, the pending idempotent requests of a link fail, and with them goes the guard that would have cancelled them. Nothing told the peer, so the copy was run whenever it arrived.

Change: such a request is cancelled like one whose caller has left.

Evidence: a_request_given_up_on_an_unresponsive_link_is_not_run failed before (1 run, 0 expected) and passes.

--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -61,7 +61,14 @@
         }
     }
 
-    /// Fails the pending requests that `which` selects; those that were not written were not run.
+    /// Tells the peer that nobody waits for a request any more.
+    fn cancel(&self, seq: Seq) {
+        // The queue is full only if the peer does not read; the link is closed then, which also cancels the request.
+        let cancel = Message::without_payload(Head::Cancel(seq));
+        let _ = self.outgoing.try_send((0, cancel));
+    }
+
+    /// Fails the pending requests that `which` selects, and cancels them; those that were not written were not run.
     fn fail<F>(&self, which: F)
     where
         F: Fn(&PendingRequest) -> bool,
@@ -75,10 +82,13 @@
                 continue;
             };
             let result = match seq <= last_written {
-                true => AttemptResult::Failed {
-                    failure: Failure::unknown(Reason::Lost),
-                    delivered: true,
-                },
+                true => {
+                    self.cancel(seq);
+                    AttemptResult::Failed {
+                        failure: Failure::unknown(Reason::Lost),
+                        delivered: true,
+                    }
+                }
                 false => AttemptResult::undelivered(Failure::not_run(Reason::NotSent)),
             };
             let _ = p.result.send(result);
@@ -119,10 +129,7 @@
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if !self.finished && lock(&self.link.pending).remove(&self.seq).is_some() {
-            let cancel = Message::without_payload(Head::Cancel(self.seq));
-            // The queue is full only if the peer does not read; the link is closed then, which also cancels the
-            // request.
-            let _ = self.link.outgoing.try_send((0, cancel));
+            self.link.cancel(self.seq);
         }
     }
 }
--- a/tests/sidecar_cancel.rs
+++ b/tests/sidecar_cancel.rs
@@ -74,3 +74,16 @@
     s.wait_passed();
     assert_eq!(s.runs(&id), 0);
 }
+
+/// Guards against a target that runs a request which its entry node has given up because the link did not respond.
+#[test]
+fn a_request_given_up_on_an_unresponsive_link_is_not_run() {
+    let s = DelayedSite::start();
+    s.proxy.set(Mode::StallForward);
+    let id = fresh_id();
+    let res = s.site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
+    assert_ne!(res.unwrap().status, 200);
+    s.proxy.set(Mode::Pass);
+    s.wait_passed();
+    assert_eq!(s.runs(&id), 0);
+}
