Send cancellations before queued messages of a link

Cause: a cancellation waited behind up to 512 messages of its link, large bodies among them, and was dropped if that queue was full. The request that it belongs to could be run in the meantime.

Change: cancellations have a queue of their own, which the writer empties first; it holds at most one for each request. A cancellation of a request that was never written is dropped. Marking a request as written now happens under the lock of the pending requests: with several threads, a request could fail as not sent while the writer was about to send it.

Not shown by a test: bytes that the kernel has taken cannot be passed, and on loopback it takes megabytes.

--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
+use futures_util::stream::SplitSink;
 use futures_util::{SinkExt, StreamExt};
 use http::StatusCode;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -35,6 +36,8 @@
 struct Link {
     node: NodeId,
     outgoing: mpsc::Sender<(Seq, Message)>,
+    /// Cancelled requests. They do not wait behind `outgoing`, which may be full; at most one is sent for each request.
+    cancels: mpsc::UnboundedSender<Seq>,
     pending: Mutex<BTreeMap<Seq, PendingRequest>>,
     /// Greatest number of a request that was written to the connection.
     last_written: AtomicU64,
@@ -61,11 +64,25 @@
         }
     }
 
+    /// Marks a request as written. Returns false if it was cancelled while it waited, and must not be sent.
+    fn begin_write(&self, seq: Seq) -> bool {
+        // Under the lock, because a request that fails as not written must never be sent.
+        let pending = lock(&self.pending);
+        let wanted = pending.contains_key(&seq);
+        if wanted {
+            self.last_written.fetch_max(seq, Ordering::SeqCst);
+        }
+        wanted
+    }
+
+    fn was_written(&self, seq: Seq) -> bool {
+        seq <= self.last_written.load(Ordering::SeqCst)
+    }
+
     /// Tells the peer that nobody waits for a request any more.
     fn cancel(&self, seq: Seq) {
-        // The queue is full only if the peer does not read; the link is closed then, which also cancels the request.
-        let cancel = Message::without_payload(Head::Cancel(seq));
-        let _ = self.outgoing.try_send((0, cancel));
+        // The receiver is dropped when the link is closed, which cancels all its requests.
+        let _ = self.cancels.send(seq);
     }
 
     /// Fails the pending requests that `which` selects, and cancels them; those that were not written were not run.
@@ -73,7 +90,6 @@
     where
         F: Fn(&PendingRequest) -> bool,
     {
-        let last_written = self.last_written.load(Ordering::SeqCst);
         let mut pending = lock(&self.pending);
         let selected = pending.iter().filter(|(_, p)| which(p));
         let selected: Vec<Seq> = selected.map(|(seq, _)| *seq).collect();
@@ -81,7 +97,7 @@
             let Some(p) = pending.remove(&seq) else {
                 continue;
             };
-            let result = match seq <= last_written {
+            let result = match self.was_written(seq) {
                 true => {
                     self.cancel(seq);
                     AttemptResult::Failed {
@@ -269,10 +285,12 @@
 
 /// Exchanges messages on a link until it is closed. Returns the reason.
 pub(super) async fn drive(n: &Arc<Node>, node: &NodeId, stream: LinkStream) -> String {
-    let (outgoing, mut queue) = mpsc::channel(MAX_OUTGOING);
+    let (outgoing, queue) = mpsc::channel(MAX_OUTGOING);
+    let (cancels, cancelled) = mpsc::unbounded_channel();
     let link = Arc::new(Link {
         node: node.clone(),
         outgoing,
+        cancels,
         pending: Mutex::default(),
         last_written: AtomicU64::new(0),
         last_seq: AtomicU64::new(0),
@@ -289,20 +307,13 @@
     }
     // Messages are written by a separate task, because a peer that does not read must not delay the reading of its
     // responses.
-    let (writer_node, writer_link) = (n.clone(), link.clone());
-    let writer = tokio::spawn(async move {
-        while let Some((seq, message)) = queue.recv().await {
-            // A request that was cancelled while it waited here is not sent.
-            if seq > 0 && !lock(&writer_link.pending).contains_key(&seq) {
-                continue;
-            }
-            writer_link.last_written.fetch_max(seq, Ordering::SeqCst);
-            let data = writer_node.encode(&message, hop);
-            if sink.send(Ws::Binary(data)).await.is_err() {
-                return;
-            }
-        }
-    });
+    let writer = tokio::spawn(write_messages(
+        n.clone(),
+        link.clone(),
+        sink,
+        queue,
+        cancelled,
+    ));
     lock(&n.links.open).insert(node.clone(), link.clone());
     n.placement().set_reachable(node, true);
     let mut liveness = Liveness {
@@ -350,6 +361,37 @@
     reason
 }
 
+/// Writes the messages of a link, cancellations first, until the link is closed.
+async fn write_messages(
+    n: Arc<Node>,
+    link: Arc<Link>,
+    mut sink: SplitSink<LinkStream, Ws>,
+    mut queue: mpsc::Receiver<(Seq, Message)>,
+    mut cancelled: mpsc::UnboundedReceiver<Seq>,
+) {
+    let hop = n.hop(&link.node);
+    loop {
+        let message = tokio::select! {
+            biased;
+            Some(seq) = cancelled.recv() => match link.was_written(seq) {
+                true => Message::without_payload(Head::Cancel(seq)),
+                false => continue,
+            },
+            Some((seq, message)) = queue.recv() => {
+                if seq > 0 && !link.begin_write(seq) {
+                    continue;
+                }
+                message
+            }
+            else => return,
+        };
+        let data = n.encode(&message, hop);
+        if sink.send(Ws::Binary(data)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Pings, avoids or suspects a peer that has not responded for some time. Returns the reason if the link must be
 /// closed.
 fn check_liveness(n: &Node, link: &Link, liveness: &mut Liveness) -> Option<String> {
