Pass a new version on over a tree of nodes, and slowly enough for requests

What callers saw: work went on for callers that had left. Their requests reached a target more than a second after they were sent.

Cause: the watchers of the store sent a new version to every node that asked, all at once. With 1,400 more routes that is 1.2 MB from a VM whose link takes 875 KB/s: every request of that VM queued behind it for up to 2.2 s, and so did its cancellation. Nodes that had reported the version in a pong did the same on a smaller scale.

Change: nodes form a tree over an order that all of them share, and request a version from their parent; it holds the request until it has the version. A node passes a version on to at most four others, one at a time, with pauses that leave half of its link (setting sidecar.link_mbps) to requests, and uses the patch that it got itself. Nodes with wide links come first in the order, so they watch the store. A request without a response in 700 ms goes to the next node up, and on until the version has come; before, it was not repeated until another node reported the version.

Why this works: the queue of a VM's link holds at most one message of a version, and the others wait where a cancelled request can still be dropped.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -344,6 +344,13 @@
             );
         }
     }
+    if !(0.1..=1e6).contains(&sidecar.link_mbps) {
+        f.add(
+            "sidecar.link_mbps",
+            format!("{} is out of range", sidecar.link_mbps),
+            "use 0.1 to 1000000",
+        );
+    }
     f.into_result(())
 }
 
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -1,14 +1,15 @@
 //! Distribution of the configuration: a few nodes watch the store, and all others get new versions from them.
 
+use std::collections::VecDeque;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
+use super::config_server;
 use super::node::{ConfigUpdate, Node};
 use super::patch;
 use super::sample::Confirmation;
-use super::watchers::must_watch;
 use crate::prelude::*;
 use crate::store::{Revision, StoreError};
 
@@ -28,8 +29,9 @@
 const LINK_DELAY: Duration = Duration::from_millis(100);
 /// Time without a version after which a node reads it from the store although other nodes watch.
 const FIRST_VERSION_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Time for the response of a node from which a version was requested, before it is requested from another one.
-const PEER_RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time for the response of a node from which a version was requested, before it is requested from another one. The node
+/// may have to wait for its own copy first.
+const SOURCE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time within which the watch of this node must deliver a version that another node holds, including the delay after a
 /// change.
 const WATCH_LAG_TIMEOUT: Duration = Duration::from_millis(1400);
@@ -44,7 +46,7 @@
     let mut back_off = RETRY_BACK_OFF.0;
     loop {
         let overdue = n.version() == 0 && n.clock.now() >= start + FIRST_VERSION_TIMEOUT;
-        if !must_watch(&n.id, &n.links.watcher_candidates()) && !overdue {
+        if !n.must_watch() && !overdue {
             n.set_reaches_store(false);
             let interval = match n.version() {
                 0 => ROLE_CHECK_INTERVAL.0,
@@ -77,7 +79,7 @@
     for e in listing.entries.into_iter().filter(|e| e.key == key) {
         adopt_document(n, e.value.into(), "store");
     }
-    while must_watch(&n.id, &n.links.watcher_candidates()) {
+    while n.must_watch() {
         n.set_reaches_store(true);
         let wait = MAX_WATCH_WAIT.mul_f64(0.7 + 0.3 * rand::random::<f64>());
         let changes = tokio::select! {
@@ -124,29 +126,84 @@
     }
 }
 
-/// Processes what other nodes report about the configuration: requests newer versions and adopts documents.
+/// Newer version that this node has heard of and requests from other nodes.
+struct WantedVersion {
+    number: VersionNumber,
+    /// Node that reported it last.
+    holder: NodeId,
+    /// Nodes to request it from next.
+    sources: VecDeque<NodeId>,
+    request_at: Now,
+}
+
+impl WantedVersion {
+    fn new(n: &Node, number: VersionNumber, holder: NodeId) -> Self {
+        let now = n.clock.now();
+        Self {
+            number,
+            sources: n.links.config_sources(n).into(),
+            holder,
+            // A watcher gets the version from the store, and from another node only if its own watch is late.
+            request_at: match n.reaches_store() {
+                true => now + SOURCE_TIMEOUT,
+                false => now,
+            },
+        }
+    }
+
+    /// Requests the version from the next source that is linked; after the last source from the node that reported it.
+    fn request(&mut self, n: &Node) {
+        self.request_at = n.clock.now() + SOURCE_TIMEOUT;
+        while let Some(source) = self.sources.pop_front() {
+            if n.links.request_config(&source, n.version()) {
+                return;
+            }
+        }
+        n.links.request_config(&self.holder, n.version());
+        self.sources = n.links.config_sources(n).into();
+    }
+}
+
+/// Processes what other nodes report about the configuration: requests newer versions and adopts documents. Never
+/// returns while the process runs.
 pub async fn process_updates(n: Arc<Node>, mut updates: mpsc::UnboundedReceiver<ConfigUpdate>) {
-    let mut pending: Option<(VersionNumber, Now)> = None;
-    while let Some(update) = updates.recv().await {
-        match update {
-            ConfigUpdate::Version(_, number) if number <= n.version() => {}
-            ConfigUpdate::Version(node, number) => {
-                let now = n.clock.now();
-                let waiting =
-                    pending.is_some_and(|(v, t)| v >= number && now < t + PEER_RESPONSE_TIMEOUT);
-                if !waiting && n.links.request_config(&node, n.version()) {
-                    pending = Some((number, now));
-                }
+    let mut wanted: Option<WantedVersion> = None;
+    loop {
+        wanted = wanted.filter(|w| w.number > n.version());
+        let now = n.clock.now();
+        if let Some(w) = wanted.as_mut().filter(|w| now >= w.request_at) {
+            w.request(&n);
+        }
+        let wait = wanted
+            .as_ref()
+            .map_or(Duration::MAX, |w| w.request_at.saturating_sub(now));
+        let update = match tokio::time::timeout(wait, updates.recv()).await {
+            Ok(Some(update)) => update,
+            Ok(None) => return,
+            Err(_) => continue,
+        };
+        match (update, &mut wanted) {
+            (ConfigUpdate::Version(_, number), _) if number <= n.version() => {}
+            (ConfigUpdate::Version(node, number), Some(w)) => {
+                w.number = w.number.max(number);
+                w.holder = node;
+            }
+            (ConfigUpdate::Version(node, number), None) => {
+                wanted = Some(WantedVersion::new(&n, number, node));
             }
-            ConfigUpdate::Document(node, base, data) => {
-                pending = None;
+            (ConfigUpdate::Document(node, base, data), _) => {
+                let before = n.version();
                 adopt_peer_document(&n, &node, base, &data);
+                if n.version() > before {
+                    // A version that is newer still is requested at once.
+                    wanted = wanted.map(|w| WantedVersion::new(&n, w.number, w.holder));
+                }
             }
         }
     }
 }
 
-fn adopt_peer_document(n: &Arc<Node>, node: &NodeId, base: VersionNumber, data: &[u8]) {
+fn adopt_peer_document(n: &Arc<Node>, node: &NodeId, base: VersionNumber, data: &Bytes) {
     let document = match base {
         0 => patch::decode_whole(data),
         _ => n
@@ -159,10 +216,18 @@
             .rejected_inputs
             .with_label_values(&["patch"])
             .inc();
-        n.links.request_config(node, 0);
+        if base > 0 {
+            n.links.request_config(node, 0);
+        }
         return;
     };
-    if let Some(number) = adopt_document(n, document, "peer").filter(|_| n.reaches_store()) {
+    let Some(number) = adopt_document(n, document, "peer") else {
+        return;
+    };
+    if number == n.version() {
+        config_server::keep_patch(n, number, base, data);
+    }
+    if n.reaches_store() {
         tokio::spawn(check_watch_lag(n.clone(), number));
     }
 }
--- a/src/sidecar/link.rs
+++ b/src/sidecar/link.rs
@@ -13,6 +13,7 @@
 
 use super::admit::{AttemptResult, TargetRequest};
 use super::dial::{self, LinkStream};
+use super::distribution;
 use super::frame::{join_payload, Head, Message, RequestHead, Seq};
 use super::liveness::{
     Liveness, PeerState, AVOID_AFTER, CLOSE_AFTER, IDLE_PING_AFTER, PING_AFTER, SUSPECT_AFTER,
@@ -44,6 +45,8 @@
     last_seq: AtomicU64,
     /// Whether the peer reports that it watches the store and reaches it.
     reaches_store: AtomicBool,
+    /// Whether the peer responds to pings.
+    responsive: AtomicBool,
     /// Requests a ping now, because the peer of another link does not respond.
     ping_now: Notify,
     /// Time since which the link has had pending requests, in ms.
@@ -236,14 +239,30 @@
             .for_each(|l| l.ping_now.notify_one());
     }
 
-    /// The linked nodes, and whether they report that they reach the store.
-    pub fn watcher_candidates(&self) -> Vec<WatcherCandidate> {
-        let open = lock(&self.open);
+    /// The linked nodes that may watch the store.
+    pub fn watcher_candidates(&self, n: &Node) -> Vec<WatcherCandidate> {
+        self.candidates(n, |_| true)
+    }
+
+    /// Nodes from which this node requests a version, the preferred one first; see [`distribution::sources`].
+    pub fn config_sources(&self, n: &Node) -> Vec<NodeId> {
+        let linked = self.candidates(n, |l| l.responsive.load(Ordering::SeqCst));
+        distribution::sources(&n.watcher_candidate(), &linked)
+    }
+
+    fn candidates<F>(&self, n: &Node, which: F) -> Vec<WatcherCandidate>
+    where
+        F: Fn(&Link) -> bool,
+    {
+        let open: Vec<Arc<Link>> = lock(&self.open).values().cloned().collect();
+        let members = n.members();
+        let selected = open.iter().filter(|l| which(l));
         let candidate = |l: &Arc<Link>| WatcherCandidate {
             node: l.node.clone(),
+            link_mbps: members.get(&l.node).map_or(0, |r| r.link_mbps),
             reaches_store: l.reaches_store.load(Ordering::SeqCst),
         };
-        open.values().map(candidate).collect()
+        selected.map(candidate).collect()
     }
 }
 
@@ -295,6 +314,7 @@
         last_written: AtomicU64::new(0),
         last_seq: AtomicU64::new(0),
         reaches_store: AtomicBool::new(false),
+        responsive: AtomicBool::new(true),
         ping_now: Notify::new(),
         pending_since: AtomicU64::new(0),
         pending_added: Notify::new(),
@@ -330,6 +350,7 @@
                     liveness.pinged_at = None;
                     if liveness.state != PeerState::Healthy {
                         liveness.state = PeerState::Healthy;
+                        link.responsive.store(true, Ordering::SeqCst);
                         n.placement().set_reachable(node, true);
                     }
                     if let Err(e) = handle_message(n, &link, data) {
@@ -409,6 +430,7 @@
     // This check may be late in a busy process, so several limits may have been passed since the last one.
     if age >= AVOID_AFTER && liveness.state < PeerState::Avoided {
         liveness.state = PeerState::Avoided;
+        link.responsive.store(false, Ordering::SeqCst);
         n.placement().set_reachable(&link.node, false);
         // A partition affects many links at once. Without these pings, an idle link would be avoided only after a
         // request on it got no response.
--- a/src/sidecar/members.rs
+++ b/src/sidecar/members.rs
@@ -29,6 +29,9 @@
     pub target: Option<TargetState>,
     /// Whether the node is about to stop.
     pub leaving: bool,
+    /// Bandwidth of the link of its VM, in Mbit/s; 0 if unknown.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 impl NodeRecord {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,8 +7,9 @@
 //! - connection: [`link`], `dial`, `liveness`, [`relay`], [`transit`] and [`frame`] (between nodes), [`pool`] (to the target)
 //! - version: [`routes`]
 //! - process: policies without I/O ([`queue`], [`placement`], `candidates`, [`service_times`], [`members`], [`target`],
-//!   [`budget`], [`split`], [`fairness`], [`watchers`], [`patch`]), the modules that run them ([`slots`],
-//!   [`discovery`], [`config`], [`control`], `retries`, `target_change`), and [`node`], [`settings`], [`start`],
+//!   [`budget`], [`split`], [`fairness`], [`watchers`],
+//!   [`distribution`], [`patch`]), the modules that run them ([`slots`],
+//!   [`discovery`], [`config`], [`config_server`], [`control`], `retries`, `target_change`), and [`node`], [`settings`], [`start`],
 //!   [`admin`], [`metrics`], [`sample`]
 //!
 //! [`adapter`] translates the names and formats of a platform.
@@ -20,9 +21,11 @@
 pub mod budget;
 mod candidates;
 pub mod config;
+pub mod config_server;
 pub mod control;
 mod dial;
 pub mod discovery;
+pub mod distribution;
 pub mod entry;
 pub mod fairness;
 pub mod frame;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -11,6 +11,7 @@
 
 use super::adapter::Adapter;
 use super::budget::RetryBudget;
+use super::config_server::ConfigRequest;
 use super::fairness::Fairness;
 use super::frame::Message;
 use super::link::Links;
@@ -23,6 +24,7 @@
 use super::slots::Slots;
 use super::split::TrafficSplit;
 use super::target::{OwnTarget, TargetState};
+use super::watchers::{must_watch, WatcherCandidate};
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
@@ -82,6 +84,10 @@
     pub restart_watch: watch::Sender<u64>,
     /// Sends what other nodes report about the configuration to the task that adopts it.
     pub config_updates: mpsc::UnboundedSender<ConfigUpdate>,
+    /// Sends requests of other nodes for the configuration to the task that serves them.
+    pub config_requests: mpsc::UnboundedSender<ConfigRequest>,
+    /// Notifies the task that serves the configuration of the version in force.
+    pub version_adopted: watch::Sender<VersionNumber>,
     pub(super) settings: ArcSwap<Settings>,
     pub(super) own_record: Mutex<NodeRecord>,
     pub(super) target: Mutex<OwnTarget>,
@@ -217,8 +223,9 @@
         if table.number <= self.version() {
             return false;
         }
-        let number = table.number.to_string();
-        self.metrics.version.set(table.number as i64);
+        let version = table.number;
+        let number = version.to_string();
+        self.metrics.version.set(version as i64);
         self.log.event(
             "version_adopted",
             &[("number", &number), ("source", source)],
@@ -233,6 +240,7 @@
         recent.push_back((table.number, table.document.clone()));
         drop(recent);
         self.routes.store(Some(Arc::new(table)));
+        self.version_adopted.send_replace(version);
         if self.reaches_store() {
             self.state_changed.send_modify(|n| *n += 1);
         }
@@ -364,6 +372,23 @@
             .choose(now, criteria, &mut *lock(&self.rng))
     }
 
+    /// This node as one that may watch the store.
+    pub fn watcher_candidate(&self) -> WatcherCandidate {
+        WatcherCandidate {
+            node: self.id.clone(),
+            link_mbps: self.record().link_mbps,
+            reaches_store: self.reaches_store(),
+        }
+    }
+
+    /// Whether this node must watch the store for the others.
+    pub fn must_watch(&self) -> bool {
+        must_watch(
+            &self.watcher_candidate(),
+            &self.links.watcher_candidates(self),
+        )
+    }
+
     /// Whether this node watches the store and reaches it.
     pub fn reaches_store(&self) -> bool {
         self.reaches_store.load(Ordering::SeqCst)
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -9,6 +9,7 @@
 use tokio_tungstenite::tungstenite::Message as Ws;
 
 use super::admit::{self, strip_response, AttemptResult, TargetRequest};
+use super::config_server::ConfigRequest;
 use super::dial::{websocket_config, OPEN_TIMEOUT};
 use super::frame::{
     join_payload, parse_method, FailureHead, Head, Message, RequestHead, ResponseHead, Seq,
@@ -16,7 +17,6 @@
 use super::link::{hello_message, lock, MAX_OUTGOING};
 use super::metrics::Hop;
 use super::node::Node;
-use super::patch;
 use super::transit::TransitDelay;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
@@ -125,9 +125,12 @@
                 let _ = tx.try_send(Message::without_payload(Head::Pong(n.version())));
             }
             Head::GetConfig(held) => {
-                if let Some(message) = config_message(&n, *held) {
-                    let _ = tx.try_send(message);
-                }
+                let request = ConfigRequest {
+                    reply: tx.clone(),
+                    held: *held,
+                };
+                // The receiver is never dropped while the process runs.
+                let _ = n.config_requests.send(request);
             }
             _ => break,
         }
@@ -194,30 +197,6 @@
     }
 }
 
-/// Message with the version in force, for a node that holds the version `held`; `None` if no newer one is known.
-fn config_message(n: &Node, held: VersionNumber) -> Option<Message> {
-    let table = n.routes.load_full()?;
-    if table.number <= held {
-        return None;
-    }
-    let base = n.document(held);
-    let base_version = base.as_ref().map_or(0, |_| held);
-    // All other nodes request a new version at about the same time, mostly from the same base.
-    let mut cache = lock(&n.patch_cache);
-    if cache.number != table.number {
-        cache.number = table.number;
-        cache.patches.clear();
-    }
-    let patch = cache.patches.entry(base_version).or_insert_with(|| {
-        let data = patch::encode(base.as_ref(), &table.document);
-        data.into()
-    });
-    Some(Message {
-        head: Head::Config(base_version),
-        payload: patch.clone(),
-    })
-}
-
 fn start_request(
     n: &Arc<Node>,
     requests: &Arc<RunningRequests>,
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 
 use super::adapter::Adapter;
+use super::config_server::ConfigRequest;
 use super::link::Links;
 use super::members::{Members, NodeRecord};
 use super::metrics::Metrics;
@@ -22,7 +23,7 @@
 use super::sample::{self, LastConfirmed};
 use super::slots::Slots;
 use super::target::OwnTarget;
-use super::{admin, config, control, discovery, entry, relay};
+use super::{admin, config, config_server, control, discovery, entry, relay};
 use crate::connection::listen;
 use crate::logging::EventLog;
 use crate::prelude::*;
@@ -51,15 +52,24 @@
         .attach_with(|| format!("cannot listen on {address}"))
 }
 
-/// Builds the state of the node, and the receiver for [`config::process_updates`].
+/// Receivers of the queues between the links of a node and its tasks.
+pub struct Queues {
+    /// For [`config::process_updates`].
+    pub config_updates: mpsc::UnboundedReceiver<ConfigUpdate>,
+    /// For [`config_server::serve`].
+    pub config_requests: mpsc::UnboundedReceiver<ConfigRequest>,
+}
+
+/// Builds the state of the node, and the receivers of its queues.
 pub fn build(
     settings: Settings,
     adapter: Arc<dyn Adapter>,
     store: Arc<dyn Store>,
     clock: Arc<dyn Clock>,
-) -> (Arc<Node>, mpsc::UnboundedReceiver<ConfigUpdate>) {
+) -> (Arc<Node>, Queues) {
     let s = &settings.sidecar;
-    let (updates, updates_rx) = mpsc::unbounded_channel();
+    let (updates, config_updates) = mpsc::unbounded_channel();
+    let (requests, config_requests) = mpsc::unbounded_channel();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let record = NodeRecord {
         node: settings.node.id.clone(),
@@ -70,6 +80,7 @@
         service: s.service.clone(),
         target: None,
         leaving: false,
+        link_mbps: s.link_mbps as u32,
     };
     let target = OwnTarget::new(
         s.service.clone(),
@@ -99,6 +110,8 @@
         rewrite_record: Notify::new(),
         restart_watch: watch::channel(0).0,
         config_updates: updates,
+        config_requests: requests,
+        version_adopted: watch::channel(0).0,
         own_record: Mutex::new(record),
         target: Mutex::new(target),
         members: Mutex::new(Members::new(settings.node.id.clone())),
@@ -113,7 +126,11 @@
         clock,
         settings: ArcSwap::from_pointee(settings),
     };
-    (Arc::new(node), updates_rx)
+    let queues = Queues {
+        config_updates,
+        config_requests,
+    };
+    (Arc::new(node), queues)
 }
 
 /// Limits of the listener for callers. Its header timeout also closes idle connections, so it is the idle timeout of
@@ -147,7 +164,7 @@
     let mut settings = settings;
     // Port 0 stands for any free port; other nodes must learn the actual one.
     settings.listen.relay = relay_listener.local_addr().change_context(NodeError)?;
-    let (n, updates) = build(settings, adapter, store, clock);
+    let (n, queues) = build(settings, adapter, store, clock);
     let admin_address = n.settings().listen.admin;
     let admin =
         admin::start(admin_address, n.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
@@ -166,7 +183,8 @@
     let (close, close_rx) = watch::channel(false);
     tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::watch_store(n.clone()));
-    tokio::spawn(config::process_updates(n.clone(), updates));
+    tokio::spawn(config::process_updates(n.clone(), queues.config_updates));
+    tokio::spawn(config_server::serve(n.clone(), queues.config_requests));
     tokio::spawn(relay::accept(n.clone(), relay_listener));
     tokio::spawn(control::monitor_target(n.clone()));
     tokio::spawn(sample::log_summaries(n.clone()));
--- a/src/sidecar/watchers.rs
+++ b/src/sidecar/watchers.rs
@@ -4,6 +4,8 @@
 //! decides on its own from the state of its links. An incomplete view leads to superfluous watches but never to a
 //! change that no node sees.
 
+use std::cmp::Reverse;
+
 use crate::digest::Digest;
 use crate::prelude::*;
 
@@ -13,24 +15,27 @@
 /// itself is unavailable.
 pub const MAX_CANDIDATES: usize = 12;
 
-/// A linked node that may watch the store.
+/// A node that may watch the store: this one or a linked one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatcherCandidate {
-    /// Id of the linked node, from which [`watch_order`] is computed.
+    /// Id of the node.
     pub node: NodeId,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
     /// Whether it reports that it reaches the store.
     pub reaches_store: bool,
 }
 
 /// Position of a node in the order of watchers, which is the same at all nodes and independent of availability zones.
-pub fn watch_order(node: &str) -> u64 {
-    Digest::of(node.as_bytes()).short()
+/// Nodes with a wide link come first, because a watcher gets each version whole and sends it to several nodes.
+pub fn watch_order(c: &WatcherCandidate) -> (Reverse<u32>, u64) {
+    (Reverse(c.link_mbps), Digest::of(c.node.as_bytes()).short())
 }
 
 /// Whether the node `own` must watch the store, given the nodes that it has links to.
-pub fn must_watch(own: &str, linked: &[WatcherCandidate]) -> bool {
+pub fn must_watch(own: &WatcherCandidate, linked: &[WatcherCandidate]) -> bool {
     let own_order = watch_order(own);
-    let before = linked.iter().filter(|c| watch_order(&c.node) < own_order);
+    let before = linked.iter().filter(|c| watch_order(c) < own_order);
     let (mut reaching, mut total) = (0, 0);
     for c in before {
         total += 1;
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -446,6 +446,7 @@
         service: "s".into(),
         target: None,
         leaving: false,
+        link_mbps: 0,
     }
 }
 
@@ -516,15 +517,15 @@
 fn few_nodes_watch_for_all() {
     let nodes: Vec<String> = (0..100).map(|i| format!("n{i}")).collect();
     let watching = |linked: &dyn Fn(&str, &str) -> bool, reaches_store: &dyn Fn(&str) -> bool| {
+        let candidate = |n: &String| WatcherCandidate {
+            node: n.as_str().into(),
+            link_mbps: 100,
+            reaches_store: reaches_store(n),
+        };
         let must = |own: &&String| {
             let others = nodes.iter().filter(|n| n != own && linked(own, n));
-            let candidates: Vec<_> = others
-                .map(|n| WatcherCandidate {
-                    node: n.as_str().into(),
-                    reaches_store: reaches_store(n),
-                })
-                .collect();
-            must_watch(own, &candidates)
+            let candidates: Vec<_> = others.map(candidate).collect();
+            must_watch(&candidate(own), &candidates)
         };
         nodes.iter().filter(must).cloned().collect::<Vec<_>>()
     };
