Notice that a caller has gone behind bytes of its next request

What callers saw: a target went on with a request whose caller had closed its connection, if the caller had sent another request behind it.

Cause: the HTTP server does not read while it handles a request and holds bytes of the next one, so it does not see the close. Bodies that nobody reads and full buffers hide it the same way.

Evidence: a_close_behind_a_pipelined_request_cancels_the_first failed before (condition not met in 8 s) and passes. The tests of sidecar, cancel and caller_api pass.

--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
+use super::read_ahead::ReadAhead;
 use crate::prelude::*;
 use crate::request::body::Body;
 use crate::settings::LimitSettings;
@@ -92,7 +93,10 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let stream = ReadAhead::new(stream);
+    let watched = stream.clone();
     let service = service_fn(move |req| {
+        watched.start();
         let response = handler(req, from);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -101,13 +105,20 @@
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size(limits.header_bytes.max(8192))
         .max_headers(limits.headers)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = wait_closing(&mut closing) => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+    let serve = async {
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = wait_closing(&mut closing) => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
         }
+    };
+    // Dropping the connection cancels the request that is being handled.
+    tokio::select! {
+        () = serve => {}
+        () = stream.wait_closed() => {}
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -5,5 +5,6 @@
 pub mod listen;
 pub mod member_entry;
 pub mod peer;
+mod read_ahead;
 pub mod upstream;
 pub mod wire;
--- a/tests/sidecar_cancel.rs
+++ b/tests/sidecar_cancel.rs
@@ -6,10 +6,12 @@
 mod site_kit;
 mod workdir;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use proxy::{Mode, Proxy};
-use site_kit::{config, fresh_id, Site};
+use site_kit::{config, fresh_id, Site, HOST};
 use tokio::runtime::Runtime;
 use workdir::wait_until;
 
@@ -87,3 +89,25 @@
     s.wait_passed();
     assert_eq!(s.runs(&id), 0);
 }
+
+/// Guards against a caller's close that stays unseen behind bytes of its next request.
+#[test]
+fn a_close_behind_a_pipelined_request_cancels_the_first() {
+    let site = Site::start(1);
+    let n = &site.nodes[0];
+    let id = fresh_id();
+    let request = |path: &str, id: &str| {
+        format!(
+            "GET {path} HTTP/1.1\r\nhost: {HOST}\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-deadline-ms: 4000\r\n\r\n"
+        )
+    };
+    let mut s = TcpStream::connect(n.caller).unwrap();
+    let text = request("/safe/slow", &id) + &request("/safe/x", &fresh_id());
+    s.write_all(text.as_bytes()).unwrap();
+    wait_until("the target runs the request", || n.target.runs(&id) == 1);
+    drop(s);
+    wait_until("the target has finished", || {
+        let received = n.target.received.lock().unwrap();
+        received.iter().any(|r| r.id == id && !r.connected)
+    });
+}
