Reset a link that is given up, so that its requests are not delivered later

Cause: a link that a silent peer made a node close ended in order: the kernel went on to deliver what was queued, requests that had been given up included, ahead of the close.

Change: the side that opens a link resets it. Its unsent bytes are dropped.

Not shown by a test: the proxy of the tests has taken the bytes before the link is closed. The tests of sidecar, sidecar_cancel and soak pass.

--- a/src/sidecar/dial.rs
+++ b/src/sidecar/dial.rs
@@ -55,6 +55,8 @@
         .await
         .map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
+    // A link is closed only if its requests have been given up, so what is still unsent must not be delivered.
+    let _ = stream.set_zero_linger();
     let url = format!("ws://{address}/link");
     let opened =
         tokio_tungstenite::client_async_with_config(url, stream, Some(websocket_config())).await;
