Keep a departure that the store reveals after the first heartbeat

What callers saw: requests reached a target that had said it stops, once its node had been restarted.

Cause: a new process reads the recorded departures with its first listing. If the heartbeat of the target came first and said that it was ready, the departure that was read later changed nothing. If the departure came first, the target was accepted for half the drain time once more. Every listing also added all departures of the fleet again, and 64 of them pushed out that of the own target.

Change: a departure from the store applies to a target that is already known, ends its requests at once, and is recorded once.

--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -174,7 +174,8 @@
         if let Some(id) = e.key.strip_prefix(DEPARTED_PREFIX) {
             let incarnation = std::str::from_utf8(&e.value).ok();
             let incarnation = incarnation.and_then(|t| t.parse().ok()).unwrap_or(u64::MAX);
-            n.target().restore_departure(id.into(), incarnation);
+            let now = n.clock.now();
+            n.target().restore_departure(id.into(), incarnation, now);
         }
         let Some(r) = parse_record(n, &e.key, &e.value) else {
             continue;
@@ -194,6 +195,7 @@
     if !own_found && registration.list_count > EARLY_LIST_AGES.len() {
         registration.written = false;
     }
+    n.apply_target_state();
     let changes = n.members().merge_listing(records, n.clock.now());
     changes.into_iter().for_each(|c| n.apply_change(c));
     n.last_confirmed
--- a/src/sidecar/target.rs
+++ b/src/sidecar/target.rs
@@ -87,7 +87,8 @@
     seq: u64,
     slots: u32,
     last_heard: Now,
-    leaving_since: Option<Now>,
+    /// Time until which it accepts requests although it is leaving; `None` if it is not leaving.
+    accepts_until: Option<Now>,
     /// Time until which it gets no requests because it counts as down.
     down_until: Option<Now>,
     /// Consecutive attempts without a response in time.
@@ -125,9 +126,16 @@
         }
     }
 
-    /// Restores the record of a target that departed before this process started.
-    pub fn restore_departure(&mut self, id: TargetId, incarnation: u64) {
-        self.record_departure(id, incarnation);
+    /// Restores the record of a target that departed before this process started. It may have sent a heartbeat to this
+    /// process already.
+    pub fn restore_departure(&mut self, id: TargetId, incarnation: u64, now: Now) {
+        let departed = |c: &&mut Current| c.id == id && c.incarnation <= incarnation;
+        if let Some(c) = self.current.as_mut().filter(departed) {
+            c.accepts_until.get_or_insert(now);
+        }
+        if !self.has_departed(&id, incarnation) {
+            self.record_departure(id, incarnation);
+        }
     }
 
     fn record_departure(&mut self, id: TargetId, incarnation: u64) {
@@ -165,23 +173,29 @@
         if old.filter(outdated).is_some() {
             return Ok(false);
         }
-        let leaving = h.state == ReportedState::Draining || self.has_departed(&h.id, h.incarnation);
+        let departed = self.has_departed(&h.id, h.incarnation);
+        let leaving = h.state == ReportedState::Draining || departed;
         let same_incarnation = self
             .current
             .take()
             .filter(|c| c.id == h.id && (c.incarnation == h.incarnation || c.incarnation == 0));
-        let leaving_since = same_incarnation.as_ref().and_then(|c| c.leaving_since);
+        let accepts_until = same_incarnation.as_ref().and_then(|c| c.accepts_until);
+        // A departure that is known without the target is from before the start of this process.
+        let drain_end = match departed && same_incarnation.is_none() {
+            true => now,
+            false => now + self.drain_delay,
+        };
         self.current = Some(Current {
             id: h.id.clone(),
             incarnation: h.incarnation,
             seq: h.seq,
             slots: h.slots.max(1),
             last_heard: now,
-            leaving_since: leaving_since.or(leaving.then_some(now)),
+            accepts_until: accepts_until.or(leaving.then_some(drain_end)),
             down_until: None,
             timeouts: 0,
         });
-        if leaving && !self.has_departed(&h.id, h.incarnation) {
+        if leaving && !departed {
             self.record_departure(h.id.clone(), h.incarnation);
         }
         Ok(self.state(now) != before)
@@ -197,7 +211,7 @@
         let before = self.state(now);
         match &mut self.current {
             Some(c) if c.id == *id && (incarnation == 0 || incarnation >= c.incarnation) => {
-                c.leaving_since.get_or_insert(now);
+                c.accepts_until.get_or_insert(now + self.drain_delay);
                 let incarnation = c.incarnation.max(incarnation);
                 self.record_departure(id.clone(), incarnation);
                 Ok(self.state(now) != before)
@@ -224,7 +238,7 @@
                 seq: 0,
                 slots,
                 last_heard: now,
-                leaving_since: None,
+                accepts_until: None,
                 down_until: None,
                 timeouts: 0,
             });
@@ -270,7 +284,7 @@
     pub fn usable(&self, now: Now) -> Option<&TargetId> {
         let c = self.current.as_ref()?;
         let alive = now < c.last_heard + self.heartbeat_interval * MAX_MISSED_HEARTBEATS;
-        let accepts = c.leaving_since.is_none_or(|t| now < t + self.drain_delay);
+        let accepts = c.accepts_until.is_none_or(|t| now < t);
         let up = c.down_until.is_none_or(|t| now >= t);
         (alive && accepts && up).then_some(&c.id)
     }
@@ -279,7 +293,7 @@
     pub fn is_leaving(&self) -> bool {
         self.current
             .as_ref()
-            .is_some_and(|c| c.leaving_since.is_some())
+            .is_some_and(|c| c.accepts_until.is_some())
     }
 
     /// Whether no target is known.
@@ -298,7 +312,7 @@
         let alive = now < c.last_heard + self.heartbeat_interval * MAX_MISSED_HEARTBEATS;
         Some(TargetState {
             id: c.id.clone(),
-            ready: alive && c.leaving_since.is_none(),
+            ready: alive && c.accepts_until.is_none(),
             slots: c.slots,
         })
     }
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -397,7 +397,7 @@
 #[test]
 fn leaving_survives_a_restart_of_the_node() {
     let mut t = own_target();
-    t.restore_departure("i".into(), 10);
+    t.restore_departure("i".into(), 10, ms(0));
     t.on_probe("i".into(), 4, ms(0));
     assert!(t.usable(ms(0)).is_none());
     t.on_heartbeat(&heartbeat("i", 10, 7, ReportedState::Ready), ms(100))
@@ -406,6 +406,14 @@
     t.on_heartbeat(&heartbeat("i", 11, 1, ReportedState::Ready), ms(200))
         .unwrap();
     assert!(t.state(ms(200)).unwrap().ready);
+    // The heartbeat may come before the store says that the target has departed.
+    let mut t = own_target();
+    t.on_heartbeat(&heartbeat("i", 10, 7, ReportedState::Ready), ms(0))
+        .unwrap();
+    assert!(t.usable(ms(0)).is_some());
+    t.restore_departure("i".into(), 10, ms(50));
+    assert!(!t.state(ms(50)).unwrap().ready);
+    assert!(t.usable(ms(50)).is_none());
 }
 
 /// Guards against heartbeats from other targets, and against the use of a target that stopped responding.
