Give up responses without end before they take the process

What callers saw: in the test, requests to other targets failed while a target wrote interim responses without end, and the node beside a target that streams bodies without end took up to 16 MB for each request; the smallest VM has 88 MB.

Cause: the client skips interim responses however many come, without returning to other tasks for long; the size of all response bodies together was not limited.

Change: a connection fails when more than 256 KB arrive before the head of a response is complete; its read buffer, and so a head, has at most 64 KB.

--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! - request: [`entry`] (route, retries), [`attempt`] (choice of a target, result), [`admit`] (slot, exchange with the
 //!   target)
-//! - connection: [`link`], `dial`, `liveness`, [`relay`], [`transit`] and [`frame`] (between nodes), [`pool`] (to the target)
+//! - connection: [`link`], `dial`, `liveness`, [`relay`], [`transit`] and [`frame`] (between nodes), [`pool`] and `metered` (to the target)
 //! - version: [`routes`]
 //! - process: policies without I/O ([`queue`], [`rate_limit`], [`placement`], `candidates`, [`service_times`], [`members`], [`target`],
 //!   [`budget`], [`split`], [`fairness`], [`watchers`],
@@ -32,6 +32,7 @@
 pub mod link;
 mod liveness;
 pub mod members;
+mod metered;
 pub mod metrics;
 pub mod node;
 pub mod patch;
--- a/src/sidecar/pool.rs
+++ b/src/sidecar/pool.rs
@@ -3,13 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{header, HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
+use super::metered::{Allowance, MeteredStream};
 use crate::connection::upstream::SendError;
 use crate::prelude::*;
 
@@ -17,6 +20,14 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a response body, which is buffered whole.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum size of all response bodies that are being read, so that targets that write without end do not take the memory
+/// of the process. Others wait for room.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Size of the read buffer of a connection, which is also the maximum size of a response head.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes that may arrive before the response head is complete: informational responses, the head and what is read with
+/// it.
+const MAX_HEAD_BYTES: usize = 4 * READ_BUFFER_BYTES;
 /// Maximum time for which a connection is kept idle; the target may name a shorter one. The target closes idle
 /// connections on its own, and a request that is sent at that moment may be lost.
 const MAX_IDLE: Duration = Duration::from_secs(4);
@@ -40,6 +51,7 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     /// Zero if the connection must not be used again.
     idle_timeout: Duration,
 }
@@ -56,6 +68,8 @@
 pub struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
+    /// Room for response bodies, in bytes.
+    room: Semaphore,
 }
 
 impl Pool {
@@ -64,6 +78,7 @@
         Self {
             address,
             idle: Mutex::default(),
+            room: Semaphore::new(MAX_BUFFERED_BYTES),
         }
     }
 
@@ -103,7 +118,14 @@
             Err(_) => return Err(SendError::NotSent("connection timed out".into())),
         };
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let allowance = Allowance::default();
+        let stream = MeteredStream {
+            stream,
+            allowance: allowance.clone(),
+        };
+        let (sender, connection) = Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| SendError::NotSent(e.to_string()))?;
         tokio::spawn(async move {
@@ -113,6 +135,7 @@
         let idle_timeout = MAX_IDLE;
         Ok(Connection {
             sender,
+            allowance,
             idle_timeout,
         })
     }
@@ -135,8 +158,9 @@
             if conn.sender.ready().await.is_err() {
                 continue;
             }
+            conn.allowance.set(MAX_HEAD_BYTES);
             match conn.sender.try_send_request(req).await {
-                Ok(res) => return read_response(conn, res).await,
+                Ok(res) => return self.read_response(conn, res).await,
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
                     None => return Err(send_error(e.error())),
@@ -144,14 +168,63 @@
             }
         }
         let mut conn = self.open().await?;
+        conn.allowance.set(MAX_HEAD_BYTES);
         match conn.sender.try_send_request(req).await {
-            Ok(res) => read_response(conn, res).await,
+            Ok(res) => self.read_response(conn, res).await,
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.error().to_string())),
                 None => Err(send_error(e.error())),
             },
         }
     }
+
+    async fn read_response(
+        &self,
+        conn: Connection,
+        res: Response<Incoming>,
+    ) -> Result<(TargetResponse, UsedConnection), SendError> {
+        // Chunked encoding adds to the size of a body.
+        conn.allowance.set(2 * MAX_RESPONSE_BYTES);
+        let (parts, body) = res.into_parts();
+        let body = self.read_body(body).await?;
+        let idle_timeout = parse_idle_timeout(&parts.headers);
+        let response = TargetResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            service_time: Duration::ZERO,
+        };
+        Ok((
+            response,
+            UsedConnection(Some(Connection {
+                idle_timeout,
+                ..conn
+            })),
+        ))
+    }
+
+    /// Reads a body as far as there is room for it.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendError> {
+        let bad = |e: &dyn std::fmt::Display| SendError::BadResponse(e.to_string());
+        let mut taken: Option<SemaphorePermit<'_>> = None;
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|e| bad(&e))?.into_data() else {
+                continue;
+            };
+            if whole.len() + data.len() > MAX_RESPONSE_BYTES {
+                return Err(bad(&"the body is too long"));
+            }
+            let room = self.room.acquire_many(data.len() as u32).await;
+            let room = room.map_err(|e| bad(&e))?;
+            match &mut taken {
+                Some(permit) => permit.merge(room),
+                None => taken = Some(room),
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
 }
 
 fn send_error(e: &hyper::Error) -> SendError {
@@ -161,29 +234,6 @@
     }
 }
 
-async fn read_response(
-    conn: Connection,
-    res: Response<hyper::body::Incoming>,
-) -> Result<(TargetResponse, UsedConnection), SendError> {
-    let (parts, body) = res.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|e| SendError::BadResponse(e.to_string()))?;
-    let idle_timeout = parse_idle_timeout(&parts.headers);
-    let response = TargetResponse {
-        status: parts.status,
-        headers: parts.headers,
-        body: body.to_bytes(),
-        service_time: Duration::ZERO,
-    };
-    Ok((
-        response,
-        UsedConnection(Some(Connection {
-            idle_timeout,
-            ..conn
-        })),
-    ))
-}
-
 /// Time for which the connection may stay idle after a response with these headers; zero if it must not be used again.
 fn parse_idle_timeout(h: &HeaderMap) -> Duration {
     let text = |name| {
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -95,9 +95,28 @@
     }
 }
 
+/// Refusal of a request, with its id or without.
+fn refusal(path: &str, id: &str, headers: &str) -> String {
+    let status = match path.contains("421") {
+        true => "421 No",
+        false => "503 No\r\ndragonflyquay-not-executed: 1",
+    };
+    let id = match path.contains("no-id") {
+        true => String::new(),
+        false => format!("dragonflyquay-request-id: {id}\r\n"),
+    };
+    format!("HTTP/1.1 {status}\r\n{id}{headers}content-length: 0\r\n\r\n")
+}
+
+/// Writes a part again and again until the other side closes the connection.
+fn write_endlessly(out: &mut TcpStream, part: &[u8]) {
+    while out.write_all(part).is_ok() {}
+}
+
 fn serve(stream: TcpStream, state: &Mutex<State>, received: &Mutex<Vec<ReceivedRequest>>) {
     let mut out = stream.try_clone().unwrap();
     let mut input = BufReader::new(stream);
+    let mut last_refusal = String::new();
     loop {
         let mut head = Vec::new();
         loop {
@@ -122,6 +141,9 @@
         }
         let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
         let s = state.lock().unwrap().clone();
+        if path.contains("again") && out.write_all(last_refusal.as_bytes()).is_err() {
+            return;
+        }
         let request = ReceivedRequest {
             id: header("dragonflyquay-request-id"),
             expected_target: header("dragonflyquay-expected-instance"),
@@ -132,6 +154,9 @@
             connected: true,
             at: Instant::now(),
         };
+        if path.contains("shed") {
+            last_refusal = refusal(&path, &request.id, &s.headers);
+        }
         if !respond(&mut out, &path, &request, &s, received) {
             return;
         }
@@ -162,11 +187,9 @@
         return out.write_all(text.as_bytes()).is_ok();
     }
     if path.contains("shed") {
-        let text = format!(
-            "HTTP/1.1 503 No\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-not-executed: 1\r\n{}content-length: 0\r\n\r\n",
-            s.headers
-        );
-        return out.write_all(text.as_bytes()).is_ok();
+        return out
+            .write_all(refusal(path, id, &s.headers).as_bytes())
+            .is_ok();
     }
     received.lock().unwrap().push(request.clone());
     let head = format!(
@@ -190,6 +213,27 @@
             valid
         }
         p if p.contains("lost") => return false,
+        p if p.contains("endless") => {
+            let part = vec![b'x'; 64 << 10];
+            let (start, part) = match p.rsplit('-').next() {
+                Some("status") => ("", b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()),
+                Some("headers") => ("HTTP/1.1 200 OK\r\n", b"x-more: 1\r\n".to_vec()),
+                Some("header") => ("HTTP/1.1 200 OK\r\nx-long: ", part),
+                Some("chunks") => {
+                    let chunk = [b"10000\r\n", &part[..], b"\r\n"].concat();
+                    let _ = out
+                        .write_all(format!("{head}transfer-encoding: chunked\r\n\r\n").as_bytes());
+                    ("", chunk)
+                }
+                _ => {
+                    let _ = out.write_all(format!("{head}connection: close\r\n\r\n").as_bytes());
+                    ("", part)
+                }
+            };
+            let _ = out.write_all(start.as_bytes());
+            write_endlessly(out, &part);
+            return false;
+        }
         p if p.contains("short") => {
             let _ = out.write_all(format!("{head}content-length: 50\r\n\r\nhello").as_bytes());
             return false;
