Take a response for a proof only if it belongs to the request

What callers saw in the test: 503, which promises that a request has not run, for a request that the target was running.

Cause: a target wrote an earlier refusal once more on a kept connection. It was taken for the refusal of the next request if it named no request id, and a 421 was taken for one even with the id of another request, since its id was not compared.

Change: the id is compared before anything else. On a connection that was used before, a response without an id is one of unknown outcome, and the connection is closed.

Evidence: a_repeated_refusal_proves_nothing failed before (shed-no-id: 503 for a request that ran) and passes, with and without an id, for both kinds of refusal.

--- a/src/sidecar/admit.rs
+++ b/src/sidecar/admit.rs
@@ -184,12 +184,20 @@
     };
     n.target().on_response(now);
     let info = n.adapter.response_info(response.status, &response.headers);
+    // On a connection that was used before, a response without an id may be an earlier one that was sent again.
+    let own = match &info.id {
+        Some(id) => *id == request.id,
+        None => !conn.was_reused(),
+    };
+    if !own {
+        return AttemptResult::failed_at_target(Failure::unknown(Reason::BadResponse));
+    }
     if info.misdirected {
         n.on_target_replaced(&target);
         return AttemptResult::failed_at_target(Failure::not_run(Reason::NotReady));
     }
-    if info.id.as_ref().is_some_and(|id| *id != request.id) {
-        return AttemptResult::failed_at_target(Failure::unknown(Reason::BadResponse));
+    if info.id.is_some() {
+        n.on_target_notices(&info);
     }
     if info.id.is_some() {
         n.on_target_notices(&info);
--- a/src/sidecar/pool.rs
+++ b/src/sidecar/pool.rs
@@ -52,6 +52,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
+    /// Whether it has carried an earlier request.
+    reused: bool,
     /// Zero if the connection must not be used again.
     idle_timeout: Duration,
 }
@@ -64,6 +66,13 @@
 /// A connection whose response has been read. Dropping it closes the connection.
 pub struct UsedConnection(Option<Connection>);
 
+impl UsedConnection {
+    /// Whether the connection had carried a request before this one.
+    pub fn was_reused(&self) -> bool {
+        self.0.as_ref().is_some_and(|c| c.reused)
+    }
+}
+
 /// Idle connections to one address.
 pub struct Pool {
     address: SocketAddr,
@@ -105,7 +114,8 @@
 
     /// Makes a connection available again after its response proved valid.
     pub fn put_back(&self, mut used: UsedConnection, now: Now) {
-        if let Some(conn) = used.0.take().filter(|c| !c.idle_timeout.is_zero()) {
+        if let Some(mut conn) = used.0.take().filter(|c| !c.idle_timeout.is_zero()) {
+            conn.reused = true;
             self.idle().push(IdleConnection { conn, since: now });
         }
     }
@@ -136,6 +146,7 @@
         Ok(Connection {
             sender,
             allowance,
+            reused: false,
             idle_timeout,
         })
     }
--- a/tests/sidecar_faulty_target.rs
+++ b/tests/sidecar_faulty_target.rs
@@ -1,4 +1,4 @@
-//! Targets that write bytes without end.
+//! Targets that write bytes without end, or an earlier response once more.
 
 mod site_kit;
 mod workdir;
@@ -58,3 +58,31 @@
         }
     }
 }
+
+/// Guards against an earlier refusal, written again on a kept connection, that passes as the response to the next
+/// request: its caller would be told that it has not run.
+#[test]
+fn a_repeated_refusal_proves_nothing() {
+    for kind in ["shed", "shed-no-id", "shed-421", "shed-421-no-id"] {
+        let site = Site::start(1);
+        let n = &site.nodes[0];
+        let refused = n.send("POST", &format!("/once/{kind}")).unwrap();
+        assert_eq!(refused.status, 503, "{kind}");
+        workdir::wait_until("the target is used again", || {
+            n.send("POST", "/once/x").unwrap().status == 200
+        });
+        let refused = n.send("POST", &format!("/once/{kind}")).unwrap();
+        assert_ne!(refused.status, 200, "{kind}");
+        let id = fresh_id();
+        let mut status = 503;
+        workdir::wait_until("the request runs", || {
+            status = n
+                .send_as(&id, "POST", "/once/again", "4000")
+                .unwrap()
+                .status;
+            n.target.runs(&id) > 0
+        });
+        assert!(!matches!(status, 408 | 421 | 429 | 503), "{kind}: {status}");
+        assert_eq!(n.target.runs(&id), 1, "{kind}");
+    }
+}
