Drain a target that says in a response that it stops

What the users ask: a target that leaves says so in all its answers, and a node that has passed on such an answer sends it no request that came later than the drain time.

Cause: only heartbeats were read for this; a target whose heartbeats are late or lost was used until it had gone.

Change: platform/ translates the header into a notice of the target. A node that got such a response does not choose the target again until another incarnation takes its place, also if the target's node restarts and knows nothing; the record of a target therefore carries its incarnation. A departure is stored again until the store has taken it; before, one failed write was the last.

--- a/src/platform/adapter.rs
+++ b/src/platform/adapter.rs
@@ -32,6 +32,8 @@
 
 /// Requests a second that the target takes from all nodes together, for as long as it says so; a decimal number.
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// `1` if the target is about to stop.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Limits above this rate, in requests per second, have no effect.
 const MAX_RATE: f64 = 1e6;
@@ -87,6 +89,7 @@
             misdirected,
             encoded: h.contains_key(header::CONTENT_ENCODING),
             limit: named_limit(h),
+            leaving: h.get_all(&LEAVING).iter().any(|v| v == "1"),
         }
     }
 
@@ -138,7 +141,8 @@
 
     fn probed_target(&self, status: StatusCode, h: &HeaderMap) -> Option<TargetId> {
         let id = context::parse_header(h, &TARGET_ID);
-        id.filter(|_| status == StatusCode::OK)
+        let leaving = h.get_all(&LEAVING).iter().any(|v| v == "1");
+        id.filter(|_| status == StatusCode::OK && !leaving)
     }
 }
 
--- a/src/sidecar/adapter.rs
+++ b/src/sidecar/adapter.rs
@@ -35,6 +35,8 @@
     pub encoded: bool,
     /// Rate limit of the target.
     pub limit: NamedLimit,
+    /// Whether the target says that it is about to stop.
+    pub leaving: bool,
 }
 
 /// What a response says about the rate limit of its target, for all nodes together.
--- a/src/sidecar/admit.rs
+++ b/src/sidecar/admit.rs
@@ -197,10 +197,10 @@
         return AttemptResult::failed_at_target(Failure::not_run(Reason::NotReady));
     }
     if info.id.is_some() {
-        n.on_target_notices(&info);
+        n.on_target_notices(&target, &info);
     }
     if info.id.is_some() {
-        n.on_target_notices(&info);
+        n.on_target_notices(&target, &info);
     }
     if info.not_run {
         n.pool.put_back(conn, now);
--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -113,6 +113,10 @@
         false => n.links.call(n, &node, &state.request).await,
     };
     if let AttemptResult::Response(response) = &result {
+        let info = n.adapter.response_info(response.status, &response.headers);
+        if info.leaving {
+            n.placement().set_leaving(&node);
+        }
         if response.status.is_success() {
             n.placement()
                 .record_service_time(&node, &state.request.route, response.service_time);
--- a/src/sidecar/control.rs
+++ b/src/sidecar/control.rs
@@ -6,7 +6,7 @@
 
 use super::adapter::{TargetCall, TargetHeaders};
 use super::discovery;
-use super::node::Node;
+use super::node::{lock, Node};
 use super::sample::Confirmation;
 use super::target::{Heartbeat, ReportedState, TargetId};
 use crate::prelude::*;
@@ -68,15 +68,14 @@
 }
 
 async fn handle_heartbeat(n: &Arc<Node>, h: &Heartbeat) -> Response<Body> {
-    let leaving = n.target().is_leaving();
     let result = n.target().on_heartbeat(h, n.clock.now());
     match result {
         Ok(_) => {
             n.last_confirmed
                 .record(Confirmation::Heartbeat, n.clock.now());
             n.apply_target_state();
-            if h.state == ReportedState::Draining && !leaving {
-                persist_departure(n, &h.id, h.incarnation).await;
+            if h.state == ReportedState::Draining && !n.is_departure_stored(&h.id, h.incarnation) {
+                persist_departure(n.clone(), h.id.clone(), h.incarnation).await;
             }
             json_response(StatusCode::OK, "{}")
         }
@@ -95,13 +94,12 @@
 }
 
 async fn handle_stop(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> Response<Body> {
-    let leaving = n.target().is_leaving();
     let result = n.target().on_stop(id, incarnation, n.clock.now());
     match result {
         Ok(_) => {
             n.apply_target_state();
-            if !leaving {
-                persist_departure(n, id, incarnation).await;
+            if !n.is_departure_stored(id, incarnation) {
+                persist_departure(n.clone(), id.clone(), incarnation).await;
             }
             json_response(StatusCode::OK, "{}")
         }
@@ -117,14 +115,24 @@
     }
 }
 
+impl Node {
+    /// Whether the departure of this incarnation is in the store.
+    fn is_departure_stored(&self, id: &TargetId, incarnation: u64) -> bool {
+        let stored = lock(&self.stored_departure);
+        stored
+            .as_ref()
+            .is_some_and(|(i, n)| i == id && *n >= incarnation)
+    }
+}
+
 /// Records the departure of the target in the store before it is acknowledged, because the next process of this node
 /// must not send requests to the target either. If the store does not respond in time, that process relies on a health
 /// probe.
-async fn persist_departure(n: &Arc<Node>, id: &TargetId, incarnation: u64) {
-    n.log.event("target_leaving", &[("target", id)]);
-    let write = discovery::record_departure(n, id, incarnation);
+pub(super) async fn persist_departure(n: Arc<Node>, id: TargetId, incarnation: u64) {
+    n.log.event("target_leaving", &[("target", &id)]);
+    let write = discovery::record_departure(&n, &id, incarnation);
     match tokio::time::timeout(DEPARTURE_TIMEOUT, write).await {
-        Ok(Ok(())) => {}
+        Ok(Ok(())) => *lock(&n.stored_departure) = Some((id, incarnation)),
         Ok(Err(e)) => n.log.event("note_failed", &[("error", &e.to_string())]),
         Err(_) => n.log.event("note_failed", &[("error", "timeout")]),
     }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -23,7 +23,7 @@
 use super::sample::{Confirmation, LastConfirmed};
 use super::slots::Slots;
 use super::split::TrafficSplit;
-use super::target::{OwnTarget, TargetState};
+use super::target::{OwnTarget, TargetId, TargetState};
 use super::watchers::{must_watch, WatcherCandidate};
 use crate::logging::EventLog;
 use crate::prelude::*;
@@ -91,6 +91,8 @@
     pub(super) settings: ArcSwap<Settings>,
     pub(super) own_record: Mutex<NodeRecord>,
     pub(super) target: Mutex<OwnTarget>,
+    /// Departure of this node's target that is in the store, with its incarnation.
+    pub(super) stored_departure: Mutex<Option<(TargetId, u64)>>,
     pub(super) members: Mutex<Members>,
     pub(super) placement: Mutex<Placement>,
     pub(super) traffic_split: Mutex<TrafficSplit>,
@@ -273,6 +275,7 @@
                     ready: t.ready && !r.leaving,
                     reachable: own || self.links.is_open(&r.node),
                     id: t.id.clone(),
+                    incarnation: t.incarnation,
                 };
                 self.placement().set(&r.node, info, now);
             }
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/placement.rs
@@ -55,6 +55,14 @@
     pub reachable: bool,
     /// Id of the target; a change discards its statistics.
     pub id: SmolStr,
+    /// Incarnation of the target; 0 if unknown.
+    pub incarnation: u64,
+}
+
+impl TargetInfo {
+    fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation || self.incarnation == 0 || other.incarnation == 0
+    }
 }
 
 /// Back-off from a target that rejected a request of a rank. It applies only to requests with at most as much time to
@@ -87,6 +95,8 @@
     sent_at: Now,
     back_offs: [BackOff; RANKS],
     cold_until: Now,
+    /// Whether a response of the target said that it is about to stop.
+    leaving: bool,
 }
 
 /// Criteria for the choice of a target.
@@ -263,7 +273,10 @@
     /// Adds or updates the target of a node. Its statistics are kept if its id and service stay the same.
     pub fn set(&mut self, node: &NodeId, info: TargetInfo, now: Now) {
         match self.targets.get_mut(node) {
-            Some(t) if t.info.id == info.id && t.info.service == info.service => t.info = info,
+            Some(t) if t.info.id == info.id && t.info.service == info.service => {
+                t.leaving &= t.info.is_same_incarnation(&info);
+                t.info = info;
+            }
             old => {
                 // A target that replaces another one has just started.
                 let cold_until = match old {
@@ -284,6 +297,7 @@
                         sent_at: now,
                         back_offs: [BackOff::default(); RANKS],
                         cold_until,
+                        leaving: false,
                     },
                 );
             }
@@ -304,6 +318,13 @@
         self.targets.get(node).and_then(|t| t.load.limit)
     }
 
+    /// Records that the target of a node is about to stop. It is not chosen until another incarnation takes its place.
+    pub fn set_leaving(&mut self, node: &NodeId) {
+        if let Some(t) = self.targets.get_mut(node) {
+            t.leaving = true;
+        }
+    }
+
     /// Sets whether a node is reachable; the target of an unreachable one is not chosen.
     pub fn set_reachable(&mut self, node: &NodeId, reachable: bool) {
         if let Some(t) = self.targets.get_mut(node) {
@@ -332,7 +353,7 @@
             let Some(t) = self.targets.get(node) else {
                 continue;
             };
-            if !t.info.ready || !t.info.reachable {
+            if !t.info.ready || !t.info.reachable || t.leaving {
                 continue;
             }
             let back_off = t.back_offs[req.rank.min(RANKS - 1)].duration(req.until_due, now);
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -114,6 +114,7 @@
         version_adopted: watch::channel(0).0,
         own_record: Mutex::new(record),
         target: Mutex::new(target),
+        stored_departure: Mutex::default(),
         members: Mutex::new(Members::new(settings.node.id.clone())),
         placement: Mutex::new(Placement::new(settings.node.az.clone())),
         traffic_split: Mutex::default(),
--- a/src/sidecar/target.rs
+++ b/src/sidecar/target.rs
@@ -77,6 +77,9 @@
     pub ready: bool,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
+    /// Incarnation of the target; 0 if unknown.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 
 #[derive(Debug)]
@@ -229,6 +232,19 @@
         }
     }
 
+    /// Records that a response of the target said that it is about to stop. Returns the incarnation of the target unless
+    /// its stop was known.
+    pub fn on_leaving_response(&mut self, id: &TargetId, now: Now) -> Option<u64> {
+        let c = self.current.as_mut();
+        let c = c.filter(|c| c.id == *id && c.accepts_until.is_none())?;
+        c.accepts_until = Some(now + self.drain_delay);
+        let incarnation = c.incarnation;
+        if incarnation > 0 {
+            self.record_departure(id.clone(), incarnation);
+        }
+        Some(incarnation)
+    }
+
     /// Records a target that responded to a health probe before its first heartbeat.
     pub fn on_probe(&mut self, id: TargetId, slots: u32, now: Now) {
         if self.current.is_none() && !self.departed.iter().any(|(i, _)| *i == id) {
@@ -314,6 +330,7 @@
             id: c.id.clone(),
             ready: alive && c.accepts_until.is_none(),
             slots: c.slots,
+            incarnation: c.incarnation,
         })
     }
 }
--- a/src/sidecar/target_change.rs
+++ b/src/sidecar/target_change.rs
@@ -1,6 +1,7 @@
 //! Reaction of a node to a change of the state of its target.
 
 use super::adapter::{NamedLimit, ResponseInfo};
+use super::control;
 use super::node::{bool_str, lock, Node};
 use super::rate_limit::RequestRate;
 use super::target::{TargetId, TargetState};
@@ -37,8 +38,8 @@
         self.state_changed.send_modify(|n| *n += 1);
     }
 
-    /// Applies what a response of the target says about its rate limit.
-    pub fn on_target_notices(&self, info: &ResponseInfo) {
+    /// Applies what a response of the target says about its rate limit and its stop.
+    pub fn on_target_notices(self: &Arc<Self>, id: &TargetId, info: &ResponseInfo) {
         match info.limit {
             NamedLimit::Rate(rate) => self.set_target_limit(Some(rate)),
             // A refusal does not say whether the limit has ended.
@@ -49,6 +50,18 @@
                 rejected.inc();
             }
         }
+        if !info.leaving {
+            return;
+        }
+        let incarnation = self.target().on_leaving_response(id, self.clock.now());
+        if let Some(incarnation) = incarnation {
+            self.apply_target_state();
+            tokio::spawn(control::persist_departure(
+                self.clone(),
+                id.clone(),
+                incarnation,
+            ));
+        }
     }
 
     fn set_target_limit(&self, rate: Option<RequestRate>) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -24,6 +24,7 @@
         ready: true,
         reachable: true,
         id: format!("t-{az}").into(),
+        incarnation: 1,
     }
 }
 
@@ -281,3 +282,31 @@
     }
     assert_eq!(p.limit(&"n1".into()), Some(10.0));
 }
+
+/// Guards against requests for a target that said in a response that it stops, and against a target that is never used
+/// again after it has started anew.
+#[test]
+fn a_target_that_says_it_stops_is_not_chosen() {
+    let mut p = Placement::new("a".into());
+    let mut rng = SmallRng::seed_from_u64(7);
+    let node = "n1".into();
+    p.set(&node, info("a"), ms(0));
+    p.set_leaving(&node);
+    // The record of its node may not say so yet, or no more after a restart of the node.
+    let unknown = TargetInfo {
+        incarnation: 0,
+        ..info("a")
+    };
+    for same in [info("a"), unknown, info("a")] {
+        p.set(&node, same, ms(1));
+        let choice = p.choose(ms(2), &criteria(&[]), &mut rng);
+        assert_eq!(choice, Choice::None);
+    }
+    let later = TargetInfo {
+        incarnation: 2,
+        ..info("a")
+    };
+    p.set(&node, later, ms(3));
+    let choice = p.choose(ms(4), &criteria(&[]), &mut rng);
+    assert_eq!(choice, Choice::Target(node));
+}
--- a/tests/sidecar_rate_limit.rs
+++ b/tests/sidecar_rate_limit.rs
@@ -1,4 +1,4 @@
-//! Rate limits that targets name.
+//! Rate limits that targets name, and their notices that they stop.
 
 mod property;
 mod site_kit;
@@ -14,7 +14,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use property::run;
 use proptest::prelude::*;
-use site_kit::{fresh_id, Site};
+use site_kit::{config, fresh_id, Site};
 use workdir::wait_until;
 
 /// Time within which the users count the requests at a target, and how many more than the limit they allow.
@@ -160,6 +160,12 @@
         let info = PlatformAdapter.response_info(StatusCode::OK, &h);
         assert_eq!(info.limit, expected, "{values:?}");
     }
+    for (value, leaving) in [("1", true), ("0", false), ("", false), ("yes", false)] {
+        let mut h = HeaderMap::new();
+        h.append("server-leaving", HeaderValue::from_static(value));
+        let info = PlatformAdapter.response_info(StatusCode::OK, &h);
+        assert_eq!(info.leaving, leaving, "{value:?}");
+    }
 }
 
 /// Sends requests to all nodes in turn for some time. Returns the numbers of served and refused ones.
@@ -221,3 +227,49 @@
     name_limit("");
     wait_until("the limit ends", || offer(&site, 50, ms(500)).1 == 0);
 }
+
+/// Guards against requests for a target that said in a response that it stops, also after a restart of its node.
+#[test]
+fn a_stop_that_a_response_announces_is_kept() {
+    let mut site = Site::empty();
+    site.store.put_config(&config(1, ""));
+    site.add_node(0);
+    site.add_node(1);
+    site.nodes.iter().for_each(site_kit::Node::wait_ready);
+    site.wait_linked();
+    let target = site.nodes[0].target.clone();
+    site.nodes[1].target.state.lock().unwrap().reported = "draining";
+    wait_until("requests go to the first target", || {
+        let id = fresh_id();
+        site.nodes[1].send_as(&id, "GET", "/safe/x", "4000");
+        target.runs(&id) == 1
+    });
+    // Its heartbeats go on to say that it is ready.
+    target.state.lock().unwrap().headers = "server-leaving: 1\r\n".into();
+    let refused = || {
+        let mut results = site.nodes.iter().map(|n| n.send("GET", "/safe/x"));
+        results.all(|res| res.is_some_and(|res| res.status == 503))
+    };
+    wait_until("requests are refused", refused);
+    wait_until("the stop is recorded", || {
+        !site.store.keys("dq/left/i-0").is_empty()
+    });
+    let before = target.received.lock().unwrap().len();
+    drop(site.nodes.remove(0));
+    let restarted = site.start_node("n0", "az0", target.clone());
+    restarted.wait_ready();
+    site.nodes.push(restarted);
+    site.wait_linked();
+    let end = Instant::now() + ms(1500);
+    while Instant::now() < end {
+        for n in &site.nodes {
+            assert_eq!(n.send("GET", "/safe/x").unwrap().status, 503);
+        }
+    }
+    assert_eq!(target.received.lock().unwrap().len(), before);
+    target.state.lock().unwrap().headers.clear();
+    target.state.lock().unwrap().incarnation = 2000;
+    wait_until("a new incarnation serves requests", || {
+        site.nodes[0].send("GET", "/safe/x").unwrap().status == 200
+    });
+}
