Pass over odd entries among those of the nodes

What other operators saw on such systems: another writer left one odd entry in the list of the nodes, and the machines that read the list ended again and again or stopped following it.

Cause here: a record of a node with the greatest incarnation made that node raise its own above it, which overflows: a debug build ends the task that lists the nodes, a release build goes on with 0. In the records of other nodes it shadows every record that they send. A value that cannot be decoded failed the whole listing or watch. An unreadable departure counted for all incarnations of a target, and an unreadable record under a node's own key stayed there for up to 25 s.

Change: a record counts if it has the node of its key and plausible numbers; items that cannot be decoded are left out and logged; an unreadable departure is left out; a node whose own record was replaced by an unreadable one writes it again at once.

Evidence: odd_entries_of_other_writers_change_nothing failed before (the own record does not come back in 60 s) and passes. Heartbeats are not affected: odd_heartbeats_change_nothing passed before, too.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -121,6 +121,19 @@
         STANDARD.decode(text).map_err(unknown_outcome)
     }
 
+    /// Decodes an item. One that cannot be read is left out, so that it does not hide the others.
+    fn readable<T, F>(self, decode: F) -> Option<T>
+    where
+        F: Fn(Self) -> Result<T, StoreError>,
+    {
+        let key = self.key.clone();
+        let decoded = decode(self);
+        if let Err(e) = &decoded {
+            spdlog::warn!("event=item_unreadable", kv: { key = key, error = e.to_string() });
+        }
+        decoded.ok()
+    }
+
     fn entry(self) -> Result<Entry, StoreError> {
         Ok(Entry {
             value: self.bytes()?,
@@ -253,7 +266,7 @@
             let has_next = page.has_more && !page.items.is_empty();
             for item in page.items {
                 after.clone_from(&item.key);
-                listing.entries.push(item.entry()?);
+                listing.entries.extend(item.readable(Item::entry));
             }
             if !has_next {
                 return Ok(out.unwrap_or_default());
@@ -397,9 +410,9 @@
         match status {
             StatusCode::OK => {
                 let w: WatchResponse = decode(&data)?;
-                let events: Result<Vec<_>, _> = w.events.into_iter().map(Item::event).collect();
+                let events = w.events.into_iter();
                 Ok(Changes {
-                    events: events?,
+                    events: events.filter_map(|i| i.readable(Item::event)).collect(),
                     revision: w.at,
                 })
             }
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -173,11 +173,17 @@
     for e in &listing.entries {
         if let Some(id) = e.key.strip_prefix(DEPARTED_PREFIX) {
             let incarnation = std::str::from_utf8(&e.value).ok();
-            let incarnation = incarnation.and_then(|t| t.parse().ok()).unwrap_or(u64::MAX);
-            let now = n.clock.now();
-            n.target().restore_departure(id.into(), incarnation, now);
+            match incarnation.and_then(|t| t.parse().ok()) {
+                Some(incarnation) => {
+                    let now = n.clock.now();
+                    n.target().restore_departure(id.into(), incarnation, now);
+                }
+                None => n.log.event("record_rejected", &[("key", &e.key)]),
+            }
         }
         let Some(r) = parse_record(n, &e.key, &e.value) else {
+            // Another writer replaced the record of this node.
+            registration.written &= e.key != node_key(&n.id);
             continue;
         };
         if r.node == n.id {
@@ -205,13 +211,15 @@
 }
 
 fn parse_record(n: &Node, key: &str, value: &[u8]) -> Option<NodeRecord> {
-    key.strip_prefix(NODE_PREFIX)?;
-    let record = serde_json::from_slice(value);
-    if record.is_err() {
+    let node = key.strip_prefix(NODE_PREFIX)?;
+    let record = serde_json::from_slice(value).ok();
+    let record = record.filter(|r: &NodeRecord| r.is_plausible(node));
+    if record.is_none() {
         n.metrics
             .rejected_inputs
             .with_label_values(&["record"])
             .inc();
+        n.log.event("record_rejected", &[("key", key)]);
     }
-    record.ok()
+    record
 }
--- a/src/sidecar/members.rs
+++ b/src/sidecar/members.rs
@@ -34,7 +34,18 @@
     pub link_mbps: u32,
 }
 
+/// Latest plausible start of a process, in ms since 1970 (the year 10000).
+const MAX_INCARNATION: Incarnation = 253_402_300_800_000;
+/// Greatest plausible number of changes of a record.
+const MAX_SEQUENCE: u64 = 1 << 53;
+
 impl NodeRecord {
+    /// Whether a record can be from the node `node`. Another writer may leave odd values in the store, and a record with
+    /// the greatest order would shadow all records of its node.
+    pub fn is_plausible(&self, node: &str) -> bool {
+        self.node == node && self.incarnation <= MAX_INCARNATION && self.sequence <= MAX_SEQUENCE
+    }
+
     /// Orders the records of one node; the latest is the greatest.
     pub fn order(&self) -> (Incarnation, u64) {
         (self.incarnation, self.sequence)
