--- a/src/process/target/monitor.rs
+++ b/src/process/target/monitor.rs
@@ -206,17 +206,6 @@
         self.current.as_ref().map(|b| b.announcement.incarnation)
     }
 
-    /// Announced numbers of slots and connections.
-    pub fn capacity(&self) -> Option<(u32, u32)> {
-        let a = self.current.as_ref().map(|b| &b.announcement)?;
-        Some((a.slots, a.connections))
-    }
-
-    /// Last load hint in percent, `None` without one. The load that the node measures takes precedence.
-    pub fn load(&self) -> Option<u8> {
-        self.current.as_ref()?.announcement.load
-    }
-
     fn publish(&mut self, now: Now) -> Vec<Action> {
         let state = self.state(now);
         let Some(b) = &self.current else {
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/discovery.rs
@@ -68,10 +68,7 @@
                     n.restart_watch.send_modify(|n| *n += 1);
                 }
                 let wait = registration.next_step(&n).saturating_sub(n.clock.now());
-                tokio::select! {
-                    () = tokio::time::sleep(wait) => {}
-                    () = n.rewrite_record.notified() => registration.written = false,
-                }
+                tokio::time::sleep(wait).await;
             }
             Err(StoreError::NoLease) => {
                 n.log.event("lease_lost", &[]);
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/entry.rs
@@ -19,9 +19,6 @@
 /// Number of tried nodes after which a request is not retried; those without a slot that was free at once do not count.
 /// A rejection costs no run, but it costs a round trip.
 const MAX_TRIED_NODES: usize = 4;
-/// Minimum timeout assumed for a caller that names none. It has no effect, because the timeout of the route is also the
-/// upper limit.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum time after which a caller is told to retry, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Maximum time for which a request waits for the first version. Short compared with the timeout of any caller, so that
@@ -168,8 +165,7 @@
         .unwrap_or_default();
     let route = table.route(host, parts.uri.path());
     let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
-    let remaining = info.timeout.unwrap_or(DEFAULT_TIMEOUT.max(route.timeout));
-    let remaining = remaining.min(route.timeout);
+    let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
     let body = read_body(body, table.limits.body_bytes, remaining).await?;
     let service = n
         .traffic_split()
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use rand::rngs::SmallRng;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch};
 
 use super::adapter::Adapter;
 use super::budget::RetryBudget;
@@ -78,8 +78,6 @@
     pub reaches_store: AtomicBool,
     /// Greatest version number that this node itself read from the store.
     pub max_stored_version: AtomicU64,
-    /// Notifies the task that maintains the record of this node in the store that the record must be written again.
-    pub rewrite_record: Notify,
     /// Notifies the task that watches the store that it must read the configuration again and restart its watch.
     pub restart_watch: watch::Sender<u64>,
     /// Sends what other nodes report about the configuration to the task that adopts it.
--- a/src/sidecar/start.rs
+++ b/src/sidecar/start.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch};
 
 use super::adapter::Adapter;
 use super::config_server::ConfigRequest;
@@ -107,7 +107,6 @@
         max_stored_version: AtomicU64::new(0),
         recent_documents: Mutex::default(),
         patch_cache: Mutex::default(),
-        rewrite_record: Notify::new(),
         restart_watch: watch::channel(0).0,
         config_updates: updates,
         config_requests: requests,
