Sort the modules of the sidecar by what their state lives for

They now stand in request/, connection/, version/ and process/ with rooms for the own target, the other nodes and the choice among targets, as in the rest of src/. Modules are moved and their paths renamed (target.rs is target/state.rs, target_change.rs is target/change.rs); items that were visible in the flat folder are visible in the crate. No behaviour changes.

--- a/src/cmd/sidecar.rs
+++ b/src/cmd/sidecar.rs
@@ -3,7 +3,7 @@
 use super::{block_on, fail, fail_findings, parse_path, CmdError, CmdResult, Exit};
 use crate::platform;
 use crate::prelude::*;
-use crate::sidecar::start;
+use crate::sidecar::process::start;
 use crate::{logging, settings};
 
 /// Text that `sidecar --help` prints.
--- a/src/platform/adapter.rs
+++ b/src/platform/adapter.rs
@@ -12,8 +12,8 @@
 use crate::sidecar::adapter::{
     Adapter, CallerInfo, NamedLimit, ResponseInfo, TargetCall, TargetHeaders,
 };
-use crate::sidecar::routes::RouteTable;
-use crate::sidecar::target::TargetId;
+use crate::sidecar::process::target::state::TargetId;
+use crate::sidecar::version::routes::RouteTable;
 
 /// Id that a caller assigned to one attempt.
 const REQUEST_ID: HeaderName = HeaderName::from_static("dragonflyquay-request-id");
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -5,7 +5,9 @@
 
 use crate::findings::Findings;
 use crate::prelude::*;
-use crate::sidecar::routes::{CallerLimits, Route, RouteTable, Service, WeightedService, RANKS};
+use crate::sidecar::version::routes::{
+    CallerLimits, Route, RouteTable, Service, WeightedService, RANKS,
+};
 
 #[derive(Debug, Deserialize)]
 struct Document {
--- a/src/sidecar/adapter.rs
+++ b/src/sidecar/adapter.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 
-use super::rate_limit::RequestRate;
-use super::routes::RouteTable;
-use super::target::{Heartbeat, TargetId};
 use crate::findings::Findings;
 use crate::prelude::*;
 use crate::request::body::Body;
 use crate::request::reason::Failure;
+use crate::sidecar::process::target::rate_limit::RequestRate;
+use crate::sidecar::process::target::state::{Heartbeat, TargetId};
+use crate::sidecar::version::routes::RouteTable;
 
 /// What the headers of a caller's request say.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/sidecar/dial.rs
+++ b/src/sidecar/connection/dial.rs
@@ -4,21 +4,21 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::WebSocketStream;
 
-use super::link::drive;
-use super::node::Node;
 use crate::prelude::*;
+use crate::sidecar::connection::link::drive;
+use crate::sidecar::process::node::Node;
 
 /// Time to open a link: several round trips between availability zones, and the pauses of a busy process.
-pub(super) const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+pub(crate) const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 /// Shortest and longest back-off before a link is opened again; a node that restarts is back within seconds.
 const REOPEN_BACK_OFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
 /// Size of the read buffer of a link. A node has two links with every other node, and most messages are short.
 const READ_BUFFER_BYTES: usize = 4 << 10;
 
-pub(super) type LinkStream = WebSocketStream<TcpStream>;
+pub(crate) type LinkStream = WebSocketStream<TcpStream>;
 
 /// Keeps a link to a node open until the node is forgotten.
-pub(super) async fn maintain(n: Arc<Node>, node: NodeId) {
+pub(crate) async fn maintain(n: Arc<Node>, node: NodeId) {
     let mut back_off = REOPEN_BACK_OFF.0;
     loop {
         let address = n.members().get(&node).map(|r| r.relay);
@@ -44,7 +44,7 @@
     }
 }
 
-pub(super) fn websocket_config() -> WebSocketConfig {
+pub(crate) fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
--- a/src/sidecar/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -7,11 +7,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::{Deserialize, Serialize};
 
-use super::members::NodeRecord;
-use super::queue::Load;
-use super::target::TargetState;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::process::fleet::members::NodeRecord;
+use crate::sidecar::process::target::queue::Load;
+use crate::sidecar::process::target::state::TargetState;
 
 /// Number of a request within its link.
 pub type Seq = u64;
--- a/src/sidecar/link.rs
+++ b/src/sidecar/connection/link.rs
@@ -11,21 +11,21 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio_tungstenite::tungstenite::Message as Ws;
 
-use super::admit::{AttemptResult, TargetRequest};
-use super::dial::{self, LinkStream};
-use super::distribution;
-use super::frame::{join_payload, Head, Message, RequestHead, Seq};
-use super::liveness::{
-    Liveness, PeerState, AVOID_AFTER, CLOSE_AFTER, IDLE_PING_AFTER, PING_AFTER, SUSPECT_AFTER,
-};
-use super::node::Node;
-use super::pool::TargetResponse;
-use super::watchers::WatcherCandidate;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Reason};
+use crate::sidecar::connection::dial::{self, LinkStream};
+use crate::sidecar::connection::frame::{join_payload, Head, Message, RequestHead, Seq};
+use crate::sidecar::connection::liveness::{
+    Liveness, PeerState, AVOID_AFTER, CLOSE_AFTER, IDLE_PING_AFTER, PING_AFTER, SUSPECT_AFTER,
+};
+use crate::sidecar::connection::pool::TargetResponse;
+use crate::sidecar::process::fleet::watchers::WatcherCandidate;
+use crate::sidecar::process::node::Node;
+use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
+use crate::sidecar::version::distribution;
 
 /// Maximum number of messages that wait to be written on a link. The limit is reached only if the peer does not read.
-pub(super) const MAX_OUTGOING: usize = 512;
+pub(crate) const MAX_OUTGOING: usize = 512;
 
 struct PendingRequest {
     result: oneshot::Sender<AttemptResult>,
@@ -55,7 +55,7 @@
     pending_added: Notify,
 }
 
-pub(super) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -170,7 +170,7 @@
     }
 
     /// Stops keeping a link to a node that was forgotten.
-    pub(super) fn forget(&self, node: &NodeId) {
+    pub(crate) fn forget(&self, node: &NodeId) {
         lock(&self.maintained).remove(node);
     }
 
@@ -266,7 +266,7 @@
     }
 }
 
-pub(super) fn hello_message(n: &Node) -> Message {
+pub(crate) fn hello_message(n: &Node) -> Message {
     Message::without_payload(Head::Hello(
         Box::new(n.record()),
         n.version(),
@@ -304,7 +304,7 @@
 }
 
 /// Exchanges messages on a link until it is closed. Returns the reason.
-pub(super) async fn drive(n: &Arc<Node>, node: &NodeId, stream: LinkStream) -> String {
+pub(crate) async fn drive(n: &Arc<Node>, node: &NodeId, stream: LinkStream) -> String {
     let (outgoing, queue) = mpsc::channel(MAX_OUTGOING);
     let (cancels, cancelled) = mpsc::unbounded_channel();
     let link = Arc::new(Link {
--- a/src/sidecar/liveness.rs
+++ b/src/sidecar/connection/liveness.rs
@@ -3,30 +3,30 @@
 use crate::prelude::*;
 
 /// Time without a message on a link with pending requests after which the peer is pinged.
-pub(super) const PING_AFTER: Duration = Duration::from_millis(120);
+pub(crate) const PING_AFTER: Duration = Duration::from_millis(120);
 /// Time without a response to a ping after which new requests go to other nodes. A process throttled by its CPU quota
 /// pauses for about as long.
-pub(super) const AVOID_AFTER: Duration = Duration::from_millis(110);
+pub(crate) const AVOID_AFTER: Duration = Duration::from_millis(110);
 /// Time without a response to a ping after which pending idempotent requests are also sent to other nodes.
-pub(super) const SUSPECT_AFTER: Duration = Duration::from_millis(250);
+pub(crate) const SUSPECT_AFTER: Duration = Duration::from_millis(250);
 /// Time without a response to a ping after which the link is closed.
-pub(super) const CLOSE_AFTER: Duration = Duration::from_millis(1200);
+pub(crate) const CLOSE_AFTER: Duration = Duration::from_millis(1200);
 /// Time without a message on an idle link after which the peer is pinged.
-pub(super) const IDLE_PING_AFTER: Duration = Duration::from_secs(10);
+pub(crate) const IDLE_PING_AFTER: Duration = Duration::from_secs(10);
 
 /// Liveness of the peer of a link.
-pub(super) struct Liveness {
+pub(crate) struct Liveness {
     /// Time of the last message from the peer.
-    pub(super) last_heard: Now,
+    pub(crate) last_heard: Now,
     /// Time of the ping that the peer has not responded to; `None` if there is none.
-    pub(super) pinged_at: Option<Now>,
+    pub(crate) pinged_at: Option<Now>,
     /// How the link is used while the ping is unanswered.
-    pub(super) state: PeerState,
+    pub(crate) state: PeerState,
 }
 
 /// Use of a link depending on how long a ping has been unanswered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum PeerState {
+pub(crate) enum PeerState {
     /// The link gets all requests.
     Healthy,
     /// New requests go to other nodes.
@@ -37,7 +37,7 @@
 
 impl Liveness {
     /// Time until the next check; `pending_since` is `None` if no requests are pending.
-    pub(super) fn next_check(&self, pending_since: Option<Now>, now: Now) -> Duration {
+    pub(crate) fn next_check(&self, pending_since: Option<Now>, now: Now) -> Duration {
         let at = match (self.pinged_at, pending_since) {
             (Some(t), _) => {
                 t + match self.state {
--- a/src/sidecar/metered.rs
+++ b/src/sidecar/connection/metered.rs
@@ -11,10 +11,10 @@
 
 /// Number of bytes that a stream may still deliver.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Allowance(Arc<AtomicUsize>);
+pub(crate) struct Allowance(Arc<AtomicUsize>);
 
 impl Allowance {
-    pub(super) fn set(&self, bytes: usize) {
+    pub(crate) fn set(&self, bytes: usize) {
         self.0.store(bytes, Ordering::SeqCst);
     }
 
@@ -27,9 +27,9 @@
 }
 
 /// A stream whose reads use up an [`Allowance`].
-pub(super) struct MeteredStream {
-    pub(super) stream: TcpStream,
-    pub(super) allowance: Allowance,
+pub(crate) struct MeteredStream {
+    pub(crate) stream: TcpStream,
+    pub(crate) allowance: Allowance,
 }
 
 impl AsyncRead for MeteredStream {
--- /dev/null
+++ b/src/sidecar/connection/mod.rs
@@ -0,0 +1,10 @@
+//! What lives for one connection: links between nodes with their frames, and connections to the target.
+
+mod dial;
+pub mod frame;
+pub mod link;
+mod liveness;
+mod metered;
+pub mod pool;
+pub mod relay;
+pub mod transit;
--- a/src/sidecar/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -12,9 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use super::metered::{Allowance, MeteredStream};
 use crate::connection::upstream::SendError;
 use crate::prelude::*;
+use crate::sidecar::connection::metered::{Allowance, MeteredStream};
 
 /// Time to open a connection within this VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -41,7 +41,7 @@
 pub struct TargetResponse {
     /// HTTP status of the response.
     pub status: StatusCode,
-    /// Headers of the response; see [`strip_response`](super::admit::strip_response).
+    /// Headers of the response; see [`strip_response`](crate::sidecar::request::admit::strip_response).
     pub headers: HeaderMap,
     /// Body of the response, buffered whole.
     pub body: Bytes,
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -8,18 +8,18 @@
 use tokio::task::AbortHandle;
 use tokio_tungstenite::tungstenite::Message as Ws;
 
-use super::admit::{self, strip_response, AttemptResult, TargetRequest};
-use super::config_server::ConfigRequest;
-use super::dial::{websocket_config, OPEN_TIMEOUT};
-use super::frame::{
-    join_payload, parse_method, FailureHead, Head, Message, RequestHead, ResponseHead, Seq,
-};
-use super::link::{hello_message, lock, MAX_OUTGOING};
-use super::metrics::Hop;
-use super::node::Node;
-use super::transit::TransitDelay;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::connection::dial::{websocket_config, OPEN_TIMEOUT};
+use crate::sidecar::connection::frame::{
+    join_payload, parse_method, FailureHead, Head, Message, RequestHead, ResponseHead, Seq,
+};
+use crate::sidecar::connection::link::{hello_message, lock, MAX_OUTGOING};
+use crate::sidecar::connection::transit::TransitDelay;
+use crate::sidecar::process::metrics::Hop;
+use crate::sidecar::process::node::Node;
+use crate::sidecar::request::admit::{self, strip_response, AttemptResult, TargetRequest};
+use crate::sidecar::version::config_server::ConfigRequest;
 
 /// Delay after a failed `accept`, which usually means that the process ran out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -249,7 +249,7 @@
         route: head.route.clone(),
         service: head.service.clone(),
         caller: head.caller.clone(),
-        rank: head.rank.min(super::routes::RANKS - 1),
+        rank: head.rank.min(crate::sidecar::version::routes::RANKS - 1),
         idempotent: head.idempotent,
         retry: head.retry,
         objective: Duration::from_millis(head.objective_ms),
--- a/src/sidecar/admin.rs
+++ b/src/sidecar/process/admin.rs
@@ -10,9 +10,9 @@
 use schemars::JsonSchema;
 use serde::Serialize;
 
-use super::node::Node;
 use crate::logging;
 use crate::prelude::*;
+use crate::sidecar::process::node::Node;
 
 type Ctx = RequestContext<Arc<Node>>;
 
--- a/src/sidecar/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -3,11 +3,11 @@
 
 use std::sync::atomic::Ordering;
 
-use super::members::NodeRecord;
-use super::node::Node;
-use super::sample::Confirmation;
-use super::target::TargetId;
 use crate::prelude::*;
+use crate::sidecar::process::fleet::members::NodeRecord;
+use crate::sidecar::process::node::Node;
+use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::process::target::state::TargetId;
 use crate::store::{LeaseId, StoreError};
 
 /// Prefix of all keys of this program.
--- a/src/sidecar/members.rs
+++ b/src/sidecar/process/fleet/members.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::target::TargetState;
 use crate::prelude::*;
+use crate::sidecar::process::target::state::TargetState;
 
 /// Time since the last contact after which a node without a record in the store is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(30);
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -4,11 +4,11 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
 };
 
-use super::node::Node;
-use super::sample::SampledGauges;
 use crate::prelude::*;
 use crate::process::observe::metrics::{counters, gauge, register};
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::process::node::Node;
+use crate::sidecar::process::sample::SampledGauges;
 
 /// Upper bounds of the histogram buckets, in seconds; dense around the usual latency objectives.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 5.0];
--- /dev/null
+++ b/src/sidecar/process/mod.rs
@@ -0,0 +1,10 @@
+//! What lives for the process: its state, start and stop, metrics, and the state of targets and other nodes.
+
+pub mod admin;
+pub mod fleet;
+pub mod metrics;
+pub mod node;
+pub mod routing;
+pub mod sample;
+pub mod start;
+pub mod target;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/process/node.rs
@@ -9,26 +9,26 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, watch};
 
-use super::adapter::Adapter;
-use super::budget::RetryBudget;
-use super::config_server::ConfigRequest;
-use super::fairness::Fairness;
-use super::frame::Message;
-use super::link::Links;
-use super::members::{MemberChange, Members, NodeRecord};
-use super::metrics::{Hop, Metrics};
-use super::placement::{Choice, Criteria, Placement, TargetInfo};
-use super::pool::Pool;
-use super::routes::RouteTable;
-use super::sample::{Confirmation, LastConfirmed};
-use super::slots::Slots;
-use super::split::TrafficSplit;
-use super::target::{OwnTarget, TargetId, TargetState};
-use super::watchers::{must_watch, WatcherCandidate};
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
 use crate::settings::Settings;
+use crate::sidecar::adapter::Adapter;
+use crate::sidecar::connection::frame::Message;
+use crate::sidecar::connection::link::Links;
+use crate::sidecar::connection::pool::Pool;
+use crate::sidecar::process::fleet::members::{MemberChange, Members, NodeRecord};
+use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
+use crate::sidecar::process::metrics::{Hop, Metrics};
+use crate::sidecar::process::routing::budget::RetryBudget;
+use crate::sidecar::process::routing::fairness::Fairness;
+use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement, TargetInfo};
+use crate::sidecar::process::routing::split::TrafficSplit;
+use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
+use crate::sidecar::process::target::slots::Slots;
+use crate::sidecar::process::target::state::{OwnTarget, TargetId, TargetState};
+use crate::sidecar::version::config_server::ConfigRequest;
+use crate::sidecar::version::routes::RouteTable;
 use crate::store::Store;
 
 /// Maximum number of recent documents to keep as bases of patches. Nodes that request a version are at most a few
@@ -86,25 +86,25 @@
     pub config_requests: mpsc::UnboundedSender<ConfigRequest>,
     /// Notifies the task that serves the configuration of the version in force.
     pub version_adopted: watch::Sender<VersionNumber>,
-    pub(super) settings: ArcSwap<Settings>,
-    pub(super) own_record: Mutex<NodeRecord>,
-    pub(super) target: Mutex<OwnTarget>,
+    pub(crate) settings: ArcSwap<Settings>,
+    pub(crate) own_record: Mutex<NodeRecord>,
+    pub(crate) target: Mutex<OwnTarget>,
     /// Departure of this node's target that is in the store, with its incarnation.
-    pub(super) stored_departure: Mutex<Option<(TargetId, u64)>>,
-    pub(super) members: Mutex<Members>,
-    pub(super) placement: Mutex<Placement>,
-    pub(super) traffic_split: Mutex<TrafficSplit>,
-    pub(super) fairness: Mutex<Fairness>,
-    pub(super) retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
-    pub(super) rng: Mutex<SmallRng>,
+    pub(crate) stored_departure: Mutex<Option<(TargetId, u64)>>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) placement: Mutex<Placement>,
+    pub(crate) traffic_split: Mutex<TrafficSplit>,
+    pub(crate) fairness: Mutex<Fairness>,
+    pub(crate) retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    pub(crate) rng: Mutex<SmallRng>,
     /// [`Phase`] as a number.
-    pub(super) phase: AtomicU8,
-    pub(super) in_flight: AtomicUsize,
+    pub(crate) phase: AtomicU8,
+    pub(crate) in_flight: AtomicUsize,
     /// Whether the nodes have been read from the store at least once.
-    pub(super) members_listed: AtomicBool,
+    pub(crate) members_listed: AtomicBool,
     /// Documents of recent versions, as bases of patches.
-    pub(super) recent_documents: Mutex<VecDeque<(VersionNumber, Bytes)>>,
-    pub(super) patch_cache: Mutex<PatchCache>,
+    pub(crate) recent_documents: Mutex<VecDeque<(VersionNumber, Bytes)>>,
+    pub(crate) patch_cache: Mutex<PatchCache>,
 }
 
 /// Message of another node about the configuration.
@@ -134,7 +134,7 @@
     }
 }
 
-pub(super) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
     m.lock().unwrap_or_else(|e| e.into_inner())
 }
 
@@ -261,7 +261,7 @@
         }
     }
 
-    pub(super) fn update_placement(&self, r: &NodeRecord) {
+    pub(crate) fn update_placement(&self, r: &NodeRecord) {
         let own = r.node == self.id;
         let now = self.clock.now();
         match &r.target {
@@ -411,7 +411,7 @@
     }
 }
 
-pub(super) fn bool_str(b: bool) -> &'static str {
+pub(crate) fn bool_str(b: bool) -> &'static str {
     match b {
         true => "true",
         false => "false",
--- a/src/sidecar/candidates.rs
+++ b/src/sidecar/process/routing/candidates.rs
@@ -15,18 +15,18 @@
 const SAMPLE_SIZE: usize = 3;
 
 /// A target that is eligible for a request.
-pub(super) struct Candidate<'a> {
-    pub(super) node: &'a NodeId,
+pub(crate) struct Candidate<'a> {
+    pub(crate) node: &'a NodeId,
     /// Whether the target is in the availability zone of this node.
-    pub(super) own_az: bool,
+    pub(crate) own_az: bool,
     /// Expected wait, in seconds.
-    pub(super) wait: f64,
+    pub(crate) wait: f64,
     /// Expected cost of late and failed responses, from 0 to 1.
-    pub(super) cost: f64,
+    pub(crate) cost: f64,
     /// Requests at the target for each slot.
-    pub(super) load: f64,
+    pub(crate) load: f64,
     /// Requests that the target can run per second.
-    pub(super) capacity: f64,
+    pub(crate) capacity: f64,
 }
 
 /// Samples targets with a probability proportional to their capacity. Returns all if there are only a few: each then
@@ -67,7 +67,7 @@
 }
 
 /// Selects a target in the availability zone of this node unless one in another zone is clearly better.
-pub(super) fn select<'a, R>(
+pub(crate) fn select<'a, R>(
     candidates: &[Candidate<'a>],
     rank: usize,
     rng: &mut R,
--- a/src/sidecar/fairness.rs
+++ b/src/sidecar/process/routing/fairness.rs
@@ -6,8 +6,8 @@
 //! the less urgent requests are shed then. Each entry node considers only the requests of its own callers, which are a
 //! representative sample.
 
-use super::routes::RANKS;
 use crate::prelude::*;
+use crate::sidecar::version::routes::RANKS;
 
 /// Minimum served fraction of a less urgent rank, relative to that of a more urgent one.
 pub const MIN_RELATIVE_SHARE: f64 = 0.8;
--- /dev/null
+++ b/src/sidecar/process/routing/mod.rs
@@ -0,0 +1,9 @@
+//! Choice among the targets of a service, split between services, fairness between ranks, and retry budgets.
+
+pub mod budget;
+mod candidates;
+pub mod fairness;
+pub mod placement;
+mod retries;
+pub mod service_times;
+pub mod split;
--- a/src/sidecar/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -11,11 +11,11 @@
 
 use rand::Rng;
 
-use super::candidates::{select, Candidate};
-use super::queue::Load;
-use super::routes::RANKS;
-use super::service_times::{ServiceTimes, TimeDistribution};
 use crate::prelude::*;
+use crate::sidecar::process::routing::candidates::{select, Candidate};
+use crate::sidecar::process::routing::service_times::{ServiceTimes, TimeDistribution};
+use crate::sidecar::process::target::queue::Load;
+use crate::sidecar::version::routes::RANKS;
 
 /// Cost of a response that misses the latency objective; one that misses the deadline costs 1.
 const LATE_COST: f64 = 0.7;
--- a/src/sidecar/retries.rs
+++ b/src/sidecar/process/routing/retries.rs
@@ -1,9 +1,9 @@
 //! Retry budgets of a node, by service.
 
-use super::budget::RetryLimits;
-use super::node::{lock, Node};
-use super::routes::RANKS;
 use crate::prelude::*;
+use crate::sidecar::process::node::{lock, Node};
+use crate::sidecar::process::routing::budget::RetryLimits;
+use crate::sidecar::version::routes::RANKS;
 
 /// The least urgent rank.
 const LAST_RANK: usize = RANKS - 1;
--- a/src/sidecar/split.rs
+++ b/src/sidecar/process/routing/split.rs
@@ -1,7 +1,7 @@
 //! Choice of the service for a request of a route with weighted services. No I/O.
 
-use super::routes::WeightedService;
 use crate::prelude::*;
+use crate::sidecar::version::routes::WeightedService;
 
 /// State of the smooth weighted round robin, by route.
 #[derive(Debug, Default)]
--- a/src/sidecar/sample.rs
+++ b/src/sidecar/process/sample.rs
@@ -4,9 +4,9 @@
 
 use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
-use super::node::Node;
 use crate::prelude::*;
 use crate::process::observe::metrics::{gauge, gauges};
+use crate::sidecar::process::node::Node;
 
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -154,7 +154,7 @@
                 ("running", &load.running.to_string()),
                 (
                     "waiting",
-                    &load.waiting[super::routes::RANKS - 1].to_string(),
+                    &load.waiting[crate::sidecar::version::routes::RANKS - 1].to_string(),
                 ),
                 ("service_ms", &(load.service_us / 1000).to_string()),
                 ("version", &n.version().to_string()),
--- a/src/sidecar/target_change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -1,12 +1,12 @@
 //! Reaction of a node to a change of the state of its target.
 
-use super::adapter::{NamedLimit, ResponseInfo};
-use super::control;
-use super::node::{bool_str, lock, Node};
-use super::rate_limit::RequestRate;
-use super::target::{TargetId, TargetState};
 use crate::prelude::*;
 use crate::request::reason::Reason;
+use crate::sidecar::adapter::{NamedLimit, ResponseInfo};
+use crate::sidecar::process::node::{bool_str, lock, Node};
+use crate::sidecar::process::target::control;
+use crate::sidecar::process::target::rate_limit::RequestRate;
+use crate::sidecar::process::target::state::{TargetId, TargetState};
 
 impl Node {
     /// Applies the current state of the target to the record of this node, the placement and the queue, and notifies
--- a/src/sidecar/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -4,13 +4,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use super::adapter::{TargetCall, TargetHeaders};
-use super::discovery;
-use super::node::{lock, Node};
-use super::sample::Confirmation;
-use super::target::{Heartbeat, ReportedState, TargetId};
 use crate::prelude::*;
 use crate::request::body::{full, Body};
+use crate::sidecar::adapter::{TargetCall, TargetHeaders};
+use crate::sidecar::process::fleet::discovery;
+use crate::sidecar::process::node::{lock, Node};
+use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::process::target::state::{Heartbeat, ReportedState, TargetId};
 
 /// Maximum size of the body of a call, in bytes.
 const MAX_CALL_BYTES: usize = 64 << 10;
@@ -128,7 +128,7 @@
 /// Records the departure of the target in the store before it is acknowledged, because the next process of this node
 /// must not send requests to the target either. If the store does not respond in time, that process relies on a health
 /// probe.
-pub(super) async fn persist_departure(n: Arc<Node>, id: TargetId, incarnation: u64) {
+pub(crate) async fn persist_departure(n: Arc<Node>, id: TargetId, incarnation: u64) {
     n.log.event("target_leaving", &[("target", &id)]);
     let write = discovery::record_departure(&n, &id, incarnation);
     match tokio::time::timeout(DEPARTURE_TIMEOUT, write).await {
--- /dev/null
+++ b/src/sidecar/process/target/mod.rs
@@ -0,0 +1,8 @@
+//! The target of this node: its state, its calls, its slots with their queue, and its rate limit.
+
+mod change;
+pub mod control;
+pub mod queue;
+pub mod rate_limit;
+pub mod slots;
+pub mod state;
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -6,10 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::rate_limit::{RateLimit, RequestRate};
-use super::routes::RANKS;
 use crate::prelude::*;
 use crate::request::reason::Reason;
+use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
+use crate::sidecar::version::routes::RANKS;
 
 /// Maximum number of waiting requests; wait estimates are meaningless for longer queues.
 const MAX_WAITING: usize = 256;
--- a/src/sidecar/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -5,10 +5,10 @@
 
 use tokio::sync::oneshot;
 
-use super::queue::{Action, Arrival, Load, Queue, Ticket};
 use crate::prelude::*;
 use crate::process::clock::Clock;
 use crate::request::reason::{Failure, Reason};
+use crate::sidecar::process::target::queue::{Action, Arrival, Load, Queue, Ticket};
 
 /// Interval at which waiting requests are checked while no slot becomes free.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
--- a/src/sidecar/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -4,16 +4,16 @@
 use http::{header, HeaderMap, Method, Request, Uri};
 use http_body_util::Full;
 
-use super::adapter::TargetHeaders;
-use super::node::{Node, Phase};
-use super::pool::TargetResponse;
-use super::queue::Arrival;
-use super::slots::Slot;
-use super::target::TargetId;
 use crate::connection::upstream::SendError;
 use crate::prelude::*;
 use crate::request::context;
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::adapter::TargetHeaders;
+use crate::sidecar::connection::pool::TargetResponse;
+use crate::sidecar::process::node::{Node, Phase};
+use crate::sidecar::process::target::queue::Arrival;
+use crate::sidecar::process::target::slots::Slot;
+use crate::sidecar::process::target::state::TargetId;
 
 /// Time after the deadline for which the node waits, so that the target can still report that the deadline passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(20);
--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -1,11 +1,11 @@
 //! One attempt of a request: chooses a target, sends the request there and records what the result says.
 
-use super::admit::{self, AttemptResult, TargetRequest};
-use super::node::Node;
-use super::placement::{Choice, Criteria};
-use super::routes::Route;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::process::node::Node;
+use crate::sidecar::process::routing::placement::{Choice, Criteria};
+use crate::sidecar::request::admit::{self, AttemptResult, TargetRequest};
+use crate::sidecar::version::routes::Route;
 
 /// Maximum number of attempts that are admitted only if a slot is free at once. Load reports are old where there are
 /// many targets, so the first choice is often full while another target is idle.
@@ -17,26 +17,26 @@
 const NO_RESPONSE: &str = "no-reply";
 /// Back-off from a target that is not ready, and time after which a caller is told to retry while no version or no
 /// target is known.
-pub(super) const NOT_READY_BACK_OFF: Duration = Duration::from_millis(150);
+pub(crate) const NOT_READY_BACK_OFF: Duration = Duration::from_millis(150);
 
 /// A request of a caller, from its arrival to its response.
-pub(super) struct RequestState {
-    pub(super) request: TargetRequest,
-    pub(super) route: Arc<Route>,
+pub(crate) struct RequestState {
+    pub(crate) request: TargetRequest,
+    pub(crate) route: Arc<Route>,
     /// Version that the route is from.
-    pub(super) version: VersionNumber,
+    pub(crate) version: VersionNumber,
     /// Nodes that the request was sent to, except those in `full`.
-    pub(super) tried: Vec<NodeId>,
+    pub(crate) tried: Vec<NodeId>,
     /// Nodes whose targets had no free slot. They are excluded until the last attempt, which waits at the best one.
-    pub(super) full: Vec<NodeId>,
+    pub(crate) full: Vec<NodeId>,
     /// Number of targets that received the request.
-    pub(super) sent: u32,
+    pub(crate) sent: u32,
     /// Number of targets that may have run the request.
-    pub(super) possible_runs: u32,
+    pub(crate) possible_runs: u32,
     /// Shortest back-off so far; zero if there was none.
-    pub(super) retry_after: Duration,
+    pub(crate) retry_after: Duration,
     /// Nodes and results of the attempts, for the log.
-    pub(super) trace: String,
+    pub(crate) trace: String,
 }
 
 /// Chooses a target and sends the request there.
@@ -44,7 +44,7 @@
 /// # Errors
 ///
 /// No target can be chosen.
-pub(super) async fn attempt(
+pub(crate) async fn attempt(
     n: &Arc<Node>,
     state: &mut RequestState,
 ) -> Result<AttemptResult, Failure> {
@@ -181,7 +181,7 @@
 
 impl RequestState {
     /// Failure of a request whose deadline passed before the response to its last attempt arrived.
-    pub(super) fn deadline_failure(&mut self) -> Failure {
+    pub(crate) fn deadline_failure(&mut self) -> Failure {
         if self.sent == 0 {
             return Failure::not_run(Reason::Deadline);
         }
--- a/src/sidecar/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -5,16 +5,16 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use super::adapter::CallerInfo;
-use super::admit::{strip_response, AttemptResult, TargetRequest};
-use super::attempt::{attempt, RequestState, NOT_READY_BACK_OFF};
-use super::node::{Node, Phase};
-use super::pool::TargetResponse;
-use super::routes::{Route, RouteTable};
 use crate::prelude::*;
 use crate::request::body::{full, Body};
 use crate::request::context;
 use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::adapter::CallerInfo;
+use crate::sidecar::connection::pool::TargetResponse;
+use crate::sidecar::process::node::{Node, Phase};
+use crate::sidecar::request::admit::{strip_response, AttemptResult, TargetRequest};
+use crate::sidecar::request::attempt::{attempt, RequestState, NOT_READY_BACK_OFF};
+use crate::sidecar::version::routes::{Route, RouteTable};
 
 /// Number of tried nodes after which a request is not retried; those without a slot that was free at once do not count.
 /// A rejection costs no run, but it costs a round trip.
--- /dev/null
+++ b/src/sidecar/request/mod.rs
@@ -0,0 +1,5 @@
+//! What lives for one request: its route and attempts at the entry node, its slot and exchange at the admitting node.
+
+pub mod admit;
+pub mod attempt;
+pub mod entry;
--- a/src/sidecar/config.rs
+++ b/src/sidecar/version/config.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::config_server;
-use super::node::{ConfigUpdate, Node};
-use super::patch;
-use super::sample::Confirmation;
 use crate::prelude::*;
+use crate::sidecar::process::node::{ConfigUpdate, Node};
+use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::version::config_server;
+use crate::sidecar::version::patch;
 use crate::store::{Revision, StoreError};
 
 /// Delay after a change before the next watch call, so that one call covers a series of changes. Half of the time
--- a/src/sidecar/config_server.rs
+++ b/src/sidecar/version/config_server.rs
@@ -4,11 +4,11 @@
 
 use tokio::sync::mpsc;
 
-use super::distribution::pause_after;
-use super::frame::{Head, Message};
-use super::node::{lock, Node};
-use super::patch;
 use crate::prelude::*;
+use crate::sidecar::connection::frame::{Head, Message};
+use crate::sidecar::process::node::{lock, Node};
+use crate::sidecar::version::distribution::pause_after;
+use crate::sidecar::version::patch;
 
 /// Time for which a request waits here for a version that this node does not hold yet. The other node requests it
 /// elsewhere before that.
@@ -97,7 +97,7 @@
 }
 
 /// Keeps the patch with which this node got its version, to pass it on as it is.
-pub(super) fn keep_patch(
+pub(crate) fn keep_patch(
     n: &Node,
     number: VersionNumber,
     base: VersionNumber,
--- a/src/sidecar/distribution.rs
+++ b/src/sidecar/version/distribution.rs
@@ -5,8 +5,8 @@
 //! behind it. Nodes therefore form a tree: a few nodes request a version from the watchers, the others from a node that
 //! is before them in an order that all nodes share. Each node passes a version on to a few others, one at a time.
 
-use super::watchers::{watch_order, WatcherCandidate, WATCHER_COUNT};
 use crate::prelude::*;
+use crate::sidecar::process::fleet::watchers::{watch_order, WatcherCandidate, WATCHER_COUNT};
 
 /// Number of nodes that request a version from the same node.
 pub const FAN_OUT: usize = 4;
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
-use dragonflyquay::sidecar::placement::{Choice, Criteria, Placement, TargetInfo};
-use dragonflyquay::sidecar::queue::Load;
-use dragonflyquay::sidecar::service_times::TimeDistribution;
+use dragonflyquay::sidecar::process::routing::placement::{
+    Choice, Criteria, Placement, TargetInfo,
+};
+use dragonflyquay::sidecar::process::routing::service_times::TimeDistribution;
+use dragonflyquay::sidecar::process::target::queue::Load;
 use property::run;
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,7 +9,7 @@
 use dragonflyquay::platform::store::PlatformStore;
 use dragonflyquay::platform::{document, heartbeat};
 use dragonflyquay::sidecar::adapter::TargetCall;
-use dragonflyquay::sidecar::target::ReportedState;
+use dragonflyquay::sidecar::process::target::state::ReportedState;
 use dragonflyquay::store::{Store, StoreError, Swap};
 use http::Method;
 use site_kit::store::{Faults, KvServer};
--- a/tests/sidecar_config.rs
+++ b/tests/sidecar_config.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use dragonflyquay::sidecar::frame::{Head, Message};
-use dragonflyquay::sidecar::members::NodeRecord;
+use dragonflyquay::sidecar::connection::frame::{Head, Message};
+use dragonflyquay::sidecar::process::fleet::members::NodeRecord;
 use futures_util::{SinkExt, StreamExt};
 use site_kit::{config, Site, SERVICE};
 use tokio_tungstenite::tungstenite::Message as Ws;
--- a/tests/sidecar_links.rs
+++ b/tests/sidecar_links.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use dragonflyquay::sidecar::distribution::{pause_after, sources, FAN_OUT};
-use dragonflyquay::sidecar::transit::TransitDelay;
-use dragonflyquay::sidecar::watchers::{must_watch, WatcherCandidate, WATCHER_COUNT};
+use dragonflyquay::sidecar::connection::transit::TransitDelay;
+use dragonflyquay::sidecar::process::fleet::watchers::{
+    must_watch, WatcherCandidate, WATCHER_COUNT,
+};
+use dragonflyquay::sidecar::version::distribution::{pause_after, sources, FAN_OUT};
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -7,17 +7,21 @@
 
 use bytes::Bytes;
 use dragonflyquay::request::reason::Reason;
-use dragonflyquay::sidecar::budget::{RetryBudget, RetryLimits};
-use dragonflyquay::sidecar::fairness::{Fairness, MIN_RELATIVE_SHARE};
-use dragonflyquay::sidecar::members::{MemberChange, Members, NodeRecord, FORGET_AFTER};
-use dragonflyquay::sidecar::patch;
-use dragonflyquay::sidecar::queue::{Action, Arrival, Queue};
-use dragonflyquay::sidecar::routes::{Route, RouteTable, WeightedService};
-use dragonflyquay::sidecar::split::TrafficSplit;
-use dragonflyquay::sidecar::target::{Heartbeat, HeartbeatError, OwnTarget, ReportedState};
-use dragonflyquay::sidecar::watchers::{
+use dragonflyquay::sidecar::process::fleet::members::{
+    MemberChange, Members, NodeRecord, FORGET_AFTER,
+};
+use dragonflyquay::sidecar::process::fleet::watchers::{
     must_watch, WatcherCandidate, MAX_CANDIDATES, WATCHER_COUNT,
 };
+use dragonflyquay::sidecar::process::routing::budget::{RetryBudget, RetryLimits};
+use dragonflyquay::sidecar::process::routing::fairness::{Fairness, MIN_RELATIVE_SHARE};
+use dragonflyquay::sidecar::process::routing::split::TrafficSplit;
+use dragonflyquay::sidecar::process::target::queue::{Action, Arrival, Queue};
+use dragonflyquay::sidecar::process::target::state::{
+    Heartbeat, HeartbeatError, OwnTarget, ReportedState,
+};
+use dragonflyquay::sidecar::version::patch;
+use dragonflyquay::sidecar::version::routes::{Route, RouteTable, WeightedService};
 use property::run;
 use proptest::prelude::*;
 
