--- a/src/sidecar/connection/dial.rs
+++ b/src/sidecar/connection/dial.rs
@@ -5,7 +5,7 @@
 use tokio_tungstenite::WebSocketStream;
 
 use crate::prelude::*;
-use crate::sidecar::connection::link::drive;
+use crate::sidecar::connection::link_task::drive;
 use crate::sidecar::process::node::Node;
 
 /// Time to open a link: several round trips between availability zones, and the pauses of a busy process.
--- /dev/null
+++ b/src/sidecar/connection/links.rs
@@ -0,0 +1,158 @@
+//! Links to other nodes: each node opens one to every other node and sends its requests there.
+
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+
+use tokio::sync::oneshot;
+
+use crate::prelude::*;
+use crate::request::reason::{Failure, Reason};
+use crate::sidecar::connection::dial;
+use crate::sidecar::connection::frame::{join_payload, Head, Message, RequestHead, Seq};
+use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, PendingRequest};
+use crate::sidecar::process::fleet::watchers::WatcherCandidate;
+use crate::sidecar::process::node::Node;
+use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
+use crate::sidecar::version::distribution;
+
+/// Links to all other nodes.
+#[derive(Default)]
+pub struct Links {
+    pub(super) open: Mutex<HashMap<NodeId, Arc<Link>>>,
+    /// Nodes to which a link is kept open.
+    maintained: Mutex<HashSet<NodeId>>,
+}
+
+impl Links {
+    /// Keeps a link to a node open until the node is forgotten.
+    pub fn maintain(&self, n: &Arc<Node>, node: &NodeId) {
+        if lock(&self.maintained).insert(node.clone()) {
+            tokio::spawn(dial::maintain(n.clone(), node.clone()));
+        }
+    }
+
+    /// Stops keeping a link to a node that was forgotten.
+    pub(crate) fn forget(&self, node: &NodeId) {
+        lock(&self.maintained).remove(node);
+    }
+
+    /// Whether a link from this node to `node` is open.
+    pub fn is_open(&self, node: &str) -> bool {
+        lock(&self.open).contains_key(node)
+    }
+
+    /// Number of open links that this node opened.
+    pub fn len(&self) -> usize {
+        lock(&self.open).len()
+    }
+
+    /// Whether no link that this node opened is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Sends a request to the node of a target and waits for the result.
+    pub async fn call(&self, n: &Node, node: &NodeId, request: &TargetRequest) -> AttemptResult {
+        let link = lock(&self.open).get(node).cloned();
+        let not_sent = AttemptResult::undelivered(Failure::not_run(Reason::NotSent));
+        let Some(link) = link else {
+            return not_sent;
+        };
+        let seq = link.last_seq.fetch_add(1, Ordering::SeqCst) + 1;
+        let (tx, rx) = oneshot::channel();
+        let pending = PendingRequest {
+            result: tx,
+            idempotent: request.idempotent,
+            deadline: request.deadline,
+        };
+        link.add(n, seq, pending);
+        let mut guard = CancelOnDrop {
+            link: &link,
+            seq,
+            finished: false,
+        };
+        let message = request_message(n, request, seq);
+        if link.outgoing.try_send((seq, message)).is_err() {
+            lock(&link.pending).remove(&seq);
+            return not_sent;
+        }
+        let result = rx.await;
+        guard.finished = true;
+        result.unwrap_or(AttemptResult::Failed {
+            failure: Failure::unknown(Reason::Lost),
+            delivered: true,
+        })
+    }
+
+    /// Requests the version in force from a node, as a patch of the version `held`. Returns whether the request was
+    /// queued.
+    pub fn request_config(&self, node: &str, held: VersionNumber) -> bool {
+        let link = lock(&self.open).get(node).cloned();
+        link.is_some_and(|l| {
+            let message = Message::without_payload(Head::GetConfig(held));
+            l.outgoing.try_send((0, message)).is_ok()
+        })
+    }
+
+    /// Pings the peers of all links that have been quiet for a while.
+    pub(super) fn ping_all(&self) {
+        lock(&self.open)
+            .values()
+            .for_each(|l| l.ping_now.notify_one());
+    }
+
+    /// The linked nodes that may watch the store.
+    pub fn watcher_candidates(&self, n: &Node) -> Vec<WatcherCandidate> {
+        self.candidates(n, |_| true)
+    }
+
+    /// Nodes from which this node requests a version, the preferred one first; see [`distribution::sources`].
+    pub fn config_sources(&self, n: &Node) -> Vec<NodeId> {
+        let linked = self.candidates(n, |l| l.responsive.load(Ordering::SeqCst));
+        distribution::sources(&n.watcher_candidate(), &linked)
+    }
+
+    fn candidates<F>(&self, n: &Node, which: F) -> Vec<WatcherCandidate>
+    where
+        F: Fn(&Link) -> bool,
+    {
+        let open: Vec<Arc<Link>> = lock(&self.open).values().cloned().collect();
+        let members = n.members();
+        let selected = open.iter().filter(|l| which(l));
+        let candidate = |l: &Arc<Link>| WatcherCandidate {
+            node: l.node.clone(),
+            link_mbps: members.get(&l.node).map_or(0, |r| r.link_mbps),
+            reaches_store: l.reaches_store.load(Ordering::SeqCst),
+        };
+        selected.map(candidate).collect()
+    }
+}
+
+fn request_message(n: &Node, request: &TargetRequest, seq: Seq) -> Message {
+    let now = n.clock.now();
+    let (header_len, payload) = join_payload(&request.headers, &request.body);
+    let head = RequestHead {
+        seq,
+        id: request.id.clone(),
+        route: request.route.clone(),
+        service: request.service.clone(),
+        caller: request.caller.clone(),
+        rank: request.rank,
+        idempotent: request.idempotent,
+        retry: request.retry,
+        objective_ms: request.objective.as_millis() as u64,
+        until_due_ms: request.due.saturating_sub(now).as_millis() as u64,
+        remaining_ms: request.deadline.saturating_sub(now).as_millis() as u64,
+        baseline_ms: request.baseline.as_millis() as u64,
+        sent_ms: n.clock.boot_time().as_millis() as u64,
+        max_wait_ms: request.max_wait.map(|w| w.as_millis() as u64),
+        limit: request.limit,
+        method: request.method.as_str().into(),
+        path: request.path.clone(),
+        header_len,
+    };
+    Message {
+        head: Head::Request(Box::new(head)),
+        payload,
+    }
+}
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -2,7 +2,9 @@
 
 mod dial;
 pub mod frame;
-pub mod link;
+mod link;
+mod link_task;
+pub mod links;
 mod liveness;
 mod metered;
 pub mod pool;
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -14,7 +14,8 @@
 use crate::sidecar::connection::frame::{
     join_payload, parse_method, FailureHead, Head, Message, RequestHead, ResponseHead, Seq,
 };
-use crate::sidecar::connection::link::{hello_message, lock, MAX_OUTGOING};
+use crate::sidecar::connection::link::{lock, MAX_OUTGOING};
+use crate::sidecar::connection::link_task::hello_message;
 use crate::sidecar::connection::transit::TransitDelay;
 use crate::sidecar::process::metrics::Hop;
 use crate::sidecar::process::node::Node;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::sidecar::adapter::Adapter;
 use crate::sidecar::connection::frame::Message;
-use crate::sidecar::connection::link::Links;
+use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pool::Pool;
 use crate::sidecar::process::fleet::members::{MemberChange, Members, NodeRecord};
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -19,7 +19,7 @@
 use crate::process::node::NodeError;
 use crate::settings::{self, LimitSettings, Settings};
 use crate::sidecar::adapter::Adapter;
-use crate::sidecar::connection::link::Links;
+use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pool::Pool;
 use crate::sidecar::connection::relay;
 use crate::sidecar::process::admin;
