Let small responses pass large ones that wait for room

Cause: the room for response bodies is handed out in order, so a body that waits for more of it held up the small responses behind it until its deadline.

Change: the first 256 KB of a body need no room. small_responses_pass_large_ones did not end within 60 s before and passes.

--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -20,8 +20,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a response body, which is buffered whole.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Maximum size of all response bodies that are being read, so that targets that write without end do not take the memory
-/// of the process. Others wait for room.
+/// Part of a response body that needs no room, so that large bodies do not hold up others.
+const SMALL_BODY_BYTES: usize = 256 << 10;
+/// Room for the rest of all bodies that are being read, so that a target that writes without end does not take the memory
+/// of the process. Large bodies wait for room.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 /// Size of the read buffer of a connection, which is also the maximum size of a response head.
 const READ_BUFFER_BYTES: usize = 64 << 10;
@@ -77,7 +79,7 @@
 pub struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
-    /// Room for response bodies, in bytes.
+    /// Room for large response bodies, in bytes.
     room: Semaphore,
 }
 
@@ -214,7 +216,7 @@
         ))
     }
 
-    /// Reads a body as far as there is room for it.
+    /// Reads a body; a large one as far as there is room for it.
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendError> {
         let bad = |e: &dyn std::fmt::Display| SendError::BadResponse(e.to_string());
         let mut taken: Option<SemaphorePermit<'_>> = None;
@@ -226,13 +228,14 @@
             if whole.len() + data.len() > MAX_RESPONSE_BYTES {
                 return Err(bad(&"the body is too long"));
             }
-            let room = self.room.acquire_many(data.len() as u32).await;
+            whole.extend_from_slice(&data);
+            let large = whole.len().saturating_sub(SMALL_BODY_BYTES);
+            let room = self.room.acquire_many(large.min(data.len()) as u32).await;
             let room = room.map_err(|e| bad(&e))?;
             match &mut taken {
                 Some(permit) => permit.merge(room),
                 None => taken = Some(room),
             }
-            whole.extend_from_slice(&data);
         }
         Ok(whole.freeze())
     }
--- a/tests/sidecar_faulty_target.rs
+++ b/tests/sidecar_faulty_target.rs
@@ -3,8 +3,14 @@
 mod site_kit;
 mod workdir;
 
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use dragonflyquay::sidecar::connection::pool::Pool;
+use http::Request;
+use http_body_util::Full;
 use site_kit::{fresh_id, Site};
 
 /// Memory that a process may use, in KB: half of that of the smallest VM of the users.
@@ -59,6 +65,51 @@
     }
 }
 
+/// Sends a request with this path on a connection of the pool.
+async fn send(pool: &Pool, path: &str) -> Option<usize> {
+    let req = Request::builder().uri(path).body(Full::default()).unwrap();
+    let sent = pool.send(req, true, Duration::ZERO).await;
+    sent.ok().map(|(response, _)| response.body.len())
+}
+
+/// Guards against small responses that wait behind large ones for which there is no room.
+#[test]
+fn small_responses_pass_large_ones() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let pool = Arc::new(Pool::new(listener.local_addr().unwrap()));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map(Result::unwrap) {
+            std::thread::spawn(move || respond_in_part(stream));
+        }
+    });
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let large = ["/large", "/large"].map(|path| {
+            let pool = pool.clone();
+            tokio::spawn(async move { send(&pool, path).await })
+        });
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(send(&pool, "/small").await, Some(5));
+        large.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
+/// Writes a small response, or most of a large one.
+fn respond_in_part(mut stream: TcpStream) {
+    let mut head = [0; 1024];
+    let n = stream.read(&mut head).unwrap();
+    if !head[..n].starts_with(b"GET /large") {
+        let text = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+        stream.write_all(text).unwrap();
+    } else {
+        let text = b"HTTP/1.1 200 OK\r\ncontent-length: 16000000\r\n\r\n";
+        let _ = stream.write_all(text);
+        let _ = stream.write_all(&vec![b'x'; 15 << 20]);
+    }
+    // Keeps the connection open until the other side closes it.
+    let _ = stream.read(&mut head);
+}
+
 /// Guards against an earlier refusal, written again on a kept connection, that passes as the response to the next
 /// request: its caller would be told that it has not run.
 #[test]
