--- a/review/kit/case_watchers.rs
+++ b/review/kit/case_watchers.rs
@@ -1,4 +1,4 @@
-//! CONFIG: one zone loses power, and the operator changes the configuration.
+//! CONFIG: one zone loses power or its path to the store, and the operator changes the configuration.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -7,7 +7,16 @@
 use crate::http;
 use crate::site::{config, fresh_id, Record, Route, Site, HOST, STOP};
 
-/// Zone that loses power. Its machines run another service than the one that consumers use at the moment.
+/// What happens to the zone.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// Its machines lose power.
+    Power,
+    /// Its machines reach the store no more; all else works.
+    StorePath,
+}
+
+/// Zone that is struck. Its machines run another service than the one that consumers use at the moment.
 const DARK: &str = "site-a";
 const CONFIG_APPLY_MS: u64 = 2000;
 /// Time for which the handling of requests is observed after the change.
@@ -26,7 +35,7 @@
     status
 }
 
-pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
+pub fn run(record: &Arc<Record>, trouble: bool, fault: Fault) -> bool {
     let route = |prefix, service| Route { prefix, kind: "safe", service, attempts: 2 };
     let services = ["desk", "hall"];
     let old = [route("/look/", "desk"), route("/gone/", "desk"), route("/hall/", "hall")];
@@ -36,7 +45,9 @@
         ("site-b", 1, "desk"), ("site-b", 2, "desk"), ("site-b", 3, "desk"),
         ("site-f", 1, "desk"), ("site-f", 2, "desk"), ("site-f", 3, "desk"),
     ];
-    let site = Site::start(record, &machines, 6, &config(11, &services, &old, 5000));
+    let first = config(11, &services, &old, 5000);
+    let second_path = (fault == Fault::StorePath).then_some(DARK);
+    let site = Site::start_with(record, &machines, 6, &first, second_path, false);
     let calm: Vec<usize> = (0..site.nodes.len()).filter(|i| site.nodes[*i].service == "desk").collect();
     let done = AtomicBool::new(false);
     let late = Mutex::new(vec![0u32; site.nodes.len()]);
@@ -53,10 +64,22 @@
             });
         }
         std::thread::sleep(Duration::from_secs(4));
-        if trouble {
-            record.say(&format!("zone {DARK} loses power"));
-            let dark = site.nodes.iter().filter(|n| n.name.contains(DARK));
-            dark.for_each(|n| n.signal(STOP));
+        if fault == Fault::StorePath {
+            site.store.put("op/config", &config(12, &services, &old, 5000));
+            record.say("operator: version 12 is acknowledged; it changes no route");
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+        match fault {
+            _ if !trouble => {}
+            Fault::Power => {
+                record.say(&format!("zone {DARK} loses power"));
+                let dark = site.nodes.iter().filter(|n| n.name.contains(DARK));
+                dark.for_each(|n| n.signal(STOP));
+            }
+            Fault::StorePath => {
+                record.say(&format!("zone {DARK} is cut off from the store"));
+                site.store.second_cut.store(true, Ordering::SeqCst);
+            }
         }
         std::thread::sleep(Duration::from_millis(500));
         site.store.put("op/config", &config(14, &services, &new, 5000));
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -4,6 +4,7 @@
 
 mod case_crash;
 mod case_drain;
+mod case_reuse;
 mod case_stop;
 mod case_watchers;
 mod http;
@@ -15,6 +16,7 @@
 use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
+use case_watchers::Fault;
 use site::Record;
 
 /// Time after which a run is given up.
@@ -37,7 +39,9 @@
     record.say(&format!("case {case}, trouble {}", if trouble { "on" } else { "off" }));
     let result = std::panic::catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "stop" => case_stop::run(&record, trouble),
-        "watchers" => case_watchers::run(&record, trouble),
+        "watchers" => case_watchers::run(&record, trouble, Fault::Power),
+        "store-path" => case_watchers::run(&record, trouble, Fault::StorePath),
+        "reuse" => case_reuse::run(&record, trouble),
         "drain" => case_drain::run(&record, trouble),
         "crash" => case_crash::run(&record, trouble),
         _ => panic!("unknown case {case}"),
--- a/review/kit/site.rs
+++ b/review/kit/site.rs
@@ -148,6 +148,7 @@
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     pub record: Arc<Record>,
     dir: PathBuf,
+    second_path: Option<&'static str>,
 }
 
 /// One machine: zone, number within the zone, service.
@@ -156,28 +157,56 @@
 impl Site {
     /// Starts the store with a configuration, and the nodes and targets of these machines.
     pub fn start(record: &Arc<Record>, machines: &[Machine], slots: usize, config: &str) -> Self {
+        Self::start_with(record, machines, slots, config, None, false)
+    }
+
+    /// Starts a site as [`Site::start`] does; the operator writes the first configuration when the nodes run.
+    pub fn start_without_config(record: &Arc<Record>, machines: &[Machine], slots: usize, config: &str) -> Self {
+        Self::start_with(record, machines, slots, config, None, true)
+    }
+
+    /// Starts a site as [`Site::start`] does; the machines of one zone reach the store by its second path.
+    pub fn start_with(
+        record: &Arc<Record>,
+        machines: &[Machine],
+        slots: usize,
+        config: &str,
+        second_path: Option<&'static str>,
+        config_last: bool,
+    ) -> Self {
         let dir = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("temporary folder");
         let store = Store::start();
-        store.put("op/config", config);
-        record.line("operator: first configuration");
         let mut site = Self {
             store,
             nodes: Vec::new(),
             arrivals: Arc::default(),
             record: record.clone(),
             dir,
+            second_path,
         };
+        if !config_last {
+            site.store.put("op/config", config);
+        }
         for (zone, number, service) in machines {
             site.add(zone, *number, service, slots);
         }
+        if config_last {
+            std::thread::sleep(Duration::from_millis(2 * HEARTBEAT_MS));
+            site.store.put("op/config", config);
+        }
+        record.line("the first configuration is there");
         site.wait(machines.len() - 1);
         site
     }
 
-    fn add(&mut self, zone: &str, number: u32, service: &str, slots: usize) {
+    fn add(&mut self, zone: &'static str, number: u32, service: &str, slots: usize) {
         let name = format!("sidecar-{zone}-{number}");
         let port = free_ports(7);
+        let store_address = match self.second_path == Some(zone) {
+            true => self.store.second_address,
+            false => self.store.address,
+        };
         let address = |i: usize| format!("127.0.0.1:{}", port[i]);
         let parse = |i: usize| address(i).parse::<SocketAddr>().expect("address");
         let target = Target::start(
@@ -197,7 +226,7 @@
             ("listen.inbound", address(1)),
             ("listen.ready", address(2)),
             ("listen.control", address(3)),
-            ("platform.address", self.store.address.to_string()),
+            ("platform.address", store_address.to_string()),
             ("app_addr", address(6)),
             ("service", service.into()),
             ("heartbeat_ms", HEARTBEAT_MS.to_string()),
@@ -270,7 +299,7 @@
     static NEXT: Mutex<u16> = Mutex::new(0);
     let mut next = NEXT.lock().unwrap();
     if *next == 0 {
-        *next = 12_000 + (std::process::id() % 900) as u16 * 20;
+        *next = 12_000 + (std::process::id() % 190) as u16 * 100;
     }
     let mut found = Vec::new();
     while found.len() < count {
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -2,7 +2,7 @@
 //! for.
 
 use std::collections::BTreeMap;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -34,6 +34,10 @@
     changed: Condvar,
     /// Whether the store is down: it answers 503 and does nothing.
     pub down: AtomicBool,
+    /// Address of a path to the store that a case may cut.
+    pub second_address: SocketAddr,
+    /// Whether nothing comes through on that path, in either direction.
+    pub second_cut: Arc<AtomicBool>,
 }
 
 const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -100,9 +104,33 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
+/// Passes bytes on in both directions until one side closes. While `cut` is set, nothing is passed on, and what arrived
+/// meanwhile is lost.
+fn pass(from: TcpStream, to: SocketAddr, cut: &Arc<AtomicBool>) {
+    let Ok(to) = TcpStream::connect(to) else { return };
+    let copy = |mut input: TcpStream, mut output: TcpStream, cut: Arc<AtomicBool>| {
+        let mut buffer = [0; 16 << 10];
+        while let Ok(n) = input.read(&mut buffer) {
+            if cut.load(Ordering::SeqCst) {
+                // Both sides wait in vain, as behind a partition.
+                std::thread::sleep(Duration::from_secs(3600));
+            }
+            if n == 0 || output.write_all(&buffer[..n]).is_err() {
+                break;
+            }
+        }
+        let _ = output.shutdown(std::net::Shutdown::Both);
+    };
+    let (Ok(a), Ok(b)) = (from.try_clone(), to.try_clone()) else { return };
+    let c = cut.clone();
+    std::thread::spawn(move || copy(a, b, c));
+    copy(to, from, cut.clone());
+}
+
 impl Store {
     pub fn start() -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind store");
+        let second = TcpListener::bind("127.0.0.1:0").expect("bind second path");
         let store = Arc::new(Self {
             address: listener.local_addr().expect("address"),
             state: Mutex::new(State {
@@ -114,6 +142,15 @@
             }),
             changed: Condvar::new(),
             down: AtomicBool::new(false),
+            second_address: second.local_addr().expect("address"),
+            second_cut: Arc::default(),
+        });
+        let (to, cut) = (store.address, store.second_cut.clone());
+        std::thread::spawn(move || {
+            for stream in second.incoming().flatten() {
+                let cut = cut.clone();
+                std::thread::spawn(move || pass(stream, to, &cut));
+            }
         });
         let s = store.clone();
         std::thread::spawn(move || {
--- a/review/kit/target.rs
+++ b/review/kit/target.rs
@@ -50,7 +50,7 @@
     zone: String,
     slots: usize,
     pub address: SocketAddr,
-    control: SocketAddr,
+    pub control: SocketAddr,
     state: Mutex<Lifetime>,
     freed: Condvar,
     /// Whether a request with `poison` in its path crashes the target.
@@ -213,7 +213,7 @@
             return None;
         }
         let signed = format!("{echo}dragonflyquay-response-signature: s.{request}\r\n");
-        Some(http::response(200, &signed, &format!("done {request}")))
+        Some(http::response(200, &signed, &format!("done by {} {request}", self.service)))
     }
 
     fn note(&self, request: &str, path: &str, run: bool) {
@@ -250,6 +250,18 @@
         self.freed.notify_one();
     }
 
+    /// The target's process ends for good.
+    pub fn end(&self) {
+        let mut s = self.state.lock().unwrap();
+        s.up = false;
+        for c in std::mem::take(&mut s.connections).into_values() {
+            let _ = c.shutdown(Shutdown::Both);
+        }
+        drop(s);
+        let _ = TcpStream::connect(self.address);
+        self.record.line(&format!("target {} has ended", self.name));
+    }
+
     /// The target's process ends and is back after some seconds as another lifetime.
     fn crash(self: &Arc<Self>, id: &str) {
         let mut s = self.state.lock().unwrap();
