--- a/review/kit/case_crash.rs
+++ b/review/kit/case_crash.rs
@@ -21,7 +21,8 @@
         "Host: {HOST}\r\nDragonflyquay-Request-Id: {id}\r\nDragonflyquay-Deadline-Ms: 1000\r\n"
     );
     let n = &site.nodes[node];
-    site.record.line(&format!("consumer at {} sends {id} {path}", n.name));
+    site.record
+        .line(&format!("consumer at {} sends {id} {path}", n.name));
     let answer = http::call(n.caller, "GET", path, &headers, "", Duration::from_secs(2));
     let text = answer.map_or("none".to_owned(), |m| m.status().to_string());
     site.record.line(&format!("consumer gets {id}: {text}"));
@@ -29,10 +30,19 @@
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let routes = [Route { prefix: "/look/", kind: "safe", service: "desk", attempts: 3 }];
+    let routes = [Route {
+        prefix: "/look/",
+        kind: "safe",
+        service: "desk",
+        attempts: 3,
+    }];
     let machines = [
-        ("ub-a", 1, "desk"), ("ub-a", 2, "desk"), ("ub-b", 1, "desk"),
-        ("ub-b", 2, "desk"), ("ub-c", 1, "desk"), ("ub-c", 2, "desk"),
+        ("ub-a", 1, "desk"),
+        ("ub-a", 2, "desk"),
+        ("ub-b", 1, "desk"),
+        ("ub-b", 2, "desk"),
+        ("ub-c", 1, "desk"),
+        ("ub-c", 2, "desk"),
     ];
     let site = Site::start(record, &machines, 6, &config(7, &["desk"], &routes, 5000));
     for n in &site.nodes {
@@ -74,7 +84,10 @@
             false => drop(first.insert(&a.request, a.at_ms)),
             true if a.at_ms > bound => {
                 retries += 1;
-                site.record.line(&format!("RETRY {retries}: {} reaches {}", a.request, a.target));
+                site.record.line(&format!(
+                    "RETRY {retries}: {} reaches {}",
+                    a.request, a.target
+                ));
             }
             true => {}
         }
--- a/review/kit/case_drain.rs
+++ b/review/kit/case_drain.rs
@@ -23,14 +23,31 @@
         "Host: {HOST}\r\nDragonflyquay-Request-Id: {id}\r\nDragonflyquay-Deadline-Ms: 800\r\n"
     );
     let n = &site.nodes[node];
-    let answer = http::call(n.caller, "GET", "/look/w60", &headers, "", Duration::from_secs(2));
+    let answer = http::call(
+        n.caller,
+        "GET",
+        "/look/w60",
+        &headers,
+        "",
+        Duration::from_secs(2),
+    );
     let text = answer.map_or("none".to_owned(), |m| m.status().to_string());
-    site.record.line(&format!("consumer at {} sent {id}: {text}", n.name));
+    site.record
+        .line(&format!("consumer at {} sent {id}: {text}", n.name));
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let routes = [Route { prefix: "/look/", kind: "safe", service: "desk", attempts: 2 }];
-    let machines = [("ub-a", 1, "desk"), ("ub-b", 1, "desk"), ("ub-c", 1, "desk")];
+    let routes = [Route {
+        prefix: "/look/",
+        kind: "safe",
+        service: "desk",
+        attempts: 2,
+    }];
+    let machines = [
+        ("ub-a", 1, "desk"),
+        ("ub-b", 1, "desk"),
+        ("ub-c", 1, "desk"),
+    ];
     let site = Site::start(record, &machines, 6, &config(7, &["desk"], &routes, 5000));
     let leaving = &site.nodes[0];
     let done = AtomicBool::new(false);
@@ -58,7 +75,10 @@
         let late = leaving.target.next_heartbeat();
         record.say("the target of the first node sends a heartbeat that will arrive late");
         until(LEAVE);
-        assert!(leaving.target.leave(), "the announced stop was not acknowledged");
+        assert!(
+            leaving.target.leave(),
+            "the announced stop was not acknowledged"
+        );
         acked = record.now();
         record.say("the target of the first node has announced its stop, and it was acknowledged");
         until(KILL);
--- a/review/kit/case_reuse.rs
+++ b/review/kit/case_reuse.rs
@@ -17,7 +17,14 @@
         "Host: {HOST}\r\nDragonflyquay-Request-Id: {id}\r\nDragonflyquay-Deadline-Ms: 800\r\n"
     );
     let n = &site.nodes[node];
-    let answer = http::call(n.caller, "GET", "/look/w60", &headers, "", Duration::from_secs(2));
+    let answer = http::call(
+        n.caller,
+        "GET",
+        "/look/w60",
+        &headers,
+        "",
+        Duration::from_secs(2),
+    );
     let text = answer.map_or("none".to_owned(), |m| {
         let body = String::from_utf8_lossy(&m.body).into_owned();
         if m.status() == 200 && body.contains("done by hall") {
@@ -25,12 +32,22 @@
         }
         format!("{} {body}", m.status())
     });
-    site.record.line(&format!("consumer at {} sent {id}: {text}", n.name));
+    site.record
+        .line(&format!("consumer at {} sent {id}: {text}", n.name));
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
-    let routes = [Route { prefix: "/look/", kind: "safe", service: "desk", attempts: 2 }];
-    let machines = [("ub-a", 1, "desk"), ("ub-b", 1, "desk"), ("ub-c", 1, "desk")];
+    let routes = [Route {
+        prefix: "/look/",
+        kind: "safe",
+        service: "desk",
+        attempts: 2,
+    }];
+    let machines = [
+        ("ub-a", 1, "desk"),
+        ("ub-b", 1, "desk"),
+        ("ub-c", 1, "desk"),
+    ];
     let document = config(7, &["desk", "hall"], &routes, 5000);
     let site = Site::start_without_config(record, &machines, 6, &document);
     let first = &site.nodes[0];
@@ -67,7 +84,10 @@
         done.store(true, Ordering::SeqCst);
     });
     let arrivals = site.arrivals.lock().unwrap();
-    let runs = arrivals.iter().filter(|a| a.target == "other" && a.run).count();
+    let runs = arrivals
+        .iter()
+        .filter(|a| a.target == "other" && a.run)
+        .count();
     let wrong = *wrong.lock().unwrap();
     record.say(&format!("requests for the service desk that a target of the service hall ran: {runs}; answered with its response: {wrong}"));
     runs > 0
--- a/review/kit/case_stop.rs
+++ b/review/kit/case_stop.rs
@@ -31,7 +31,13 @@
     let id = fresh_id();
     let text = head(method, path, &id, LIMIT_MS);
     let (first, rest) = text.split_at(text.len() / 2);
-    let mut out = Outcome { id: id.clone(), method, sent: None, ended: 0, status: None };
+    let mut out = Outcome {
+        id: id.clone(),
+        method,
+        sent: None,
+        ended: 0,
+        status: None,
+    };
     if let Ok(mut c) = http::connect(node.caller, Duration::from_millis(3 * LIMIT_MS)) {
         record.line(&format!("consumer begins {id} {method} {path}"));
         let mut written = c.write_all(first.as_bytes());
@@ -46,17 +52,35 @@
         out.status = http::read_response(&c).ok().map(|m| m.status());
     }
     out.ended = record.now();
-    let answer = out.status.map_or("connection ended without an answer".into(), |s| s.to_string());
+    let answer = out
+        .status
+        .map_or("connection ended without an answer".into(), |s| {
+            s.to_string()
+        });
     record.line(&format!("consumer gets {id}: {answer}"));
     out
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> bool {
     let routes = [
-        Route { prefix: "/book/", kind: "unsafe", service: "parcel", attempts: 2 },
-        Route { prefix: "/look/", kind: "safe", service: "parcel", attempts: 2 },
+        Route {
+            prefix: "/book/",
+            kind: "unsafe",
+            service: "parcel",
+            attempts: 2,
+        },
+        Route {
+            prefix: "/look/",
+            kind: "safe",
+            service: "parcel",
+            attempts: 2,
+        },
+    ];
+    let machines = [
+        ("ub-a", 1, "parcel"),
+        ("ub-b", 1, "parcel"),
+        ("ub-c", 1, "parcel"),
     ];
-    let machines = [("ub-a", 1, "parcel"), ("ub-b", 1, "parcel"), ("ub-c", 1, "parcel")];
     let site = Site::start(record, &machines, 6, &config(7, &["parcel"], &routes, 5000));
     let outcomes = Mutex::new(Vec::new());
     // SIGTERM comes right after a readiness check, so the next two fail within 2 s, and consumers start until then.
@@ -103,8 +127,13 @@
     let mut lost = 0;
     let arrivals = site.arrivals.lock().unwrap();
     for o in outcomes {
-        let runs = arrivals.iter().filter(|a| a.request == o.id && a.run).count();
-        let Some(sent) = o.sent.filter(|_| o.status.is_none()) else { continue };
+        let runs = arrivals
+            .iter()
+            .filter(|a| a.request == o.id && a.run)
+            .count();
+        let Some(sent) = o.sent.filter(|_| o.status.is_none()) else {
+            continue;
+        };
         let waited = o.ended - sent;
         // Rule LOST: passed on to a target, or cut later than loss_slack_ms (200) after its last byte.
         if runs > 0 || waited > 200 {
@@ -116,6 +145,9 @@
         }
     }
     let answered = outcomes.iter().filter(|o| o.status == Some(200)).count();
-    site.record.say(&format!("{} requests, {answered} served, {lost} lost", outcomes.len()));
+    site.record.say(&format!(
+        "{} requests, {answered} served, {lost} lost",
+        outcomes.len()
+    ));
     lost > 0
 }
--- a/review/kit/case_watchers.rs
+++ b/review/kit/case_watchers.rs
@@ -31,24 +31,46 @@
     let answer = http::call(n.caller, "GET", path, &headers, "", Duration::from_secs(2));
     let status = answer.ok().map(|m| m.status());
     let text = status.map_or("none".to_owned(), |s| s.to_string());
-    site.record.line(&format!("consumer at {} sent {id} {path}: {text}", n.name));
+    site.record
+        .line(&format!("consumer at {} sent {id} {path}: {text}", n.name));
     status
 }
 
 pub fn run(record: &Arc<Record>, trouble: bool, fault: Fault) -> bool {
-    let route = |prefix, service| Route { prefix, kind: "safe", service, attempts: 2 };
+    let route = |prefix, service| Route {
+        prefix,
+        kind: "safe",
+        service,
+        attempts: 2,
+    };
     let services = ["desk", "hall"];
-    let old = [route("/look/", "desk"), route("/gone/", "desk"), route("/hall/", "hall")];
-    let new = [route("/look/", "desk"), route("/fresh/", "desk"), route("/hall/", "hall")];
+    let old = [
+        route("/look/", "desk"),
+        route("/gone/", "desk"),
+        route("/hall/", "hall"),
+    ];
+    let new = [
+        route("/look/", "desk"),
+        route("/fresh/", "desk"),
+        route("/hall/", "hall"),
+    ];
     let machines = [
-        (DARK, 1, "hall"), (DARK, 2, "hall"), (DARK, 3, "hall"),
-        ("site-b", 1, "desk"), ("site-b", 2, "desk"), ("site-b", 3, "desk"),
-        ("site-f", 1, "desk"), ("site-f", 2, "desk"), ("site-f", 3, "desk"),
+        (DARK, 1, "hall"),
+        (DARK, 2, "hall"),
+        (DARK, 3, "hall"),
+        ("site-b", 1, "desk"),
+        ("site-b", 2, "desk"),
+        ("site-b", 3, "desk"),
+        ("site-f", 1, "desk"),
+        ("site-f", 2, "desk"),
+        ("site-f", 3, "desk"),
     ];
     let first = config(11, &services, &old, 5000);
     let second_path = (fault == Fault::StorePath).then_some(DARK);
     let site = Site::start_with(record, &machines, 6, &first, second_path, false);
-    let calm: Vec<usize> = (0..site.nodes.len()).filter(|i| site.nodes[*i].service == "desk").collect();
+    let calm: Vec<usize> = (0..site.nodes.len())
+        .filter(|i| site.nodes[*i].service == "desk")
+        .collect();
     let done = AtomicBool::new(false);
     let late = Mutex::new(vec![0u32; site.nodes.len()]);
     let mut acked = 0;
@@ -65,7 +87,8 @@
         }
         std::thread::sleep(Duration::from_secs(4));
         if fault == Fault::StorePath {
-            site.store.put("op/config", &config(12, &services, &old, 5000));
+            site.store
+                .put("op/config", &config(12, &services, &old, 5000));
             record.say("operator: version 12 is acknowledged; it changes no route");
             std::thread::sleep(Duration::from_millis(1500));
         }
@@ -82,7 +105,8 @@
             }
         }
         std::thread::sleep(Duration::from_millis(500));
-        site.store.put("op/config", &config(14, &services, &new, 5000));
+        site.store
+            .put("op/config", &config(14, &services, &new, 5000));
         acked = record.now();
         record.say("operator: version 14 is acknowledged; it drops /gone/ and adds /fresh/");
         for node in calm.clone() {
--- a/review/kit/json.rs
+++ b/review/kit/json.rs
@@ -150,7 +150,8 @@
                         b'u' => {
                             let hex = self.bytes.get(self.at..self.at + 4)?;
                             self.at += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             let mut buffer = [0; 4];
                             let c = char::from_u32(code)?;
                             out.extend_from_slice(c.encode_utf8(&mut buffer).as_bytes());
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -36,7 +36,10 @@
         std::process::exit(2);
     });
     let record = Record::create(path);
-    record.say(&format!("case {case}, trouble {}", if trouble { "on" } else { "off" }));
+    record.say(&format!(
+        "case {case}, trouble {}",
+        if trouble { "on" } else { "off" }
+    ));
     let result = std::panic::catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "stop" => case_stop::run(&record, trouble),
         "watchers" => case_watchers::run(&record, trouble, Fault::Power),
@@ -52,6 +55,12 @@
         Ok(false) => 0,
         Err(_) => 2,
     };
-    record.say(["the rule held", "THE RULE WAS BROKEN", "the case could not run"][code as usize]);
+    record.say(
+        [
+            "the rule held",
+            "THE RULE WAS BROKEN",
+            "the case could not run",
+        ][code as usize],
+    );
     std::process::exit(code);
 }
--- a/review/kit/site.rs
+++ b/review/kit/site.rs
@@ -18,7 +18,7 @@
 pub const HOST: &str = "ficu95.example";
 pub const TERM: i32 = 15;
 pub const STOP: i32 = 19;
-pub const KILL: i32 = 9;
+const KILL: i32 = 9;
 /// Command of the deploy file, without its settings file.
 const PROGRAM: [&str; 2] = ["target/release/dragonflyquay", "sidecar"];
 
@@ -84,7 +84,10 @@
 
 /// Starts a node process as the deploy file says.
 fn start_process(file: &Path) -> Child {
-    let log = File::options().create(true).append(true).open(file.with_extension("log"));
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(file.with_extension("log"));
     let log = log.expect("log");
     let mut command = Command::new(PROGRAM[0]);
     command.arg(PROGRAM[1]).arg(file).stdin(Stdio::null());
@@ -130,12 +133,26 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = http::call(self.ready, "GET", "/api/ready", "", "", Duration::from_secs(1));
+        let answer = http::call(
+            self.ready,
+            "GET",
+            "/api/ready",
+            "",
+            "",
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|m| m.status() == 200)
     }
 
     fn links(&self) -> usize {
-        let answer = http::call(self.admin, "GET", "/status", "host: x\r\n", "", Duration::from_secs(1));
+        let answer = http::call(
+            self.admin,
+            "GET",
+            "/status",
+            "host: x\r\n",
+            "",
+            Duration::from_secs(1),
+        );
         let Ok(m) = answer else { return 0 };
         let body = crate::json::Json::parse(&String::from_utf8_lossy(&m.body));
         body.map_or(0, |b| b.get("links").number() as usize)
@@ -161,7 +178,12 @@
     }
 
     /// Starts a site as [`Site::start`] does; the operator writes the first configuration when the nodes run.
-    pub fn start_without_config(record: &Arc<Record>, machines: &[Machine], slots: usize, config: &str) -> Self {
+    pub fn start_without_config(
+        record: &Arc<Record>,
+        machines: &[Machine],
+        slots: usize,
+        config: &str,
+    ) -> Self {
         Self::start_with(record, machines, slots, config, None, true)
     }
 
@@ -210,7 +232,13 @@
         let address = |i: usize| format!("127.0.0.1:{}", port[i]);
         let parse = |i: usize| address(i).parse::<SocketAddr>().expect("address");
         let target = Target::start(
-            &Place { name: &name, service, zone, address: parse(6), control: parse(3) },
+            &Place {
+                name: &name,
+                service,
+                zone,
+                address: parse(6),
+                control: parse(3),
+            },
             slots,
             &self.arrivals,
             &self.record,
@@ -263,9 +291,9 @@
         }
         // Every target has sent a heartbeat.
         std::thread::sleep(Duration::from_millis(HEARTBEAT_MS + 500));
-        self.record.say(&format!("{} nodes are ready and linked", self.nodes.len()));
+        self.record
+            .say(&format!("{} nodes are ready and linked", self.nodes.len()));
     }
-
 }
 
 impl Drop for Site {
@@ -288,7 +316,11 @@
     while let Some((before, after)) = rest.split_once("{{") {
         let (name, after) = after.split_once("}}").expect("closing braces");
         out.push_str(before);
-        out.push_str(values.get(name).unwrap_or_else(|| panic!("no value for {name}")));
+        out.push_str(
+            values
+                .get(name)
+                .unwrap_or_else(|| panic!("no value for {name}")),
+        );
         rest = after;
     }
     out + rest
@@ -322,25 +354,36 @@
 /// A configuration document with these routes, all of one host.
 pub fn config(version: u64, services: &[&str], routes: &[Route], header_ms: u64) -> String {
     let service = |s: &&str| {
-        format!(r#"{{"name":"{s}","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}}"#)
+        format!(
+            r#"{{"name":"{s}","health_path":"/health","max_connections":110,"protocol":"h1","tls":false}}"#
+        )
     };
     let route = |r: &Route| {
         format!(
             r#"{{"name":"r-{}","prefix":"{}","route_type":"{}","timeout_ms":1000,"aim_ms":800,"priority":1,"service":"{}","retry_attempts":{}}}"#,
-            r.prefix.trim_matches('/'), r.prefix, r.kind, r.service, r.attempts
+            r.prefix.trim_matches('/'),
+            r.prefix,
+            r.kind,
+            r.service,
+            r.attempts
         )
     };
     let services: Vec<String> = services.iter().map(service).collect();
     let routes: Vec<String> = routes.iter().map(route).collect();
     format!(
         r#"{{"version":{version},"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":{header_ms},"idle_timeout_ms":15000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{}]}}]}}"#,
-        services.join(","), routes.join(",")
+        services.join(","),
+        routes.join(",")
     )
 }
 
 /// Head of a consumer's request.
 pub fn head(method: &str, path: &str, id: &str, deadline_ms: u64) -> String {
-    let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
+    let length = if method == "GET" {
+        ""
+    } else {
+        "Content-Length: 0\r\n"
+    };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nDragonflyquay-Request-Id: {id}\r\nDragonflyquay-Deadline-Ms: {deadline_ms}\r\n{length}\r\n"
     )
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -88,7 +88,9 @@
 
 fn query(target: &str, name: &str) -> String {
     let found = target.split_once('?').map_or("", |(_, q)| q).split('&');
-    let found = found.filter_map(|p| p.split_once('=')).find(|(k, _)| *k == name);
+    let found = found
+        .filter_map(|p| p.split_once('='))
+        .find(|(k, _)| *k == name);
     let text = found.map_or("", |(_, v)| v);
     let mut out = Vec::new();
     let mut bytes = text.bytes();
@@ -107,7 +109,9 @@
 /// Passes bytes on in both directions until one side closes. While `cut` is set, nothing is passed on, and what arrived
 /// meanwhile is lost.
 fn pass(from: TcpStream, to: SocketAddr, cut: &Arc<AtomicBool>) {
-    let Ok(to) = TcpStream::connect(to) else { return };
+    let Ok(to) = TcpStream::connect(to) else {
+        return;
+    };
     let copy = |mut input: TcpStream, mut output: TcpStream, cut: Arc<AtomicBool>| {
         let mut buffer = [0; 16 << 10];
         while let Ok(n) = input.read(&mut buffer) {
@@ -121,7 +125,9 @@
         }
         let _ = output.shutdown(std::net::Shutdown::Both);
     };
-    let (Ok(a), Ok(b)) = (from.try_clone(), to.try_clone()) else { return };
+    let (Ok(a), Ok(b)) = (from.try_clone(), to.try_clone()) else {
+        return;
+    };
     let c = cut.clone();
     std::thread::spawn(move || copy(a, b, c));
     copy(to, from, cut.clone());
@@ -178,7 +184,12 @@
     fn expire(&self) {
         let now = Instant::now();
         let mut s = self.state.lock().unwrap();
-        let ended: Vec<u64> = s.leases.iter().filter(|(_, l)| l.1 <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = s
+            .leases
+            .iter()
+            .filter(|(_, l)| l.1 <= now)
+            .map(|(id, _)| *id)
+            .collect();
         ended.into_iter().for_each(|id| s.end_lease(id));
         drop(s);
         self.changed.notify_all();
@@ -186,7 +197,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut out) = stream.try_clone() else { return };
+        let Ok(mut out) = stream.try_clone() else {
+            return;
+        };
         let mut input = BufReader::new(stream);
         while let Ok(m) = http::read_message(&mut input) {
             let (status, body) = match self.down.load(Ordering::SeqCst) {
@@ -216,10 +229,19 @@
             ("GET", "/api/kv-range") => {
                 let (prefix, after) = (query(target, "prefix"), query(target, "after"));
                 let s = self.state.lock().unwrap();
-                let found = s.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let found = s
+                    .items
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let items: Vec<String> = found.map(|(k, i)| item_json(k, i)).collect();
                 let at = s.revision;
-                (200, format!(r#"{{"items":[{}],"has_more":false,"at":{at}}}"#, items.join(",")))
+                (
+                    200,
+                    format!(
+                        r#"{{"items":[{}],"has_more":false,"at":{at}}}"#,
+                        items.join(",")
+                    ),
+                )
             }
             ("GET", "/api/kv-watch") => {
                 let prefix = query(target, "prefix");
@@ -234,7 +256,10 @@
                 s.last_lease += 1;
                 let id = s.last_lease;
                 s.leases.insert(id, (ttl, Instant::now() + ttl));
-                (200, format!(r#"{{"lease":{id},"ttl_ms":{}}}"#, ttl.as_millis()))
+                (
+                    200,
+                    format!(r#"{{"lease":{id},"ttl_ms":{}}}"#, ttl.as_millis()),
+                )
             }
             ("POST", p) if p.starts_with("/api/kv-keep/") => {
                 let id = p["/api/kv-keep/".len()..].parse().unwrap_or(0);
@@ -261,7 +286,10 @@
         let end = Instant::now() + wait;
         let mut s = self.state.lock().unwrap();
         loop {
-            let new = s.history.iter().filter(|(r, k, _)| *r > after && k.starts_with(prefix));
+            let new = s
+                .history
+                .iter()
+                .filter(|(r, k, _)| *r > after && k.starts_with(prefix));
             let events: Vec<String> = new
                 .map(|(r, k, i)| match i {
                     Some(i) => item_json(k, i),
@@ -271,7 +299,10 @@
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let at = s.revision;
-                return (200, format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")));
+                return (
+                    200,
+                    format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")),
+                );
             }
             s = self.changed.wait_timeout(s, left).unwrap().0;
         }
@@ -283,7 +314,11 @@
             let key = p.get("key").text();
             let revision = s.items.get(key).map_or(0, |i| i.revision);
             if revision != p.get("revision").number() {
-                let item = s.items.get(key).map(|i| item_json(key, i)).unwrap_or_default();
+                let item = s
+                    .items
+                    .get(key)
+                    .map(|i| item_json(key, i))
+                    .unwrap_or_default();
                 return (412, format!(r#"{{"items":[{item}]}}"#));
             }
         }
@@ -329,7 +364,12 @@
 
     fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
-        let keys: Vec<String> = self.items.iter().filter(|(_, i)| i.lease == id).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.lease == id)
+            .map(|(k, _)| k.clone())
+            .collect();
         if id > 0 {
             keys.iter().for_each(|k| self.write(k, None));
         }
--- a/review/kit/target.rs
+++ b/review/kit/target.rs
@@ -81,7 +81,12 @@
 }
 
 impl Target {
-    pub fn start(p: &Place<'_>, slots: usize, arrivals: &Arc<Mutex<Vec<Arrival>>>, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        p: &Place<'_>,
+        slots: usize,
+        arrivals: &Arc<Mutex<Vec<Arrival>>>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let target = Arc::new(Self {
             name: p.name.into(),
             service: p.service.into(),
@@ -146,13 +151,23 @@
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","cold_remaining_ms":0,"seq":{},"born":{}}}"#,
             self.service, self.address, self.zone, self.slots, s.seq, s.born
         );
-        Some(Heartbeat { path: format!("/api/instances/{}", s.id), body })
+        Some(Heartbeat {
+            path: format!("/api/instances/{}", s.id),
+            body,
+        })
     }
 
     /// Delivers a heartbeat. Returns the status of the response.
     pub fn deliver(&self, h: &Heartbeat) -> Option<u16> {
         let json = "content-type: application/json\r\n";
-        let answer = http::call(self.control, "PUT", &h.path, json, &h.body, Duration::from_secs(1));
+        let answer = http::call(
+            self.control,
+            "PUT",
+            &h.path,
+            json,
+            &h.body,
+            Duration::from_secs(1),
+        );
         answer.ok().map(|m| m.status())
     }
 
@@ -160,16 +175,28 @@
     pub fn leave(&self) -> bool {
         let mut s = self.state.lock().unwrap();
         s.leaving = true;
-        let (path, body) = (format!("/api/instances/{}", s.id), format!(r#"{{"born":{}}}"#, s.born));
+        let (path, body) = (
+            format!("/api/instances/{}", s.id),
+            format!(r#"{{"born":{}}}"#, s.born),
+        );
         drop(s);
         let json = "content-type: application/json\r\n";
-        let answer = http::call(self.control, "DELETE", &path, json, &body, Duration::from_secs(1));
+        let answer = http::call(
+            self.control,
+            "DELETE",
+            &path,
+            json,
+            &body,
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|m| m.status() == 200)
     }
 
     fn serve(self: Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (Ok(mut out), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
+        let (Ok(mut out), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+            return;
+        };
         let n = self.last_connection.fetch_add(1, Ordering::SeqCst);
         self.state.lock().unwrap().connections.insert(n, kept);
         let mut input = BufReader::new(stream);
@@ -187,7 +214,11 @@
         let id = self.state.lock().unwrap().id.clone();
         let own = format!("dragonflyquay-instance-id: {id}\r\n");
         if m.target() == "/health" {
-            let status = if self.state.lock().unwrap().leaving { 503 } else { 200 };
+            let status = if self.state.lock().unwrap().leaving {
+                503
+            } else {
+                200
+            };
             return Some(http::response(status, &own, "{}"));
         }
         let request = m.header("dragonflyquay-request-id").to_owned();
@@ -213,13 +244,18 @@
             return None;
         }
         let signed = format!("{echo}dragonflyquay-response-signature: s.{request}\r\n");
-        Some(http::response(200, &signed, &format!("done by {} {request}", self.service)))
+        Some(http::response(
+            200,
+            &signed,
+            &format!("done by {} {request}", self.service),
+        ))
     }
 
     fn note(&self, request: &str, path: &str, run: bool) {
         let at_ms = self.record.now();
         let what = if run { "runs" } else { "rejects" };
-        self.record.line(&format!("target {} {what} {request} {path}", self.name));
+        self.record
+            .line(&format!("target {} {what} {request} {path}", self.name));
         self.arrivals.lock().unwrap().push(Arrival {
             at_ms,
             target: self.name.clone(),
