--- a/review/kit/case_reuse.rs
+++ b/review/kit/case_reuse.rs
@@ -20,7 +20,7 @@
     let answer = http::call(
         n.caller,
         "GET",
-        "/look/w60",
+        "/look/w20",
         &headers,
         "",
         Duration::from_secs(2),
