--- a/review/kit/case_reuse.rs
+++ b/review/kit/case_reuse.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use crate::http;
-use crate::site::{config, fresh_id, Record, Route, Site, HOST};
+use crate::site::{config, fresh_id, Record, Route, Site, HOST, TERM};
 use crate::target::{Place, Target};
 
 /// Time from the end of the target to the start of the other one; `reuse_after_s` is 2.
 const REUSE_AFTER: Duration = Duration::from_millis(2500);
+/// Time from the start of the other target to the SIGTERM that a node gets after its target has ended.
+const TERM_AFTER: Duration = Duration::from_millis(2500);
+/// Time for which requests go on after that.
+const REST: Duration = Duration::from_millis(5500);
 
 fn send(site: &Site, node: usize, wrong: &Mutex<usize>) {
     let id = fresh_id();
@@ -79,8 +83,11 @@
             };
             Target::start(&place, 6, &site.arrivals, record);
             record.say("a target of another service has started at its address");
+            std::thread::sleep(TERM_AFTER);
+            record.say("SIGTERM to the first node, whose target has ended");
+            first.signal(TERM);
         }
-        std::thread::sleep(Duration::from_secs(8));
+        std::thread::sleep(REST);
         done.store(true, Ordering::SeqCst);
     });
     let arrivals = site.arrivals.lock().unwrap();
