Confirm the version in force, and replace silent watchers in time

A version must be in force after 2 s.

Cause: a node that does not watch did not know how old its knowledge was. It took over only when a link to a watcher closed, and idle links are checked every 10 s. Versions were requested first from silent nodes and from nodes that waited themselves.

Change: watchers confirm the version by lease renewals (a tenth of a call), five times in sidecar.apply_ms; other nodes ask the nearest watcher, then all, then take over. At most twelve nodes try the store at a time; further groups take turns. Watchers are spread over the zones among nodes with equally wide links, and versions come from nodes that reach the store.

The tests of sidecar_freshness failed before: 4.3 s with silent watchers, 2.7 to 3.5 s with watchers cut off from the store, bound 2 s.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -303,9 +303,10 @@
     let limits = &s.limits;
     let sidecar = &s.sidecar;
     // The ranges reject values in a wrong unit, such as seconds instead of milliseconds.
-    let ranges: [(&str, u64, RangeInclusive<u64>); 12] = [
+    let ranges: [(&str, u64, RangeInclusive<u64>); 13] = [
         ("sidecar.heartbeat_ms", sidecar.heartbeat_ms, 10..=600_000),
         ("sidecar.drain_ms", sidecar.drain_ms, 0..=600_000),
+        ("sidecar.apply_ms", sidecar.apply_ms, 500..=600_000),
         ("sidecar.grace_s", sidecar.grace_s, 1..=600),
         ("sidecar.budget_window_s", sidecar.budget_window_s, 1..=3600),
         ("node.threads", s.node.threads as u64, 1..=64),
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -168,6 +168,12 @@
     /// Response to a ping; carries the version of the sender.
     #[serde(rename = "o")]
     Pong(VersionNumber),
+    /// Asks how fresh the version of the receiver is.
+    #[serde(rename = "k")]
+    GetFreshness,
+    /// Answer: the version of the sender, and the time since it was last confirmed to be current, in ms, if it was.
+    #[serde(rename = "l")]
+    Freshness(VersionNumber, Option<u64>),
     /// Requests the version in force; carries the version that the sender holds, 0 for none.
     #[serde(rename = "g")]
     GetConfig(VersionNumber),
@@ -193,7 +199,7 @@
             Self::Response(..) | Self::ResponsePart(_) | Self::Failed(..) => "answer",
             Self::GetConfig(_) | Self::Config(_) => "config",
             Self::Hello(..) | Self::TargetChanged(..) | Self::Status(..) => "state",
-            Self::Ping(_) | Self::Pong(_) => "ping",
+            Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
     }
 }
--- a/src/sidecar/connection/link.rs
+++ b/src/sidecar/connection/link.rs
@@ -8,10 +8,11 @@
 
 use crate::prelude::*;
 use crate::request::reason::{Failure, Reason};
-use crate::sidecar::connection::frame::{Message, Seq};
+use crate::sidecar::connection::frame::{Head, Message, Seq};
 use crate::sidecar::connection::pool::MAX_RESPONSE_BYTES;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::request::admit::AttemptResult;
+use crate::sidecar::version::freshness::{FreshnessLimits, PeerFreshness};
 
 /// Maximum number of messages that wait to be written on a link. The limit is reached only if the peer does not read.
 pub(crate) const MAX_OUTGOING: usize = 512;
@@ -38,6 +39,7 @@
     pub(super) reaches_store: AtomicBool,
     /// Whether the peer responds to pings.
     pub(super) responsive: AtomicBool,
+    pub(super) freshness: Mutex<PeerFreshness>,
     /// Requests a ping now, because the peer of another link does not respond.
     pub(super) ping_now: Notify,
     /// Time since which the link has had pending requests, in ms.
@@ -68,6 +70,7 @@
             last_seq: AtomicU64::new(0),
             reaches_store: AtomicBool::new(false),
             responsive: AtomicBool::new(true),
+            freshness: Mutex::default(),
             ping_now: Notify::new(),
             pending_since: AtomicU64::new(0),
             pending_added: Notify::new(),
@@ -75,6 +78,34 @@
         }
     }
 
+    /// Asks the peer how fresh its version is, unless it has yet to answer.
+    pub(super) fn ask_freshness(&self, now: Now) {
+        if lock(&self.freshness).ask(now) {
+            let message = Message::without_payload(Head::GetFreshness);
+            // The queue is full only if the peer does not read; then the question counts as unanswered.
+            let _ = self.outgoing.try_send((0, message));
+        }
+    }
+
+    /// Records whether the peer reports that it reaches the store.
+    pub(super) fn set_reaches_store(&self, reaches: bool) {
+        self.reaches_store.store(reaches, Ordering::SeqCst);
+        if reaches {
+            lock(&self.freshness).on_reaches_store();
+        }
+    }
+
+    /// Whether the peer reports that it reaches the store and answers questions about it.
+    pub(super) fn is_watcher(&self, now: Now, limits: &FreshnessLimits) -> bool {
+        self.reaches_store.load(Ordering::SeqCst)
+            && lock(&self.freshness).is_reliable(now, limits.answer_timeout)
+    }
+
+    /// Whether the peer has not answered a question about its version in time, and has sent nothing else.
+    pub(super) fn is_silent(&self, now: Now, limits: &FreshnessLimits) -> bool {
+        lock(&self.freshness).is_silent(now, limits.answer_timeout)
+    }
+
     pub(super) fn finish(&self, seq: Seq, result: AttemptResult) {
         if let Some(p) = lock(&self.pending).remove(&seq) {
             // The receiver is dropped if the caller has gone.
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -64,6 +64,7 @@
                 Some(Ok(Ws::Binary(data))) => {
                     liveness.last_heard = n.clock.now();
                     liveness.pinged_at = None;
+                    lock(&link.freshness).on_message(liveness.last_heard);
                     if liveness.state != PeerState::Healthy {
                         liveness.state = PeerState::Healthy;
                         link.responsive.store(true, Ordering::SeqCst);
@@ -216,7 +217,7 @@
             link.finish(f.seq, result);
         }
         Head::Hello(record, version, reaches_store) => {
-            link.reaches_store.store(*reaches_store, Ordering::SeqCst);
+            link.set_reaches_store(*reaches_store);
             n.on_peer_record(record.as_ref().clone());
             n.on_peer_version(&link.node, *version);
         }
@@ -224,10 +225,19 @@
             n.on_peer_target(&link.node, *sequence, target.clone())
         }
         Head::Status(version, reaches_store) => {
-            link.reaches_store.store(*reaches_store, Ordering::SeqCst);
+            link.set_reaches_store(*reaches_store);
             n.on_peer_version(&link.node, *version);
         }
         Head::Pong(version) => n.on_peer_version(&link.node, *version),
+        Head::Freshness(version, age_ms) => {
+            let age = age_ms.map(Duration::from_millis);
+            let max_age = n.freshness_limits().max_age;
+            let current_at = lock(&link.freshness).on_answer(age, max_age);
+            n.on_peer_version(&link.node, *version);
+            if let Some(at) = current_at.filter(|_| *version <= n.version()) {
+                n.confirm_version(at);
+            }
+        }
         Head::Config(base) => n.on_peer_config(&link.node, *base, message.payload),
         _ => return Err("unexpected message".into()),
     }
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -6,12 +6,14 @@
 use bytes::BytesMut;
 use tokio::sync::oneshot;
 
+use crate::digest::Digest;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Reason};
 use crate::sidecar::connection::dial;
 use crate::sidecar::connection::frame::{join_payload, Head, Message, RequestHead, Seq};
 use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, PendingRequest};
 use crate::sidecar::process::fleet::watchers::WatcherCandidate;
+use crate::sidecar::process::metrics::Hop;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
 use crate::sidecar::version::distribution;
@@ -119,10 +121,11 @@
     }
 
     /// Requests the version in force from a node, as a patch of the version `held`. Returns whether the request was
-    /// queued.
-    pub fn request_config(&self, node: &str, held: VersionNumber) -> bool {
+    /// queued. Also asks how fresh the version is, so that a silent node is noticed before the version can be expected.
+    pub fn request_config(&self, n: &Node, node: &str, held: VersionNumber) -> bool {
         let link = lock(&self.open).get(node).cloned();
         link.is_some_and(|l| {
+            l.ask_freshness(n.clock.now());
             let message = Message::without_payload(Head::GetConfig(held));
             l.outgoing.try_send((0, message)).is_ok()
         })
@@ -137,9 +140,44 @@
 
     /// Whether a linked node reports that it watches the store and reaches it.
     pub fn reach_store(&self) -> bool {
-        lock(&self.open)
-            .values()
-            .any(|l| l.reaches_store.load(Ordering::SeqCst))
+        !self.watchers().is_empty()
+    }
+
+    /// Links to the nodes that report that they watch the store and reach it.
+    fn watchers(&self) -> Vec<Arc<Link>> {
+        let open = lock(&self.open);
+        let reaching = |l: &&Arc<Link>| l.reaches_store.load(Ordering::SeqCst);
+        open.values().filter(reaching).cloned().collect()
+    }
+
+    /// Asks a node that watches the store how fresh its version is: one that answered the last question, and one in the
+    /// zone of this node, if there are such.
+    pub fn ask_nearest_watcher(&self, n: &Node) {
+        let (now, limits) = (n.clock.now(), n.freshness_limits());
+        let nearest = self.watchers().into_iter().min_by_key(|l| {
+            // Nodes without a watcher in their zone are spread over all watchers.
+            let spread = Digest::of(format!("{}/{}", n.id, l.node).as_bytes()).short();
+            (
+                !l.is_watcher(now, &limits),
+                n.hop(&l.node) != Hop::SameAz,
+                spread,
+            )
+        });
+        if let Some(link) = nearest {
+            link.ask_freshness(now);
+        }
+    }
+
+    /// Asks all nodes that watch the store how fresh their version is.
+    pub fn ask_all_watchers(&self, n: &Node) {
+        let now = n.clock.now();
+        self.watchers().iter().for_each(|l| l.ask_freshness(now));
+    }
+
+    /// Whether a node has not answered a question about its version in time, or has no link.
+    pub fn is_silent(&self, n: &Node, node: &str) -> bool {
+        let link = lock(&self.open).get(node).cloned();
+        link.is_none_or(|l| l.is_silent(n.clock.now(), &n.freshness_limits()))
     }
 
     /// The linked nodes that may watch the store.
@@ -149,7 +187,10 @@
 
     /// Nodes from which this node requests a version, the preferred one first; see [`distribution::sources`].
     pub fn config_sources(&self, n: &Node) -> Vec<NodeId> {
-        let linked = self.candidates(n, |l| l.responsive.load(Ordering::SeqCst));
+        let (now, limits) = (n.clock.now(), n.freshness_limits());
+        let linked = self.candidates(n, |l| {
+            l.responsive.load(Ordering::SeqCst) && !l.is_silent(now, &limits)
+        });
         distribution::sources(&n.watcher_candidate(), &linked)
     }
 
@@ -158,12 +199,17 @@
         F: Fn(&Link) -> bool,
     {
         let open: Vec<Arc<Link>> = lock(&self.open).values().cloned().collect();
+        let (now, limits) = (n.clock.now(), n.freshness_limits());
         let members = n.members();
         let selected = open.iter().filter(|l| which(l));
-        let candidate = |l: &Arc<Link>| WatcherCandidate {
-            node: l.node.clone(),
-            link_mbps: members.get(&l.node).map_or(0, |r| r.link_mbps),
-            reaches_store: l.reaches_store.load(Ordering::SeqCst),
+        let candidate = |l: &Arc<Link>| {
+            let record = members.get(&l.node);
+            WatcherCandidate {
+                node: l.node.clone(),
+                az: record.map_or_else(Az::default, |r| r.az.clone()),
+                link_mbps: record.map_or(0, |r| r.link_mbps),
+                reaches_store: l.is_watcher(now, &limits),
+            }
         };
         selected.map(candidate).collect()
     }
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -128,6 +128,11 @@
                 }
                 let _ = tx.try_send(Message::without_payload(Head::Pong(n.version())));
             }
+            Head::GetFreshness => {
+                let age = n.confirmation_age().map(|age| age.as_millis() as u64);
+                let answer = Head::Freshness(n.version(), age);
+                let _ = tx.try_send(Message::without_payload(answer));
+            }
             Head::GetConfig(held) => {
                 let request = ConfigRequest {
                     reply: tx.clone(),
--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -20,9 +20,6 @@
 /// dead nodes sooner.
 const LEASE_TTL: Duration = Duration::from_secs(60);
 const RENEW_INTERVAL: Duration = Duration::from_secs(20);
-/// Interval between renewals at a node that watches the store. A failed renewal also shows that the store is
-/// unavailable, which a watch on an unresponsive connection does not.
-const WATCHER_RENEW_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which the departure of a target is remembered; longer than targets run after they announce their stop.
 const DEPARTED_TTL: Duration = Duration::from_secs(600);
 /// Ages of the process at which it lists the nodes again: listings may be some seconds old, so nodes that start at the
@@ -58,6 +55,7 @@
     let mut registration = Registration::default();
     let mut back_off = RETRY_BACK_OFF.0;
     let mut failing = false;
+    let mut state_changed = n.state_changed.subscribe();
     loop {
         match register_and_list(&n, &mut registration).await {
             Ok(()) => {
@@ -68,7 +66,8 @@
                     n.restart_watch.send_modify(|n| *n += 1);
                 }
                 let wait = registration.next_step(&n).saturating_sub(n.clock.now());
-                tokio::time::sleep(wait).await;
+                // The node may begin to watch the store, and then confirms at once that it reaches the store.
+                let _ = tokio::time::timeout(wait, state_changed.changed()).await;
             }
             Err(StoreError::NoLease) => {
                 n.log.event("lease_lost", &[]);
@@ -76,8 +75,12 @@
                 registration.written = false;
             }
             Err(e) => {
+                if !failing && n.reaches_store() {
+                    back_off = back_off.min(n.freshness_limits().retry_delay);
+                }
                 failing = true;
                 n.log.event("announce_failed", &[("error", &e.to_string())]);
+                check_watch(&n);
                 let wait = back_off.mul_f64(0.7 + 0.5 * rand::random::<f64>());
                 tokio::time::sleep(wait).await;
                 back_off = (back_off * 2).min(RETRY_BACK_OFF.1);
@@ -90,19 +93,45 @@
     fn next_renewal(&self, n: &Node) -> Now {
         self.renewed_at
             + match n.reaches_store() {
-                true => WATCHER_RENEW_INTERVAL,
+                // A renewal confirms that the store is reached, which a watch that waits does not.
+                true => n.freshness_limits().interval,
                 false => RENEW_INTERVAL,
             }
     }
 
-    /// Time of the next call of [`register_and_list`]; at most [`WATCHER_RENEW_INTERVAL`] away, because the node may
-    /// start to watch the store in the meantime.
+    /// Time of the next call of [`register_and_list`].
     fn next_step(&self, n: &Node) -> Now {
-        let soon = n.clock.now() + WATCHER_RENEW_INTERVAL;
-        self.next_renewal(n).min(self.next_list_at).min(soon)
+        self.next_renewal(n).min(self.next_list_at)
+    }
+}
+
+/// Handles a failed call at a node that watches the store: its watch may wait for a response that never comes, so it is
+/// restarted. Other nodes take over if that does not help soon.
+fn check_watch(n: &Node) {
+    if !n.reaches_store() {
+        return;
+    }
+    n.restart_watch.send_modify(|n| *n += 1);
+    if n.unconfirmed_time() > n.freshness_limits().max_age {
+        n.set_reaches_store(false);
     }
 }
 
+/// Renews the lease. At a node that watches the store, a response that does not come soon counts as a failure.
+async fn renew_lease(n: &Node, lease: LeaseId) -> Result<(), StoreError> {
+    if !n.reaches_store() {
+        return n.store.renew_lease(lease).await;
+    }
+    let start = n.clock.now();
+    let timeout = n.freshness_limits().store_timeout;
+    match tokio::time::timeout(timeout, n.store.renew_lease(lease)).await {
+        Ok(result) => result?,
+        Err(_) => return Err(StoreError::Unknown("the renewal got no response".into())),
+    }
+    n.confirm_version(start);
+    Ok(())
+}
+
 /// Writes the record or renews its lease if due, then lists the nodes if due. Writing comes first, so that of two nodes
 /// that start at the same time at least one finds the other.
 async fn register_and_list(
@@ -129,7 +158,7 @@
         n.last_confirmed.record(Confirmation::Lease, now);
     }
     if now >= registration.next_renewal(n) {
-        n.store.renew_lease(lease).await?;
+        renew_lease(n, lease).await?;
         registration.renewed_at = now;
         n.last_confirmed.record(Confirmation::Lease, now);
     }
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use rand::rngs::SmallRng;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 
 use crate::logging::EventLog;
 use crate::prelude::*;
@@ -29,6 +29,7 @@
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::{OwnTarget, TargetId, TargetState};
 use crate::sidecar::version::config_server::ConfigRequest;
+use crate::sidecar::version::freshness::FreshnessLimits;
 use crate::sidecar::version::routes::RouteTable;
 use crate::store::Store;
 
@@ -81,6 +82,10 @@
     pub reaches_store: AtomicBool,
     /// Greatest version number that this node itself read from the store.
     pub max_stored_version: AtomicU64,
+    /// Notifies the task that watches the store that it may have to begin.
+    pub role_check: Notify,
+    /// Notifies [`confirm::run`](crate::sidecar::version::confirm::run) that the version in force was confirmed.
+    pub version_confirmed: watch::Sender<u64>,
     /// Notifies the task that watches the store that it must read the configuration again and restart its watch.
     pub restart_watch: watch::Sender<u64>,
     /// Sends what other nodes report about the configuration to the task that adopts it.
@@ -365,8 +370,6 @@
 
     /// Records which version another node holds; a newer one than the version in force is requested from it.
     pub fn on_peer_version(&self, node: &NodeId, number: VersionNumber) {
-        self.last_confirmed
-            .record(Confirmation::Version, self.clock.now());
         if number > self.version() && !node.is_empty() {
             let update = ConfigUpdate::Version(node.clone(), number);
             // The receiver is never dropped while the process runs.
@@ -408,6 +411,7 @@
     pub fn watcher_candidate(&self) -> WatcherCandidate {
         WatcherCandidate {
             node: self.id.clone(),
+            az: self.record().az,
             link_mbps: self.record().link_mbps,
             reaches_store: self.reaches_store(),
         }
@@ -418,9 +422,35 @@
         must_watch(
             &self.watcher_candidate(),
             &self.links.watcher_candidates(self),
+            self.unconfirmed_time(),
         )
     }
 
+    /// Intervals and timeouts of the confirmation of the version in force.
+    pub fn freshness_limits(&self) -> FreshnessLimits {
+        FreshnessLimits::new(Duration::from_millis(self.settings().sidecar.apply_ms))
+    }
+
+    /// Records that no newer version than the one in force was known at the time `at`.
+    pub fn confirm_version(&self, at: Now) {
+        self.last_confirmed.record(Confirmation::Version, at);
+        if self.clock.now() <= at + self.freshness_limits().max_age {
+            self.version_confirmed.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Time since the version in force was last confirmed to be current, if it was.
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        let last = self.last_confirmed.last(Confirmation::Version)?;
+        Some(self.clock.now().saturating_sub(last))
+    }
+
+    /// Time since the version in force was last confirmed to be current, or since the start of the process.
+    pub fn unconfirmed_time(&self) -> Duration {
+        self.last_confirmed
+            .age(Confirmation::Version, self.clock.now())
+    }
+
     /// Whether this node watches the store and reaches it.
     pub fn reaches_store(&self) -> bool {
         self.reaches_store.load(Ordering::SeqCst)
--- a/src/sidecar/process/sample.rs
+++ b/src/sidecar/process/sample.rs
@@ -81,7 +81,7 @@
 /// Kind of event that confirms that a part of the state of a node is current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Confirmation {
-    /// The version number was read from the store or sent by another node.
+    /// The version in force was current: the store answered this node, or a node that the store had answered.
     Version,
     /// The nodes were listed from the store.
     Members,
@@ -109,16 +109,20 @@
 pub struct LastConfirmed([AtomicU64; Confirmation::ALL.len()]);
 
 impl LastConfirmed {
-    /// Sets the time of the last confirmation of this kind.
-    pub fn record(&self, confirmation: Confirmation, now: Now) {
-        self.0[confirmation as usize].store(now.as_millis() as u64, Ordering::Relaxed);
+    /// Records a confirmation of this kind; an earlier one than the last changes nothing.
+    pub fn record(&self, confirmation: Confirmation, at: Now) {
+        self.0[confirmation as usize].fetch_max(at.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Time of the last confirmation, if there was one.
+    pub fn last(&self, confirmation: Confirmation) -> Option<Now> {
+        let ms = self.0[confirmation as usize].load(Ordering::Relaxed);
+        (ms > 0).then_some(Duration::from_millis(ms))
     }
 
     /// Time since the last confirmation, or since the start of the process if there was none.
     pub fn age(&self, confirmation: Confirmation, now: Now) -> Duration {
-        let confirmed_at =
-            Duration::from_millis(self.0[confirmation as usize].load(Ordering::Relaxed));
-        now.saturating_sub(confirmed_at)
+        now.saturating_sub(self.last(confirmation).unwrap_or_default())
     }
 }
 
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, watch, Notify};
 
 use crate::connection::listen;
 use crate::logging::EventLog;
@@ -38,6 +38,7 @@
 use crate::sidecar::version::config;
 use crate::sidecar::version::config_server;
 use crate::sidecar::version::config_server::ConfigRequest;
+use crate::sidecar::version::confirm;
 use crate::store::counted::CountedStore;
 use crate::store::Store;
 
@@ -119,6 +120,8 @@
         max_stored_version: AtomicU64::new(0),
         recent_documents: Mutex::default(),
         patch_cache: Mutex::default(),
+        role_check: Notify::new(),
+        version_confirmed: watch::channel(0).0,
         restart_watch: watch::channel(0).0,
         config_updates: updates,
         config_requests: requests,
@@ -199,6 +202,7 @@
     let (close, close_rx) = watch::channel(false);
     tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::watch_store(n.clone()));
+    tokio::spawn(confirm::run(n.clone()));
     tokio::spawn(config::process_updates(n.clone(), queues.config_updates));
     tokio::spawn(config_server::serve(n.clone(), queues.config_requests));
     tokio::spawn(relay::accept(n.clone(), relay_listener));
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -24,6 +24,8 @@
     pub heartbeat_ms: u64,
     /// Time for which the target still accepts requests after its announced stop was acknowledged, in milliseconds.
     pub drain_ms: u64,
+    /// Time after which a new configuration version must be in force at all nodes, in milliseconds.
+    pub apply_ms: u64,
     /// Bandwidth of the link of the VM, in Mbit/s; new configuration versions use at most half of it.
     pub link_mbps: f64,
     /// Time from SIGTERM until the process is killed, in seconds.
@@ -47,6 +49,7 @@
             advertise: None,
             heartbeat_ms: 1500,
             drain_ms: 2000,
+            apply_ms: 2000,
             link_mbps: 1000.0,
             grace_s: 6,
             budget_window_s: 10,
--- a/src/sidecar/version/config.rs
+++ b/src/sidecar/version/config.rs
@@ -8,14 +8,14 @@
 
 use crate::prelude::*;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
-use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::version::config_server;
 use crate::sidecar::version::patch;
 use crate::store::{Revision, StoreError};
 
-/// Delay after a change before the next watch call, so that one call covers a series of changes. Half of the time
-/// within which a change must be in force.
-const COALESCE_DELAY: Duration = Duration::from_millis(900);
+/// Longest delay after a change before the next watch call, so that one call covers a series of changes.
+const MAX_COALESCE_DELAY: Duration = Duration::from_millis(900);
+/// Part of the time within which a change must be in force that the delay may take.
+const COALESCE_FRACTION: f64 = 0.45;
 /// Maximum duration of a watch call. Changes that were missed because the connection was unresponsive are found when it
 /// ends.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(6);
@@ -59,7 +59,8 @@
                 0 => ROLE_CHECK_INTERVAL.0,
                 _ => ROLE_CHECK_INTERVAL.1,
             };
-            tokio::time::sleep(interval.mul_f64(0.5 + rand::random::<f64>())).await;
+            let wait = interval.mul_f64(0.5 + rand::random::<f64>());
+            let _ = tokio::time::timeout(wait, n.role_check.notified()).await;
             continue;
         }
         let result = read_and_watch(&n, &mut back_off).await;
@@ -83,11 +84,17 @@
 async fn read_and_watch(n: &Arc<Node>, back_off: &mut Duration) -> Result<(), StoreError> {
     let key = n.adapter.config_key();
     let mut restart = n.restart_watch.subscribe();
+    let watching = n.must_watch();
+    let start = n.clock.now();
     let listing = n.store.list(key).await?;
     let mut from: Revision = listing.revision;
     for e in listing.entries.into_iter().filter(|e| e.key == key) {
         adopt_document(n, e.value.into(), "store");
     }
+    n.confirm_version(start);
+    if watching {
+        n.set_reaches_store(true);
+    }
     while n.must_watch() {
         n.set_reaches_store(true);
         let wait = MAX_WATCH_WAIT.mul_f64(0.7 + 0.3 * rand::random::<f64>());
@@ -96,19 +103,24 @@
             _ = restart.changed() => return Ok(()),
         };
         *back_off = RETRY_BACK_OFF.0;
-        n.last_confirmed
-            .record(Confirmation::Version, n.clock.now());
         from = changes.revision;
         let events = changes.events.into_iter().filter(|e| e.key == key);
         // Only the latest document of a series matters.
         if let Some(value) = events.filter_map(|e| e.value).next_back() {
             adopt_document(n, value.into(), "store");
-            tokio::time::sleep(COALESCE_DELAY).await;
+            tokio::time::sleep(coalesce_delay(n)).await;
         }
     }
     Ok(())
 }
 
+fn coalesce_delay(n: &Node) -> Duration {
+    let apply_time = Duration::from_millis(n.settings().sidecar.apply_ms);
+    apply_time
+        .mul_f64(COALESCE_FRACTION)
+        .min(MAX_COALESCE_DELAY)
+}
+
 /// Parses a document and adopts it if it is newer than the version in force. Returns its number.
 fn adopt_document(n: &Node, document: Bytes, source: &str) -> Option<VersionNumber> {
     match n.adapter.parse_config(document) {
@@ -142,7 +154,12 @@
     holder: NodeId,
     /// Nodes to request it from next.
     sources: VecDeque<NodeId>,
+    /// Node that it was requested from last, if any.
+    requested: Option<NodeId>,
+    /// Time at which it is requested from the next node.
     request_at: Now,
+    /// Time at which the last node should have shown that it is not silent.
+    check_at: Now,
 }
 
 impl WantedVersion {
@@ -152,6 +169,8 @@
             number,
             sources: n.links.config_sources(n).into(),
             holder,
+            requested: None,
+            check_at: Duration::MAX,
             // A watcher gets the version from the store, and from another node only if its own watch is late.
             request_at: match n.reaches_store() {
                 true => now + SOURCE_TIMEOUT,
@@ -162,15 +181,35 @@
 
     /// Requests the version from the next source that is linked; after the last source from the node that reported it.
     fn request(&mut self, n: &Node) {
-        self.request_at = n.clock.now() + SOURCE_TIMEOUT;
+        let now = n.clock.now();
+        self.request_at = now + SOURCE_TIMEOUT;
+        self.check_at = now + n.freshness_limits().answer_timeout;
         while let Some(source) = self.sources.pop_front() {
-            if n.links.request_config(&source, n.version()) {
+            if n.links.request_config(n, &source, n.version()) {
+                self.requested = Some(source);
                 return;
             }
         }
-        n.links.request_config(&self.holder, n.version());
+        n.links.request_config(n, &self.holder, n.version());
+        self.requested = Some(self.holder.clone());
         self.sources = n.links.config_sources(n).into();
     }
+
+    /// Requests the version if it is time to, or if the last source is silent. Returns the time of the next call.
+    fn advance(&mut self, n: &Node) -> Now {
+        let now = n.clock.now();
+        if now >= self.check_at {
+            self.check_at = Duration::MAX;
+            let requested = self.requested.as_ref();
+            if requested.is_some_and(|node| n.links.is_silent(n, node)) {
+                self.request_at = now;
+            }
+        }
+        if now >= self.request_at {
+            self.request(n);
+        }
+        self.request_at.min(self.check_at)
+    }
 }
 
 /// Processes what other nodes report about the configuration: requests newer versions and adopts documents. Never
@@ -179,13 +218,8 @@
     let mut wanted: Option<WantedVersion> = None;
     loop {
         wanted = wanted.filter(|w| w.number > n.version());
-        let now = n.clock.now();
-        if let Some(w) = wanted.as_mut().filter(|w| now >= w.request_at) {
-            w.request(&n);
-        }
-        let wait = wanted
-            .as_ref()
-            .map_or(Duration::MAX, |w| w.request_at.saturating_sub(now));
+        let next = wanted.as_mut().map(|w| w.advance(&n));
+        let wait = next.map_or(Duration::MAX, |at| at.saturating_sub(n.clock.now()));
         let update = match tokio::time::timeout(wait, updates.recv()).await {
             Ok(Some(update)) => update,
             Ok(None) => return,
@@ -226,7 +260,7 @@
             .with_label_values(&["patch"])
             .inc();
         if base > 0 {
-            n.links.request_config(node, 0);
+            n.links.request_config(n, node, 0);
         }
         return;
     };
--- a/src/sidecar/version/distribution.rs
+++ b/src/sidecar/version/distribution.rs
@@ -3,10 +3,10 @@
 //!
 //! A version that the watchers of the store send to the whole fleet fills their links for seconds, and requests queue
 //! behind it. Nodes therefore form a tree: a few nodes request a version from the watchers, the others from a node that
-//! is before them in an order that all nodes share. Each node passes a version on to a few others, one at a time.
+//! is before them in an order that all nodes share. Nodes that reach the store come first in it. Each node passes a version on to a few others, one at a time.
 
 use crate::prelude::*;
-use crate::sidecar::process::fleet::watchers::{watch_order, WatcherCandidate, WATCHER_COUNT};
+use crate::sidecar::process::fleet::watchers::{sort_watchers, WatcherCandidate, WATCHER_COUNT};
 
 /// Number of nodes that request a version from the same node.
 pub const FAN_OUT: usize = 4;
@@ -18,7 +18,9 @@
 pub fn sources(own: &WatcherCandidate, linked: &[WatcherCandidate]) -> Vec<NodeId> {
     let mut order: Vec<&WatcherCandidate> = linked.iter().collect();
     order.push(own);
-    order.sort_by_cached_key(|c| watch_order(c));
+    sort_watchers(&mut order);
+    // A node that is to watch but does not reach the store gets the version from the others.
+    order.sort_by_key(|c| !c.reaches_store);
     let own_index = order.iter().position(|c| c.node == own.node);
     let parent = |i: usize| i.checked_sub(WATCHER_COUNT).map(|i| i / FAN_OUT);
     std::iter::successors(own_index.and_then(parent), |i| parent(*i))
--- a/src/sidecar/version/mod.rs
+++ b/src/sidecar/version/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod config;
 pub mod config_server;
+pub mod confirm;
 pub mod distribution;
+pub mod freshness;
 pub mod patch;
 pub mod routes;
--- a/tests/sidecar_links.rs
+++ b/tests/sidecar_links.rs
@@ -49,6 +49,7 @@
 fn fleet(nodes: u32, wide: u32) -> Vec<WatcherCandidate> {
     let candidate = |i| WatcherCandidate {
         node: format!("n{i}").into(),
+        az: format!("az{}", i % 4).into(),
         link_mbps: if i < wide { 140 } else { 7 },
         reaches_store: true,
     };
@@ -70,7 +71,10 @@
                 Some(parent) => *children.entry(parent.to_string()).or_default() += 1,
                 None => {
                     roots.insert(own.node.clone());
-                    assert!(must_watch(own, &linked), "a root gets it from the store");
+                    assert!(
+                        must_watch(own, &linked, Duration::ZERO),
+                        "a root gets it from the store"
+                    );
                 }
             }
             assert!(!path.contains(&own.node));
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -401,13 +401,14 @@
     let watching = |linked: &dyn Fn(&str, &str) -> bool, reaches_store: &dyn Fn(&str) -> bool| {
         let candidate = |n: &String| WatcherCandidate {
             node: n.as_str().into(),
+            az: "az".into(),
             link_mbps: 100,
             reaches_store: reaches_store(n),
         };
         let must = |own: &&String| {
             let others = nodes.iter().filter(|n| n != own && linked(own, n));
             let candidates: Vec<_> = others.map(candidate).collect();
-            must_watch(&candidate(own), &candidates)
+            must_watch(&candidate(own), &candidates, Duration::ZERO)
         };
         nodes.iter().filter(must).cloned().collect::<Vec<_>>()
     };
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::workdir::{http, wait_until, ChildProcess, Response, Workdir};
-use store::KvServer;
+use store::{Entrance, KvServer};
 use target::Target;
 
 /// Service of the targets.
@@ -107,8 +107,28 @@
         self.start_node_with(id, az, target, "")
     }
 
+    /// Starts a target and its node, which reaches the store by an address of its own.
+    pub fn add_node_at(&mut self, i: usize, entrance: &Entrance) -> &Node {
+        let target = Arc::new(Target::start(&format!("i-{i}")));
+        let (id, az) = (format!("n{i}"), format!("az{i}"));
+        let node = self.start_node_at(&id, &az, target, "", entrance.address);
+        self.nodes.push(node);
+        &self.nodes[self.nodes.len() - 1]
+    }
+
     /// Starts a node as [`Site::start_node`] does, with `extra` lines in the `sidecar` section of its settings.
     pub fn start_node_with(&self, id: &str, az: &str, target: Arc<Target>, extra: &str) -> Node {
+        self.start_node_at(id, az, target, extra, self.store.address)
+    }
+
+    fn start_node_at(
+        &self,
+        id: &str,
+        az: &str,
+        target: Arc<Target>,
+        extra: &str,
+        store: SocketAddr,
+    ) -> Node {
         let any_port = "\"127.0.0.1:0\"";
         let text = format!(
             "[node]\nid = \"{id}\"\naz = \"{az}\"\nthreads = 1\n\
@@ -116,7 +136,7 @@
              [store]\naddress = \"{}\"\ntimeout_ms = 500\n\
              [sidecar]\ntarget = \"{}\"\nservice = \"{SERVICE}\"\ncontrol = {any_port}\nready = {any_port}\n\
              heartbeat_ms = {}\nbudget_least = 1000.0\n{extra}",
-            self.store.address,
+            store,
             target.address,
             HEARTBEAT_INTERVAL.as_millis()
         );
--- a/tests/site_kit/store.rs
+++ b/tests/site_kit/store.rs
@@ -29,6 +29,19 @@
     pub compacted: bool,
 }
 
+/// An address of the stand-in with faults of its own, for the nodes that a test cuts off from the store.
+#[derive(Clone)]
+pub struct Entrance {
+    pub address: SocketAddr,
+    faults: Arc<Mutex<Faults>>,
+}
+
+impl Entrance {
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock().unwrap() = faults;
+    }
+}
+
 /// A running stand-in.
 pub struct KvServer {
     pub address: SocketAddr,
@@ -45,40 +58,20 @@
             .enable_all()
             .build()
             .unwrap();
-        let listener = runtime
-            .block_on(tokio::net::TcpListener::bind("127.0.0.1:0"))
-            .unwrap();
-        let address = listener.local_addr().unwrap();
-        let server = Self {
-            address,
-            store: Arc::default(),
-            faults: Arc::default(),
-            calls: Arc::default(),
+        let (store, calls) = (Arc::default(), Arc::default());
+        let entrance = open_entrance(&runtime, &store, &calls);
+        Self {
+            address: entrance.address,
+            store,
+            faults: entrance.faults,
+            calls,
             runtime,
-        };
-        let (store, faults) = (server.store.clone(), server.faults.clone());
-        let calls = server.calls.clone();
-        server.runtime.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
-                tokio::spawn(async move {
-                    let service = service_fn(move |req| {
-                        let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
-                        async move {
-                            let res = respond(&store, &faults, &calls, req).await;
-                            // A call that gets no response never finishes, also after the fault has ended.
-                            if res.is_none() {
-                                std::future::pending::<()>().await;
-                            }
-                            Ok::<_, Infallible>(res.unwrap_or_default())
-                        }
-                    });
-                    let http = hyper::server::conn::http1::Builder::new();
-                    let _ = http.serve_connection(TokioIo::new(stream), service).await;
-                });
-            }
-        });
-        server
+        }
+    }
+
+    /// Opens another address of the same store.
+    pub fn add_entrance(&self) -> Entrance {
+        open_entrance(&self.runtime, &self.store, &self.calls)
     }
 
     /// Writes the operator's configuration.
@@ -116,6 +109,43 @@
     }
 }
 
+fn open_entrance(
+    runtime: &tokio::runtime::Runtime,
+    store: &Arc<MemStore>,
+    calls: &Arc<Mutex<Vec<String>>>,
+) -> Entrance {
+    let listener = runtime
+        .block_on(tokio::net::TcpListener::bind("127.0.0.1:0"))
+        .unwrap();
+    let entrance = Entrance {
+        address: listener.local_addr().unwrap(),
+        faults: Arc::default(),
+    };
+    let (store, calls) = (store.clone(), calls.clone());
+    let faults = entrance.faults.clone();
+    runtime.spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
+            tokio::spawn(async move {
+                let service = service_fn(move |req| {
+                    let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
+                    async move {
+                        let res = respond(&store, &faults, &calls, req).await;
+                        // A call that gets no response never finishes, also after the fault has ended.
+                        if res.is_none() {
+                            std::future::pending::<()>().await;
+                        }
+                        Ok::<_, Infallible>(res.unwrap_or_default())
+                    }
+                });
+                let http = hyper::server::conn::http1::Builder::new();
+                let _ = http.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    entrance
+}
+
 type KvResponse = http::Response<Full<Bytes>>;
 
 fn response(status: u16, v: &Value) -> Option<KvResponse> {
