Keep an acknowledged stop of a target beyond the process

Cause: the stop was acknowledged although its record was not in the store, and the write was not tried again. Other nodes knew of the stop but followed the new process.

Change: a stop is acknowledged once the store or two other nodes keep it, else it gets 503; the store is tried until it takes the record. Other nodes remember the last targets of each node, tell it of them when a link opens, and send nothing to a departed incarnation. After a restart a target is used once another node remembers it or an earlier one, a health probe succeeds, or it goes on to send heartbeats. Whether a process is the first of its node shows when it creates its record. A stop of an unknown target without an incarnation no longer covers later incarnations.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::process::fleet::members::NodeRecord;
+use crate::sidecar::process::fleet::target_history::KnownTarget;
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
 
@@ -162,6 +163,15 @@
     /// No response, with the load of the target.
     #[serde(rename = "f")]
     Failed(FailureHead, Load),
+    /// The targets of the receiver that the sender remembers, for a receiver that may have restarted.
+    #[serde(rename = "d")]
+    KnownTargets(Vec<KnownTarget>),
+    /// The target of the sender announced its stop, and the receiver is to remember it.
+    #[serde(rename = "e")]
+    Departure(KnownTarget),
+    /// The sender remembers the stop.
+    #[serde(rename = "j")]
+    DepartureKept(KnownTarget),
     /// Requests a [`Head::Pong`]; carries the version of the sender.
     #[serde(rename = "p")]
     Ping(VersionNumber),
@@ -198,7 +208,12 @@
             Self::Request(_) | Self::Cancel(_) => "request",
             Self::Response(..) | Self::ResponsePart(_) | Self::Failed(..) => "answer",
             Self::GetConfig(_) | Self::Config(_) => "config",
-            Self::Hello(..) | Self::TargetChanged(..) | Self::Status(..) => "state",
+            Self::Hello(..)
+            | Self::TargetChanged(..)
+            | Self::Status(..)
+            | Self::KnownTargets(_)
+            | Self::Departure(_)
+            | Self::DepartureKept(_) => "state",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
     }
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -41,6 +41,10 @@
     if let Err(e) = sink.send(hello).await {
         return e.to_string();
     }
+    if let Some(known) = n.known_targets_message(node) {
+        // The queue is empty.
+        let _ = link.outgoing.try_send((0, known));
+    }
     // Messages are written by a separate task, because a peer that does not read must not delay the reading of its
     // responses.
     let writer = tokio::spawn(write_messages(
@@ -238,6 +242,8 @@
                 n.confirm_version(at);
             }
         }
+        Head::KnownTargets(known) => n.on_known_targets(known),
+        Head::DepartureKept(known) => n.on_departure_kept(&link.node, known),
         Head::Config(base) => n.on_peer_config(&link.node, *base, message.payload),
         _ => return Err("unexpected message".into()),
     }
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -131,6 +131,24 @@
         })
     }
 
+    /// Sends a message to a node, if it is linked.
+    pub(crate) fn send(&self, node: &str, message: Message) {
+        let link = lock(&self.open).get(node).cloned();
+        if let Some(l) = link {
+            // The queue is full only if the peer does not read.
+            let _ = l.outgoing.try_send((0, message));
+        }
+    }
+
+    /// Sends a message to all linked nodes. Returns their number.
+    pub(crate) fn send_to_all(&self, message: &Message) -> usize {
+        let open = lock(&self.open);
+        let sent = open
+            .values()
+            .filter(|l| l.outgoing.try_send((0, message.clone())).is_ok());
+        sent.count()
+    }
+
     /// Pings the peers of all links that have been quiet for a while.
     pub(super) fn ping_all(&self) {
         lock(&self.open)
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -118,6 +118,9 @@
             }
             Head::Hello(record, version, _) => {
                 transit.reset();
+                if let Some(known) = n.known_targets_message(&record.node) {
+                    let _ = tx.try_send(known);
+                }
                 n.on_peer_record(record.as_ref().clone());
                 n.on_peer_version(&record.node, *version);
                 let _ = peer.set(record.node.clone());
@@ -133,6 +136,14 @@
                 let answer = Head::Freshness(n.version(), age);
                 let _ = tx.try_send(Message::without_payload(answer));
             }
+            Head::KnownTargets(known) => n.on_known_targets(known),
+            Head::Departure(known) => {
+                if let Some(peer) = peer.get() {
+                    n.keep_departure(peer, known);
+                    let kept = Head::DepartureKept(known.clone());
+                    let _ = tx.try_send(Message::without_payload(kept));
+                }
+            }
             Head::GetConfig(held) => {
                 let request = ConfigRequest {
                     reply: tx.clone(),
--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -8,7 +8,7 @@
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::state::TargetId;
-use crate::store::{LeaseId, StoreError};
+use crate::store::{LeaseId, StoreError, Swap};
 
 /// Prefix of all keys of this program.
 const ROOT_PREFIX: &str = "dq/";
@@ -45,6 +45,8 @@
     lease: Option<LeaseId>,
     /// Whether the record is in the store, as far as this node knows.
     written: bool,
+    /// Whether an attempt has been made to create the record.
+    created: bool,
     renewed_at: Now,
     list_count: usize,
     next_list_at: Now,
@@ -152,7 +154,7 @@
             ..n.record()
         };
         let value = serde_json::to_vec(&record).unwrap_or_default();
-        n.store.put(&node_key(&n.id), value, Some(lease)).await?;
+        write_record(n, registration, value, lease).await?;
         registration.written = true;
         registration.renewed_at = now;
         n.last_confirmed.record(Confirmation::Lease, now);
@@ -172,6 +174,28 @@
     Ok(())
 }
 
+/// Writes the record. If the first attempt creates it, there was no process of this node before.
+async fn write_record(
+    n: &Arc<Node>,
+    registration: &mut Registration,
+    value: Vec<u8>,
+    lease: LeaseId,
+) -> Result<(), StoreError> {
+    let key = node_key(&n.id);
+    if !std::mem::replace(&mut registration.created, true) {
+        let written = n
+            .store
+            .swap(&key, 0, Some(value.clone()), Some(lease))
+            .await?;
+        if matches!(written, Swap::Done(_)) {
+            n.target().on_first_process();
+            n.apply_target_state();
+            return Ok(());
+        }
+    }
+    n.store.put(&key, value, Some(lease)).await.map(drop)
+}
+
 /// Removes the record of this node, so that other nodes do not try to reach it.
 pub async fn remove_record(n: &Node) {
     let key = node_key(&n.id);
--- a/src/sidecar/process/fleet/mod.rs
+++ b/src/sidecar/process/fleet/mod.rs
@@ -1,5 +1,6 @@
-//! The other nodes: their records, their discovery, and which of them watch the store.
+//! The other nodes: their records and their targets, their discovery, and which of them watch the store.
 
 pub mod discovery;
 pub mod members;
+pub mod target_history;
 pub mod watchers;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -14,11 +14,12 @@
 use crate::process::clock::Clock;
 use crate::settings::Settings;
 use crate::sidecar::adapter::Adapter;
-use crate::sidecar::connection::frame::Message;
+use crate::sidecar::connection::frame::{Head, Message};
 use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pacing::SharedLink;
 use crate::sidecar::connection::pool::Pool;
 use crate::sidecar::process::fleet::members::{MemberChange, Members, NodeRecord};
+use crate::sidecar::process::fleet::target_history::{KnownTarget, TargetHistory};
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
 use crate::sidecar::process::metrics::{Hop, Metrics};
 use crate::sidecar::process::routing::budget::RetryBudget;
@@ -26,8 +27,9 @@
 use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement, TargetInfo};
 use crate::sidecar::process::routing::split::TrafficSplit;
 use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
+use crate::sidecar::process::target::departure::DepartureState;
 use crate::sidecar::process::target::slots::Slots;
-use crate::sidecar::process::target::state::{OwnTarget, TargetId, TargetState};
+use crate::sidecar::process::target::state::{OwnTarget, TargetState};
 use crate::sidecar::version::config_server::ConfigRequest;
 use crate::sidecar::version::freshness::FreshnessLimits;
 use crate::sidecar::version::routes::RouteTable;
@@ -97,8 +99,10 @@
     pub(crate) settings: ArcSwap<Settings>,
     pub(crate) own_record: Mutex<NodeRecord>,
     pub(crate) target: Mutex<OwnTarget>,
-    /// Departure of this node's target that is in the store, with its incarnation.
-    pub(crate) stored_departure: Mutex<Option<(TargetId, u64)>>,
+    /// Last announced stop of this node's target.
+    pub(crate) departure: DepartureState,
+    /// What other nodes have said about their targets.
+    pub(crate) target_history: Mutex<TargetHistory>,
     pub(crate) members: Mutex<Members>,
     pub(crate) placement: Mutex<Placement>,
     pub(crate) traffic_split: Mutex<TrafficSplit>,
@@ -299,11 +303,12 @@
         let now = self.clock.now();
         match &r.target {
             Some(t) => {
+                let departed = lock(&self.target_history).has_departed(&r.node, t);
                 let info = TargetInfo {
                     service: r.service.clone(),
                     az: r.az.clone(),
                     slots: t.slots,
-                    ready: t.ready && !r.leaving,
+                    ready: t.ready && !r.leaving && !departed,
                     reachable: own || self.links.is_open(&r.node),
                     id: t.id.clone(),
                     incarnation: t.incarnation,
@@ -318,6 +323,7 @@
     pub fn apply_change(self: &Arc<Self>, change: MemberChange) {
         match change {
             MemberChange::Set(r) => {
+                self.record_target(&r);
                 self.update_placement(&r);
                 self.links.maintain(self, &r.node);
                 self.log.event(
@@ -339,6 +345,34 @@
         }
     }
 
+    /// Records the target of another node. A node that has restarted and does not know that its target announced its
+    /// stop is told so.
+    fn record_target(&self, r: &NodeRecord) {
+        let Some(t) = &r.target else { return };
+        let mut history = lock(&self.target_history);
+        history.record(&r.node, t, self.clock.now());
+        if t.ready && history.has_departed(&r.node, t) {
+            let known = Head::KnownTargets(history.targets(&r.node));
+            self.links.send(&r.node, Message::without_payload(known));
+        }
+    }
+
+    /// Message that tells another node what this node remembers of its targets; `None` if that is nothing.
+    pub(crate) fn known_targets_message(&self, node: &str) -> Option<Message> {
+        let known = lock(&self.target_history).targets(node);
+        (!known.is_empty()).then(|| Message::without_payload(Head::KnownTargets(known)))
+    }
+
+    /// Keeps an announced stop of another node's target.
+    pub(crate) fn keep_departure(&self, node: &NodeId, known: &KnownTarget) {
+        let now = self.clock.now();
+        lock(&self.target_history).record_target(node, known.clone(), now);
+        let record = self.members().get(node).cloned();
+        if let Some(r) = record {
+            self.update_placement(&r);
+        }
+    }
+
     /// Merges a record that another node sent on a link.
     pub fn on_peer_record(self: &Arc<Self>, record: NodeRecord) {
         let change = self.members().merge_received(record, self.clock.now());
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -31,6 +31,7 @@
 use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::sample::{self, LastConfirmed};
 use crate::sidecar::process::target::control;
+use crate::sidecar::process::target::departure::OwnDeparture;
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::request::early::EarlyRequests;
@@ -128,7 +129,8 @@
         version_adopted: watch::channel(0).0,
         own_record: Mutex::new(record),
         target: Mutex::new(target),
-        stored_departure: Mutex::default(),
+        departure: watch::channel(OwnDeparture::default()).0,
+        target_history: Mutex::default(),
         members: Mutex::new(Members::new(settings.node.id.clone())),
         placement: Mutex::new(Placement::new(settings.node.az.clone())),
         traffic_split: Mutex::default(),
--- a/src/sidecar/process/target/change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -4,7 +4,7 @@
 use crate::request::reason::Reason;
 use crate::sidecar::adapter::{NamedLimit, ResponseInfo};
 use crate::sidecar::process::node::{bool_str, lock, Node};
-use crate::sidecar::process::target::control;
+use crate::sidecar::process::target::departure;
 use crate::sidecar::process::target::rate_limit::RequestRate;
 use crate::sidecar::process::target::state::{TargetId, TargetState};
 
@@ -56,11 +56,7 @@
         let incarnation = self.target().on_leaving_response(id, self.clock.now());
         if let Some(incarnation) = incarnation {
             self.apply_target_state();
-            tokio::spawn(control::persist_departure(
-                self.clone(),
-                id.clone(),
-                incarnation,
-            ));
+            departure::begin(self, id, incarnation);
         }
     }
 
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -1,5 +1,7 @@
 //! Calls from the target, readiness checks, and monitoring of the target.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use http::{header, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -7,16 +9,13 @@
 use crate::prelude::*;
 use crate::request::body::{full, Body};
 use crate::sidecar::adapter::{TargetCall, TargetHeaders};
-use crate::sidecar::process::fleet::discovery;
-use crate::sidecar::process::node::{lock, Node};
+use crate::sidecar::process::node::Node;
 use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::process::target::departure;
 use crate::sidecar::process::target::state::{Heartbeat, ReportedState, TargetId};
 
 /// Maximum size of the body of a call, in bytes.
 const MAX_CALL_BYTES: usize = 64 << 10;
-/// Maximum time to record the departure of a target in the store before the stop is acknowledged; well below the one
-/// second for which the target waits for the acknowledgement.
-const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which the state of the target is checked, for example for missing heartbeats.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the start of the process after which the target is probed if it has not sent a heartbeat.
@@ -74,10 +73,10 @@
             n.last_confirmed
                 .record(Confirmation::Heartbeat, n.clock.now());
             n.apply_target_state();
-            if h.state == ReportedState::Draining && !n.is_departure_stored(&h.id, h.incarnation) {
-                persist_departure(n.clone(), h.id.clone(), h.incarnation).await;
+            match h.state {
+                ReportedState::Draining => acknowledge_stop(n, &h.id, h.incarnation).await,
+                ReportedState::Ready => json_response(StatusCode::OK, "{}"),
             }
-            json_response(StatusCode::OK, "{}")
         }
         Err(e) => {
             n.metrics
@@ -94,14 +93,13 @@
 }
 
 async fn handle_stop(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> Response<Body> {
-    let result = n.target().on_stop(id, incarnation, n.clock.now());
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let latest = since_epoch.unwrap_or_default().as_millis() as u64;
+    let result = n.target().on_stop(id, incarnation, latest, n.clock.now());
     match result {
-        Ok(_) => {
+        Ok(incarnation) => {
             n.apply_target_state();
-            if !n.is_departure_stored(id, incarnation) {
-                persist_departure(n.clone(), id.clone(), incarnation).await;
-            }
-            json_response(StatusCode::OK, "{}")
+            acknowledge_stop(n, id, incarnation).await
         }
         // The call is about another incarnation and changes nothing. It still succeeds, because its sender could not do
         // anything about a failure.
@@ -115,26 +113,11 @@
     }
 }
 
-impl Node {
-    /// Whether the departure of this incarnation is in the store.
-    fn is_departure_stored(&self, id: &TargetId, incarnation: u64) -> bool {
-        let stored = lock(&self.stored_departure);
-        stored
-            .as_ref()
-            .is_some_and(|(i, n)| i == id && *n >= incarnation)
-    }
-}
-
-/// Records the departure of the target in the store before it is acknowledged, because the next process of this node
-/// must not send requests to the target either. If the store does not respond in time, that process relies on a health
-/// probe.
-pub(crate) async fn persist_departure(n: Arc<Node>, id: TargetId, incarnation: u64) {
-    n.log.event("target_leaving", &[("target", &id)]);
-    let write = discovery::record_departure(&n, &id, incarnation);
-    match tokio::time::timeout(DEPARTURE_TIMEOUT, write).await {
-        Ok(Ok(())) => *lock(&n.stored_departure) = Some((id, incarnation)),
-        Ok(Err(e)) => n.log.event("note_failed", &[("error", &e.to_string())]),
-        Err(_) => n.log.event("note_failed", &[("error", "timeout")]),
+/// Acknowledges an announced stop once it is kept beyond this process. If it is not, the target may ask again.
+async fn acknowledge_stop(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> Response<Body> {
+    match departure::keep(n, id, incarnation).await {
+        true => json_response(StatusCode::OK, "{}"),
+        false => json_response(StatusCode::SERVICE_UNAVAILABLE, "{}"),
     }
 }
 
@@ -144,7 +127,8 @@
     tokio::time::sleep(PROBE_DELAY).await;
     let mut probed = false;
     loop {
-        if !probed && n.target().is_unknown() && n.can_probe() {
+        let wanted = n.target().is_unknown() || n.target().is_unconfirmed();
+        if !probed && wanted && n.can_probe() {
             probed = true;
             probe_target(&n).await;
         }
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::sidecar::process::fleet::target_history::KnownTarget;
 
 /// Id of an incarnation of a target; several incarnations may share one.
 pub type TargetId = SmolStr;
@@ -13,6 +14,9 @@
 const MAX_DEPARTED: usize = 64;
 /// Heartbeat intervals without a heartbeat or a response after which a target counts as dead.
 const MAX_MISSED_HEARTBEATS: u32 = 4;
+/// Further heartbeats after the first one that show that a target runs and does not leave, if nothing else does. A
+/// heartbeat may be late, but a target that leaves sends no more of them.
+const CONFIRMING_HEARTBEATS: u32 = 2;
 /// Time between attempts at a target that counts as down; a heartbeat ends it early.
 const DOWN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of consecutive attempts without a response in time after which a target counts as down.
@@ -80,6 +84,9 @@
     /// Incarnation of the target; 0 if unknown.
     #[serde(default)]
     pub incarnation: u64,
+    /// Whether it announced its stop.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 #[derive(Debug)]
@@ -96,6 +103,9 @@
     down_until: Option<Now>,
     /// Consecutive attempts without a response in time.
     timeouts: u32,
+    /// Heartbeats that are still needed until it accepts requests, because an earlier process of the node may have
+    /// acknowledged its stop.
+    unconfirmed: u32,
 }
 
 /// State of the target of this node.
@@ -107,7 +117,13 @@
     /// Time for which a leaving target still accepts requests, so that other nodes can learn of it first.
     drain_delay: Duration,
     current: Option<Current>,
-    /// Departed targets with their last incarnation; `u64::MAX` if it is not known, which covers all incarnations.
+    /// Targets of earlier processes of this node that have not departed, as other nodes remember them.
+    vouched: Vec<(TargetId, u64)>,
+    /// Target that responded to a health probe.
+    probed: Option<TargetId>,
+    /// Whether an earlier process of this node may have acknowledged the stop of a target.
+    restarted: bool,
+    /// Departed targets with their last incarnation.
     departed: Vec<(TargetId, u64)>,
 }
 
@@ -125,10 +141,71 @@
             heartbeat_interval,
             drain_delay,
             current: None,
+            vouched: Vec::new(),
+            probed: None,
+            restarted: true,
             departed: Vec::new(),
         }
     }
 
+    /// Records that this is the first process of its node, so that no stop has been acknowledged before.
+    pub fn on_first_process(&mut self) {
+        self.restarted = false;
+        self.confirm_known();
+    }
+
+    /// Records what another node remembers of the targets of this node. Returns the departures that were not known.
+    pub fn on_known_targets(&mut self, known: &[KnownTarget], now: Now) -> Vec<KnownTarget> {
+        let mut new = Vec::new();
+        for k in known {
+            if !k.departed {
+                self.vouch(&k.id, k.incarnation);
+            } else if !self.has_departed(&k.id, k.incarnation) {
+                self.restore_departure(k.id.clone(), k.incarnation, now);
+                new.push(k.clone());
+            }
+        }
+        self.confirm_known();
+        new
+    }
+
+    fn vouch(&mut self, id: &TargetId, incarnation: u64) {
+        let entry = (id.clone(), incarnation);
+        if !self.vouched.contains(&entry) && self.vouched.len() < MAX_DEPARTED {
+            self.vouched.push(entry);
+        }
+        self.confirm_known();
+    }
+
+    /// Confirms the target if other nodes remember it, or an earlier one in its place.
+    fn confirm_known(&mut self) {
+        let Some(mut c) = self.current.take() else {
+            return;
+        };
+        if self.is_known(&c.id, c.incarnation) {
+            c.unconfirmed = 0;
+        }
+        self.current = Some(c);
+    }
+
+    /// Whether no earlier process of this node can have acknowledged the stop of a target that is not among the departed
+    /// ones.
+    fn is_known(&self, id: &TargetId, incarnation: u64) -> bool {
+        // An earlier target than this one was the last of that process.
+        let vouched =
+            |(i, last): &(TargetId, u64)| *last < incarnation || *last == incarnation && i == id;
+        let departed = |(i, last): &(TargetId, u64)| i == id && *last < incarnation;
+        !self.restarted
+            || self.probed.as_ref() == Some(id)
+            || self.vouched.iter().any(vouched)
+            || self.departed.iter().any(departed)
+    }
+
+    /// Whether a target is known that gets no requests yet, because an earlier process may have acknowledged its stop.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.current.as_ref().is_some_and(|c| c.unconfirmed > 0)
+    }
+
     /// Restores the record of a target that departed before this process started. It may have sent a heartbeat to this
     /// process already.
     pub fn restore_departure(&mut self, id: TargetId, incarnation: u64, now: Now) {
@@ -136,12 +213,13 @@
         if let Some(c) = self.current.as_mut().filter(departed) {
             c.accepts_until.get_or_insert(now);
         }
-        if !self.has_departed(&id, incarnation) {
-            self.record_departure(id, incarnation);
-        }
+        self.record_departure(id, incarnation);
     }
 
     fn record_departure(&mut self, id: TargetId, incarnation: u64) {
+        if self.has_departed(&id, incarnation) {
+            return;
+        }
         if self.departed.len() == MAX_DEPARTED {
             self.departed.remove(0);
         }
@@ -176,6 +254,8 @@
         if old.filter(outdated).is_some() {
             return Ok(false);
         }
+        // This process has heard of an earlier target.
+        let succeeds = old.is_some_and(|c| c.incarnation > 0 && c.incarnation < h.incarnation);
         let departed = self.has_departed(&h.id, h.incarnation);
         let leaving = h.state == ReportedState::Draining || departed;
         let same_incarnation = self
@@ -183,6 +263,12 @@
             .take()
             .filter(|c| c.id == h.id && (c.incarnation == h.incarnation || c.incarnation == 0));
         let accepts_until = same_incarnation.as_ref().and_then(|c| c.accepts_until);
+        let unconfirmed = match &same_incarnation {
+            _ if succeeds || self.is_known(&h.id, h.incarnation) => 0,
+            Some(c) if now < c.last_heard + self.heartbeat_interval / 2 => c.unconfirmed,
+            Some(c) => c.unconfirmed.saturating_sub(1),
+            None => CONFIRMING_HEARTBEATS,
+        };
         // A departure that is known without the target is from before the start of this process.
         let drain_end = match departed && same_incarnation.is_none() {
             true => now,
@@ -197,37 +283,42 @@
             accepts_until: accepts_until.or(leaving.then_some(drain_end)),
             down_until: None,
             timeouts: 0,
+            unconfirmed,
         });
-        if leaving && !departed {
+        if leaving {
             self.record_departure(h.id.clone(), h.incarnation);
         }
         Ok(self.state(now) != before)
     }
 
-    /// Records that the target announced its stop. `incarnation` is 0 if the target did not tell it.
+    /// Records that the target announced its stop. `incarnation` is 0 if the target did not tell it. If the target is not
+    /// known either, `latest` bounds it. Returns the last incarnation that departed.
+    ///
+    /// # Errors
+    ///
+    /// The stop is that of another target or an earlier incarnation. The state is unchanged.
     pub fn on_stop(
         &mut self,
         id: &TargetId,
         incarnation: u64,
+        latest: u64,
         now: Now,
-    ) -> Result<bool, HeartbeatError> {
-        let before = self.state(now);
+    ) -> Result<u64, HeartbeatError> {
         match &mut self.current {
             Some(c) if c.id == *id && (incarnation == 0 || incarnation >= c.incarnation) => {
                 c.accepts_until.get_or_insert(now + self.drain_delay);
                 let incarnation = c.incarnation.max(incarnation);
                 self.record_departure(id.clone(), incarnation);
-                Ok(self.state(now) != before)
+                Ok(incarnation)
             }
             Some(_) => Err(HeartbeatError::Stale),
             None => {
-                let incarnation = if incarnation == 0 {
-                    u64::MAX
-                } else {
-                    incarnation
+                let incarnation = match incarnation {
+                    0 => latest,
+                    known => known,
                 };
                 self.record_departure(id.clone(), incarnation);
-                Ok(false)
+                Ok(incarnation)
             }
         }
     }
@@ -247,6 +338,8 @@
 
     /// Records a target that responded to a health probe before its first heartbeat.
     pub fn on_probe(&mut self, id: TargetId, slots: u32, now: Now) {
+        self.probed = Some(id.clone());
+        self.confirm_known();
         if self.current.is_none() && !self.departed.iter().any(|(i, _)| *i == id) {
             self.current = Some(Current {
                 id,
@@ -257,6 +350,7 @@
                 accepts_until: None,
                 down_until: None,
                 timeouts: 0,
+                unconfirmed: 0,
             });
         }
     }
@@ -302,7 +396,7 @@
         let alive = now < c.last_heard + self.heartbeat_interval * MAX_MISSED_HEARTBEATS;
         let accepts = c.accepts_until.is_none_or(|t| now < t);
         let up = c.down_until.is_none_or(|t| now >= t);
-        (alive && accepts && up).then_some(&c.id)
+        (alive && accepts && up && c.unconfirmed == 0).then_some(&c.id)
     }
 
     /// Whether the target announced that it is leaving.
@@ -328,9 +422,10 @@
         let alive = now < c.last_heard + self.heartbeat_interval * MAX_MISSED_HEARTBEATS;
         Some(TargetState {
             id: c.id.clone(),
-            ready: alive && c.accepts_until.is_none(),
+            ready: alive && c.accepts_until.is_none() && c.unconfirmed == 0,
             slots: c.slots,
             incarnation: c.incarnation,
+            leaving: c.accepts_until.is_some(),
         })
     }
 }
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dragonflyquay::sidecar::process::fleet::target_history::{KnownTarget, TargetHistory};
 use dragonflyquay::sidecar::process::target::state::{
-    Heartbeat, HeartbeatError, OwnTarget, ReportedState,
+    Heartbeat, HeartbeatError, OwnTarget, ReportedState, TargetState,
 };
 
 const ADDRESS: &str = "127.0.0.1:9000";
@@ -26,11 +27,27 @@
     }
 }
 
-fn own_target() -> OwnTarget {
+/// State at a node that may have restarted.
+fn restarted_target() -> OwnTarget {
     let address: SocketAddr = ADDRESS.parse().unwrap();
     OwnTarget::new("s".into(), address, ms(1500), ms(1000))
 }
 
+/// State at the first process of a node.
+fn own_target() -> OwnTarget {
+    let mut t = restarted_target();
+    t.on_first_process();
+    t
+}
+
+fn known(id: &str, incarnation: u64, departed: bool) -> KnownTarget {
+    KnownTarget {
+        id: id.into(),
+        incarnation,
+        departed,
+    }
+}
+
 /// Guards against a delayed heartbeat that makes a leaving target ready again, and against a heartbeat of an earlier
 /// incarnation.
 #[test]
@@ -60,7 +77,7 @@
     let stale = t.on_heartbeat(&heartbeat("i", 10, 9, ReportedState::Draining), ms(1200));
     assert_eq!(stale, Err(HeartbeatError::Stale));
     assert_eq!(
-        t.on_stop(&"i".into(), 10, ms(1300)),
+        t.on_stop(&"i".into(), 10, 0, ms(1300)),
         Err(HeartbeatError::Stale)
     );
     assert!(t.usable(ms(1300)).is_some());
@@ -89,6 +106,92 @@
     assert!(t.usable(ms(50)).is_none());
 }
 
+/// Guards against a late heartbeat that makes a target ready at a node that has restarted and knows nothing of its stop,
+/// and against good targets that wait for a confirmation although something shows that they do not leave.
+#[test]
+fn a_target_is_confirmed_after_a_restart_of_the_node() {
+    let ready = |t: &OwnTarget, now| t.usable(now).is_some() && t.state(now).unwrap().ready;
+    let heard = |seq: u64, incarnation: u64| heartbeat("i", incarnation, seq, ReportedState::Ready);
+    let after_heartbeat = || {
+        let mut t = restarted_target();
+        t.on_heartbeat(&heard(7, 10), ms(0)).unwrap();
+        assert!(!ready(&t, ms(0)) && t.is_unconfirmed());
+        t
+    };
+    let mut t = after_heartbeat();
+    t.on_known_targets(&[known("i", 10, false)], ms(10));
+    assert!(ready(&t, ms(10)), "another node remembers it");
+    let mut t = after_heartbeat();
+    t.on_known_targets(&[known("h", 5, true)], ms(10));
+    t.on_known_targets(&[known("h", 5, false)], ms(10));
+    assert!(ready(&t, ms(10)), "it is later than the last one");
+    let mut t = after_heartbeat();
+    let new = t.on_known_targets(&[known("i", 10, true)], ms(10));
+    assert_eq!(new, [known("i", 10, true)]);
+    t.on_known_targets(&[known("i", 10, false)], ms(20));
+    t.on_probe("i".into(), 4, ms(30));
+    assert!(!ready(&t, ms(30)), "it has departed");
+    let mut t = after_heartbeat();
+    t.on_known_targets(&[known("j", 20, false)], ms(10));
+    assert!(!ready(&t, ms(10)), "it is an earlier one");
+    let mut t = after_heartbeat();
+    t.on_probe("i".into(), 4, ms(10));
+    assert!(ready(&t, ms(10)), "it responds to a health probe");
+    let mut t = after_heartbeat();
+    t.on_heartbeat(&heard(8, 10), ms(10)).unwrap();
+    t.on_heartbeat(&heard(9, 10), ms(20)).unwrap();
+    t.on_heartbeat(&heard(10, 10), ms(30)).unwrap();
+    assert!(!ready(&t, ms(30)), "heartbeats that were late together");
+    t.on_heartbeat(&heard(11, 10), ms(1530)).unwrap();
+    t.on_heartbeat(&heard(12, 10), ms(3030)).unwrap();
+    assert!(ready(&t, ms(3030)), "it goes on to send heartbeats");
+    let mut t = after_heartbeat();
+    t.on_heartbeat(&heard(1, 11), ms(10)).unwrap();
+    assert!(ready(&t, ms(10)), "a later incarnation");
+}
+
+/// Guards against a stop without an incarnation that covers all later incarnations under the same id.
+#[test]
+fn a_stop_of_an_unknown_target_does_not_cover_later_incarnations() {
+    let mut t = own_target();
+    let stopped = t.on_stop(&"i".into(), 0, 1000, ms(0));
+    assert_eq!(stopped.ok(), Some(1000));
+    t.on_heartbeat(&heartbeat("i", 900, 1, ReportedState::Ready), ms(10))
+        .unwrap();
+    assert!(t.usable(ms(10)).is_none());
+    t.on_heartbeat(&heartbeat("i", 1001, 1, ReportedState::Ready), ms(20))
+        .unwrap();
+    assert!(t.usable(ms(20)).is_some());
+}
+
+/// Guards against a stop that another node forgets or takes back, and against a memory that grows without bound.
+#[test]
+fn the_stops_of_other_targets_are_remembered() {
+    let state = |id: &str, incarnation: u64, leaving: bool| TargetState {
+        id: id.into(),
+        ready: !leaving,
+        slots: 4,
+        incarnation,
+        leaving,
+    };
+    let mut h = TargetHistory::default();
+    h.record(&"n".into(), &state("i", 10, false), ms(0));
+    assert!(!h.has_departed("n", &state("i", 10, false)));
+    h.record(&"n".into(), &state("i", 10, true), ms(10));
+    h.record(&"n".into(), &state("i", 10, false), ms(20));
+    assert!(h.has_departed("n", &state("i", 10, false)));
+    assert!(h.has_departed("n", &state("i", 9, false)));
+    assert!(!h.has_departed("n", &state("i", 11, false)));
+    assert!(!h.has_departed("m", &state("i", 10, false)));
+    assert_eq!(h.targets("n"), [known("i", 10, true)]);
+    for i in 0..100 {
+        h.record(&"n".into(), &state(&format!("j{i}"), 20 + i, false), ms(30));
+    }
+    assert!(h.targets("n").len() < 10);
+    h.record(&"m".into(), &state("k", 10, false), ms(3_600_000));
+    assert!(h.targets("n").is_empty(), "forgotten after an hour");
+}
+
 /// Guards against heartbeats from other targets, and against the use of a target that stopped responding.
 #[test]
 fn foreign_and_unresponsive_targets_are_not_used() {
