Reject a request that crashes targets at all nodes

Cause: a lost connection was a reason to retry an idempotent request, and nothing remembered what had been running at a target that ended.

Change: the node of a target that ended tells all nodes which requests were running, as hashes of caller, service, method, path and body. A request at three ends that was not served in between is rejected for 30 s after the last one, and not retried after that until it is served. Ends within a second count once, unless the request was a retry; a request that is served anywhere is no suspect. A lost connection counts only if the target refuses connections or reports a later incarnation.

--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -11,6 +11,7 @@
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::process::fleet::members::NodeRecord;
 use crate::sidecar::process::fleet::target_history::KnownTarget;
+use crate::sidecar::process::routing::crash_suspects::{CrashedRequest, Fingerprint};
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
 
@@ -172,6 +173,12 @@
     /// The sender remembers the stop.
     #[serde(rename = "j")]
     DepartureKept(KnownTarget),
+    /// The target of the sender ended while it was running these requests.
+    #[serde(rename = "c")]
+    Crash(Vec<CrashedRequest>),
+    /// A request that other nodes may suspect of crashing targets was served.
+    #[serde(rename = "n")]
+    NoSuspect(Fingerprint),
     /// Requests a [`Head::Pong`]; carries the version of the sender.
     #[serde(rename = "p")]
     Ping(VersionNumber),
@@ -213,7 +220,9 @@
             | Self::Status(..)
             | Self::KnownTargets(_)
             | Self::Departure(_)
-            | Self::DepartureKept(_) => "state",
+            | Self::DepartureKept(_)
+            | Self::Crash(_)
+            | Self::NoSuspect(_) => "state",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
     }
--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -1,5 +1,6 @@
 //! HTTP connections to the target of this node.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 
@@ -153,6 +154,16 @@
         })
     }
 
+    /// Whether the target refuses connections, because its process has ended; `None` if it does not respond.
+    pub async fn is_refused(&self) -> Option<bool> {
+        let connect = TcpStream::connect(self.address);
+        match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+            Ok(Ok(_)) => Some(false),
+            Ok(Err(e)) => Some(e.kind() == ErrorKind::ConnectionRefused),
+            Err(_) => None,
+        }
+    }
+
     /// Sends a request and reads the whole response. `non_idempotent` says that the request must not be run twice.
     /// Dropping the future closes the connection, which tells the target that the caller has gone.
     ///
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -137,6 +137,8 @@
                 let _ = tx.try_send(Message::without_payload(answer));
             }
             Head::KnownTargets(known) => n.on_known_targets(known),
+            Head::Crash(crashed) => n.on_crash(crashed),
+            Head::NoSuspect(fingerprint) => n.on_no_suspect(*fingerprint),
             Head::Departure(known) => {
                 if let Some(peer) = peer.get() {
                     n.keep_departure(peer, known);
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -23,10 +23,12 @@
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
 use crate::sidecar::process::metrics::{Hop, Metrics};
 use crate::sidecar::process::routing::budget::RetryBudget;
+use crate::sidecar::process::routing::crash_suspects::CrashSuspects;
 use crate::sidecar::process::routing::fairness::Fairness;
 use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement, TargetInfo};
 use crate::sidecar::process::routing::split::TrafficSplit;
 use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
+use crate::sidecar::process::target::crash::LostRequests;
 use crate::sidecar::process::target::departure::DepartureState;
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::{OwnTarget, TargetState};
@@ -107,6 +109,10 @@
     pub(crate) placement: Mutex<Placement>,
     pub(crate) traffic_split: Mutex<TrafficSplit>,
     pub(crate) fairness: Mutex<Fairness>,
+    /// Requests that may crash targets.
+    pub(crate) crash_suspects: Mutex<CrashSuspects>,
+    /// Requests that were lost at the target of this node.
+    pub(crate) lost_requests: Mutex<LostRequests>,
     pub(crate) retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     pub(crate) rng: Mutex<SmallRng>,
     /// [`Phase`] as a number.
--- a/src/sidecar/process/routing/mod.rs
+++ b/src/sidecar/process/routing/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 mod candidates;
+pub mod crash_suspects;
 pub mod fairness;
 pub mod placement;
 mod retries;
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -135,6 +135,8 @@
         placement: Mutex::new(Placement::new(settings.node.az.clone())),
         traffic_split: Mutex::default(),
         fairness: Mutex::default(),
+        crash_suspects: Mutex::default(),
+        lost_requests: Mutex::default(),
         retry_budgets: Mutex::default(),
         rng: Mutex::new(rand::rngs::SmallRng::seed_from_u64(rand::random())),
         phase: AtomicU8::new(0),
--- a/src/sidecar/process/target/change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -24,6 +24,10 @@
         own.sequence += 1;
         let record = own.clone();
         drop(own);
+        let incarnation = |t: &Option<TargetState>| t.as_ref().map_or(0, |t| t.incarnation);
+        if incarnation(&before) > 0 && incarnation(&before) < incarnation(&state) {
+            self.on_target_ended();
+        }
         let id = |t: &Option<TargetState>| t.as_ref().map(|t| t.id.clone());
         if id(&before) != id(&state) {
             self.pool.clear();
--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -2,6 +2,7 @@
 
 mod change;
 pub mod control;
+pub mod crash;
 pub mod departure;
 pub mod queue;
 pub mod rate_limit;
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -11,6 +11,7 @@
 use crate::sidecar::adapter::TargetHeaders;
 use crate::sidecar::connection::pool::TargetResponse;
 use crate::sidecar::process::node::{Node, Phase};
+use crate::sidecar::process::routing::crash_suspects::CrashVerdict;
 use crate::sidecar::process::target::queue::Arrival;
 use crate::sidecar::process::target::slots::Slot;
 use crate::sidecar::process::target::state::TargetId;
@@ -108,6 +109,15 @@
     if let Err(f) = usable_target(n, &request) {
         return AttemptResult::undelivered(f);
     }
+    match n.crash_verdict(&request) {
+        CrashVerdict::Rejected(_) => {
+            return AttemptResult::undelivered(Failure::not_run(Reason::Quarantined))
+        }
+        CrashVerdict::NoRetry if request.retry => {
+            return AttemptResult::undelivered(Failure::not_run(Reason::Quarantined))
+        }
+        _ => {}
+    }
     if request.retry && !n.others_allow_retry(n.clock.now()) {
         return AttemptResult::undelivered(Failure::not_run(Reason::BudgetSpent));
     }
@@ -203,7 +213,7 @@
     let now = n.clock.now();
     let (mut response, conn) = match result {
         Ok(Ok(received)) => received,
-        Ok(Err(e)) => return send_failure(n, &e, &mut slot),
+        Ok(Err(e)) => return send_failure(n, &request, &e, &mut slot),
         Err(_) => {
             n.target().on_timeout(now);
             slot.failed = Some(true);
@@ -239,11 +249,17 @@
     let bytes = response.body.len();
     n.shared_link.bandwidth().record_size(&request.route, bytes);
     response.service_time = now.saturating_sub(start);
+    n.on_request_served(&request);
     AttemptResult::Response(response)
 }
 
 /// Returns the result of a request that failed with a send error, and updates the state of the target.
-fn send_failure(n: &Node, e: &SendError, slot: &mut Slot) -> AttemptResult {
+fn send_failure(
+    n: &Arc<Node>,
+    request: &TargetRequest,
+    e: &SendError,
+    slot: &mut Slot,
+) -> AttemptResult {
     let now = n.clock.now();
     let failure = Failure::from(e.clone());
     spdlog::debug!("event=target_connection_failed", kv: { error = e.to_string() });
@@ -256,6 +272,9 @@
             AttemptResult::undelivered(failure)
         }
         _ => {
+            if matches!(e, SendError::Lost(_)) {
+                n.on_request_lost(request);
+            }
             slot.failed = Some(true);
             AttemptResult::failed_at_target(failure)
         }
--- a/src/sidecar/request/attempts.rs
+++ b/src/sidecar/request/attempts.rs
@@ -5,6 +5,7 @@
 use crate::sidecar::connection::links::{CallResult, PendingCall};
 use crate::sidecar::connection::pool::TargetResponse;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::routing::crash_suspects::CrashVerdict;
 use crate::sidecar::request::admit::AttemptResult;
 use crate::sidecar::request::attempt::{attempt, RequestState};
 
@@ -51,6 +52,12 @@
     // Last response with a server error; the caller gets it unless a later attempt succeeds.
     let mut error_response: Option<TargetResponse> = None;
     let mut last_failure: Option<Failure> = None;
+    if let CrashVerdict::Rejected(back_off) = n.crash_verdict(&state.request) {
+        return Err(Failure {
+            back_off,
+            ..Failure::not_run(Reason::Quarantined)
+        });
+    }
     loop {
         let deadline = state.request.deadline;
         let step = tokio::select! {
@@ -132,7 +139,8 @@
         _ if now >= state.request.deadline => false,
         _ if may_have_run && !state.request.idempotent => false,
         Reason::Deadline if may_have_run => false,
-        Reason::BadRequest | Reason::TooLarge => false,
+        Reason::BadRequest | Reason::TooLarge | Reason::Quarantined => false,
+        _ if n.crash_verdict(&state.request) != CrashVerdict::Allowed => false,
         _ if state.tried.len() >= MAX_TRIED_NODES => false,
         _ if state.possible_runs >= state.route.max_attempts.max(1) => false,
         _ => state.sent == 0 || n.take_retry(&state.request.service, state.route.rank, now),
--- /dev/null
+++ b/tests/sidecar_crash.rs
@@ -0,0 +1,106 @@
+//! Requests that crash the targets that run them, at nodes of the `sidecar` command.
+
+mod site_kit;
+mod workdir;
+
+use std::time::Duration;
+
+use site_kit::{Node, Site};
+use workdir::{http, wait_until};
+
+const NODES: usize = 5;
+/// Number of targets that a request may crash before it counts as the cause.
+const MAX_CRASHES: usize = 3;
+
+/// Runs of requests with this text in their path, at all targets.
+fn runs(site: &Site, text: &str) -> usize {
+    let count = |n: &Node| {
+        let received = n.target.received.lock().unwrap();
+        received.iter().filter(|r| r.path.contains(text)).count()
+    };
+    site.nodes.iter().map(count).sum()
+}
+
+/// Waits until all targets have started again and are used.
+fn wait_up(site: &Site) {
+    for n in &site.nodes {
+        wait_until("the target is up", || !n.target.state.lock().unwrap().down);
+    }
+    // The next heartbeats.
+    std::thread::sleep(Duration::from_millis(700));
+}
+
+fn serve_healthy(site: &Site) {
+    for n in &site.nodes {
+        for _ in 0..4 {
+            assert_eq!(n.send("GET", "/safe/healthy").unwrap().status, 200);
+        }
+    }
+}
+
+/// Guards against a request that crashes targets each time that it comes: it is known by what it is, at all nodes, while
+/// other requests of its route are served.
+#[test]
+fn a_crashing_request_is_not_retried_at_any_node() {
+    let site = Site::start(NODES);
+    serve_healthy(&site);
+    for i in 0..6 {
+        site.nodes[i % NODES].send("GET", "/safe/poison?q=1");
+        wait_up(&site);
+        serve_healthy(&site);
+    }
+    let crashes = runs(&site, "poison");
+    assert!(crashes <= MAX_CRASHES + 1, "{crashes} crashes");
+    let res = site.nodes[0].send("GET", "/safe/poison?q=1").unwrap();
+    assert_eq!(res.status, 503);
+    assert_eq!(runs(&site, "poison"), crashes, "status 503: it has not run");
+    // Another request of the route is another request, although it may crash targets as well.
+    site.nodes[0].send("GET", "/safe/poison?q=2");
+    assert!(runs(&site, "poison") > crashes);
+}
+
+/// Guards against requests that are not idempotent and crash targets: they are never retried, but they come again.
+#[test]
+fn a_crashing_request_that_is_not_idempotent_is_rejected() {
+    let site = Site::start(NODES);
+    for i in 0..6 {
+        site.nodes[i % NODES].send("POST", "/once/poison");
+        wait_up(&site);
+        // Crashes at the same time count once.
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    let crashes = runs(&site, "poison");
+    assert!(crashes <= MAX_CRASHES + 1, "{crashes} crashes");
+}
+
+/// Guards against healthy requests that are rejected because targets ended while they ran, for another reason. All have
+/// the same content.
+#[test]
+fn requests_are_served_after_targets_end_for_other_reasons() {
+    let site = Site::start(NODES);
+    for i in 0..6 {
+        let crashing = &site.nodes[i % NODES].target;
+        std::thread::scope(|s| {
+            for n in &site.nodes {
+                let caller = n.caller;
+                s.spawn(move || {
+                    for _ in 0..3 {
+                        let id = site_kit::fresh_id();
+                        let headers = [
+                            ("dragonflyquay-request-id", id.as_str()),
+                            ("dragonflyquay-deadline-ms", "4000"),
+                            ("host", site_kit::HOST),
+                        ];
+                        http(caller, "GET", "/safe/slow", &headers, "");
+                    }
+                });
+            }
+            std::thread::sleep(Duration::from_millis(200));
+            crashing.crash();
+        });
+        wait_up(&site);
+        for n in &site.nodes {
+            assert_eq!(n.send("GET", "/safe/slow").unwrap().status, 200);
+        }
+    }
+}
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -9,6 +9,8 @@
 use super::super::workdir::http_json;
 use super::SERVICE;
 
+/// Time for which a target that has crashed accepts no connections.
+const CRASH_DURATION: Duration = Duration::from_millis(700);
 /// Interval at which a held request checks whether it may go on.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -40,6 +42,8 @@
     pub headers: String,
     /// Whether requests with `hold` in their path wait.
     pub held: bool,
+    /// Whether the target has crashed and has not started again.
+    pub down: bool,
 }
 
 /// A running stand-in.
@@ -60,15 +64,11 @@
             reported: "ready",
             headers: String::new(),
             held: false,
+            down: false,
         }));
         let received = Arc::new(Mutex::new(Vec::new()));
         let (s, r) = (state.clone(), received.clone());
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (s, r) = (s.clone(), r.clone());
-                std::thread::spawn(move || serve(stream, &s, &r));
-            }
-        });
+        std::thread::spawn(move || run(listener, &s, &r));
         Self {
             address,
             state,
@@ -77,9 +77,17 @@
         }
     }
 
-    /// Sends a heartbeat. Returns the status of the response.
+    /// Ends the target, which starts again after a moment.
+    pub fn crash(&self) {
+        crash(&self.state, self.address);
+    }
+
+    /// Sends a heartbeat, unless the target is down. Returns the status of the response.
     pub fn send_heartbeat(&self, control: SocketAddr) -> Option<u16> {
         let s = self.state.lock().unwrap().clone();
+        if s.down {
+            return None;
+        }
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
         self.send_heartbeat_as(control, &s, seq)
     }
@@ -101,6 +109,44 @@
     }
 }
 
+/// Accepts connections. After a crash all are closed, and new ones are refused for a while.
+fn run(
+    listener: TcpListener,
+    state: &Arc<Mutex<State>>,
+    received: &Arc<Mutex<Vec<ReceivedRequest>>>,
+) {
+    let address = listener.local_addr().unwrap();
+    let mut listener = Some(listener);
+    loop {
+        let accepting = listener
+            .take()
+            .unwrap_or_else(|| TcpListener::bind(address).unwrap());
+        let mut open: Vec<TcpStream> = Vec::new();
+        for stream in accepting.incoming().flatten() {
+            if state.lock().unwrap().down {
+                break;
+            }
+            open.extend(stream.try_clone());
+            let (s, r) = (state.clone(), received.clone());
+            std::thread::spawn(move || serve(stream, &s, &r));
+        }
+        drop(accepting);
+        for stream in open {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        std::thread::sleep(CRASH_DURATION);
+        let mut s = state.lock().unwrap();
+        s.incarnation += 1;
+        s.down = false;
+    }
+}
+
+fn crash(state: &Mutex<State>, address: SocketAddr) {
+    state.lock().unwrap().down = true;
+    // Ends the wait for the next connection.
+    let _ = TcpStream::connect(address);
+}
+
 fn response_head(id: &str, headers: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\ndragonflyquay-request-id: {id}\r\ndragonflyquay-response-signature: sig-{id}\r\n{headers}"
@@ -257,6 +303,11 @@
             return false;
         }
         p if p.contains("lost") => return false,
+        p if p.contains("poison") => {
+            crash(state, out.local_addr().unwrap());
+            std::thread::sleep(CRASH_DURATION / 2);
+            return false;
+        }
         p if p.contains("endless") => {
             let part = vec![b'x'; 64 << 10];
             let (start, part) = match p.rsplit('-').next() {
