Close finished connections of the stand-in target

The stand-in that can crash kept a copy of each connection, so one that it closed stayed open: invalid_responses_are_failures got 504 in place of 502 for a response that is lost, 6 of 6 runs since the commit before. The copy is dropped when a connection is finished. The test passes again; sidecar, sidecar_cut_response, sidecar_faulty_target and sidecar_crash pass.

--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -1,5 +1,6 @@
 //! Stand-in for a target: runs requests, records them, and fails in the way that the path of a request names.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -121,17 +122,23 @@
         let accepting = listener
             .take()
             .unwrap_or_else(|| TcpListener::bind(address).unwrap());
-        let mut open: Vec<TcpStream> = Vec::new();
+        // Open connections by the addresses of their peers.
+        let open: Arc<Mutex<BTreeMap<SocketAddr, TcpStream>>> = Arc::default();
         for stream in accepting.incoming().flatten() {
             if state.lock().unwrap().down {
                 break;
             }
-            open.extend(stream.try_clone());
-            let (s, r) = (state.clone(), received.clone());
-            std::thread::spawn(move || serve(stream, &s, &r));
+            let peer = stream.peer_addr().unwrap();
+            let clone = stream.try_clone().unwrap();
+            open.lock().unwrap().insert(peer, clone);
+            let (s, r, open) = (state.clone(), received.clone(), open.clone());
+            std::thread::spawn(move || {
+                serve(stream, &s, &r);
+                open.lock().unwrap().remove(&peer);
+            });
         }
         drop(accepting);
-        for stream in open {
+        for stream in open.lock().unwrap().values() {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
         std::thread::sleep(CRASH_DURATION);
