Take no target from a health probe that may run another service

Cause: a probe tells the id of a target, not its service, and the node believed whoever answered, at its start and later.

Change: an id from a probe counts only if a heartbeat to this process or another node that remembers the targets of this one has reported it as one of the service. Otherwise it is noted and counts once such a report comes.

--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -119,8 +119,11 @@
     current: Option<Current>,
     /// Targets of earlier processes of this node that have not departed, as other nodes remember them.
     vouched: Vec<(TargetId, u64)>,
-    /// Target that responded to a health probe.
-    probed: Option<TargetId>,
+    /// Ids of targets that run the service of this node, as they or other nodes have reported. Whoever answers at the
+    /// address may run another one.
+    own_ids: Vec<TargetId>,
+    /// Target that responded to a health probe, with the number of slots to assume.
+    probed: Option<(TargetId, u32)>,
     /// Whether an earlier process of this node may have acknowledged the stop of a target.
     restarted: bool,
     /// Departed targets with their last incarnation.
@@ -142,6 +145,7 @@
             drain_delay,
             current: None,
             vouched: Vec::new(),
+            own_ids: Vec::new(),
             probed: None,
             restarted: true,
             departed: Vec::new(),
@@ -160,12 +164,14 @@
         for k in known {
             if !k.departed {
                 self.vouch(&k.id, k.incarnation);
+                self.record_own(&k.id);
             } else if !self.has_departed(&k.id, k.incarnation) {
                 self.restore_departure(k.id.clone(), k.incarnation, now);
                 new.push(k.clone());
             }
         }
         self.confirm_known();
+        self.adopt_probed(now);
         new
     }
 
@@ -177,6 +183,16 @@
         self.confirm_known();
     }
 
+    fn record_own(&mut self, id: &TargetId) {
+        if self.own_ids.contains(id) {
+            return;
+        }
+        if self.own_ids.len() == MAX_DEPARTED {
+            self.own_ids.remove(0);
+        }
+        self.own_ids.push(id.clone());
+    }
+
     /// Confirms the target if other nodes remember it, or an earlier one in its place.
     fn confirm_known(&mut self) {
         let Some(mut c) = self.current.take() else {
@@ -196,7 +212,7 @@
             |(i, last): &(TargetId, u64)| *last < incarnation || *last == incarnation && i == id;
         let departed = |(i, last): &(TargetId, u64)| i == id && *last < incarnation;
         !self.restarted
-            || self.probed.as_ref() == Some(id)
+            || self.probed.as_ref().is_some_and(|(probed, _)| probed == id)
             || self.vouched.iter().any(vouched)
             || self.departed.iter().any(departed)
     }
@@ -241,6 +257,7 @@
         if h.service != self.service || h.address != self.address {
             return Err(HeartbeatError::Foreign);
         }
+        self.record_own(&h.id);
         let before = self.state(now);
         let old = self.current.as_ref();
         if old.is_some_and(|c| {
@@ -336,23 +353,33 @@
         Some(incarnation)
     }
 
-    /// Records a target that responded to a health probe before its first heartbeat.
+    /// Records a target that responded to a health probe. It is used before its first heartbeat if it is known to run the
+    /// service of this node; the probe does not tell.
     pub fn on_probe(&mut self, id: TargetId, slots: u32, now: Now) {
-        self.probed = Some(id.clone());
+        self.probed = Some((id, slots));
         self.confirm_known();
-        if self.current.is_none() && !self.departed.iter().any(|(i, _)| *i == id) {
-            self.current = Some(Current {
-                id,
-                incarnation: 0,
-                seq: 0,
-                slots,
-                last_heard: now,
-                accepts_until: None,
-                down_until: None,
-                timeouts: 0,
-                unconfirmed: 0,
-            });
+        self.adopt_probed(now);
+    }
+
+    fn adopt_probed(&mut self, now: Now) {
+        let Some((id, slots)) = &self.probed else {
+            return;
+        };
+        let departed = self.departed.iter().any(|(i, _)| i == id);
+        if self.current.is_some() || departed || !self.own_ids.contains(id) {
+            return;
         }
+        self.current = Some(Current {
+            id: id.clone(),
+            incarnation: 0,
+            seq: 0,
+            slots: *slots,
+            last_heard: now,
+            accepts_until: None,
+            down_until: None,
+            timeouts: 0,
+            unconfirmed: 0,
+        });
     }
 
     /// Records that the target responded to a request.
@@ -387,6 +414,7 @@
     pub fn on_replaced(&mut self, id: &str) {
         if self.current.as_ref().is_some_and(|c| c.id == id) {
             self.current = None;
+            self.probed = None;
         }
     }
 
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -121,6 +121,11 @@
         self.start_node_at(id, az, target, extra, self.store.address)
     }
 
+    /// Starts a node whose target sends no heartbeats.
+    pub fn start_silent_node(&self, id: &str, az: &str, target: Arc<Target>) -> Node {
+        self.start_process(id, az, target, "", self.store.address)
+    }
+
     fn start_node_at(
         &self,
         id: &str,
@@ -128,6 +133,25 @@
         target: Arc<Target>,
         extra: &str,
         store: SocketAddr,
+    ) -> Node {
+        let node = self.start_process(id, az, target.clone(), extra, store);
+        let (control, on) = (node.control, node.heartbeats_on.clone());
+        std::thread::spawn(move || {
+            while on.load(Ordering::SeqCst) {
+                target.send_heartbeat(control);
+                std::thread::sleep(HEARTBEAT_INTERVAL);
+            }
+        });
+        node
+    }
+
+    fn start_process(
+        &self,
+        id: &str,
+        az: &str,
+        target: Arc<Target>,
+        extra: &str,
+        store: SocketAddr,
     ) -> Node {
         let any_port = "\"127.0.0.1:0\"";
         let text = format!(
@@ -149,23 +173,15 @@
             let value = line[at..].split_whitespace().next().unwrap();
             value.trim_matches('"').parse().unwrap()
         };
-        let heartbeats_on = Arc::new(AtomicBool::new(true));
-        let (control, on, t) = (field("control"), heartbeats_on.clone(), target.clone());
-        std::thread::spawn(move || {
-            while on.load(Ordering::SeqCst) {
-                t.send_heartbeat(control);
-                std::thread::sleep(HEARTBEAT_INTERVAL);
-            }
-        });
         Node {
             caller: field("caller"),
             relay: field("relay"),
-            control,
+            control: field("control"),
             ready: field("ready"),
             admin: field("admin"),
             process,
             target,
-            heartbeats_on,
+            heartbeats_on: Arc::new(AtomicBool::new(true)),
         }
     }
 
