--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -8,4 +8,5 @@
 pub mod routing;
 pub mod sample;
 pub mod start;
+mod stop;
 pub mod target;
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -1,4 +1,4 @@
-//! Start and graceful stop of the process.
+//! Start of the process.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,9 +27,10 @@
 use crate::sidecar::process::fleet::discovery;
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
 use crate::sidecar::process::metrics::Metrics;
-use crate::sidecar::process::node::{ConfigUpdate, Node, Phase};
+use crate::sidecar::process::node::{ConfigUpdate, Node};
 use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::sample::{self, LastConfirmed};
+use crate::sidecar::process::stop;
 use crate::sidecar::process::target::control;
 use crate::sidecar::process::target::departure::OwnDeparture;
 use crate::sidecar::process::target::slots::Slots;
@@ -43,20 +44,8 @@
 use crate::store::counted::CountedStore;
 use crate::store::Store;
 
-/// Time after the stop signal during which new requests are accepted. Callers stop sending after two failed readiness
-/// checks, which are one second apart, and it takes a moment until all callers know.
-const LEAVING_DURATION: Duration = Duration::from_millis(2300);
-/// Part of the grace period that must be left when the process exits.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-/// Time between the last responses to requests in progress and the exit of the process.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
-/// Interval at which the stopping process checks whether all requests have finished.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
-/// Maximum time for each cleanup at the stop: removing the record of this node, and closing connections of callers.
-const CLEANUP_TIMEOUT: Duration = Duration::from_millis(300);
-
 async fn bind(address: SocketAddr) -> Result<TcpListener, Report<NodeError>> {
     TcpListener::bind(address)
         .await
@@ -233,7 +222,7 @@
     ));
     tokio::spawn(watch_settings_file(n.clone(), path.clone()));
     wait_for_stop_signal(&n, path).await?;
-    stop(&n, close, callers).await;
+    stop::stop(&n, close, callers).await;
     Ok(())
 }
 
@@ -278,28 +267,3 @@
         }
     }
 }
-
-/// Stops gracefully: tells callers to go elsewhere, then rejects the requests of other nodes, then waits for the
-/// requests in progress.
-async fn stop(n: &Arc<Node>, close: watch::Sender<bool>, callers: tokio::task::JoinHandle<()>) {
-    let start = n.clock.now();
-    let grace = Duration::from_secs(n.settings().sidecar.grace_s);
-    let end = start + grace.saturating_sub(GRACE_MARGIN);
-    n.stop_end.send_replace(end.saturating_sub(RESPONSE_MARGIN));
-    n.set_phase(Phase::Leaving);
-    n.log.event("stopping", &[]);
-    tokio::time::sleep(LEAVING_DURATION.min(grace / 2)).await;
-    n.set_phase(Phase::Draining);
-    close.send_replace(true);
-    let removal = discovery::remove_record(n);
-    let _ = tokio::time::timeout(CLEANUP_TIMEOUT, removal).await;
-    while (n.in_flight() > 0 || !n.slots.is_empty()) && n.clock.now() < end {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    let timeout = end.saturating_sub(n.clock.now()).min(CLEANUP_TIMEOUT);
-    let _ = tokio::time::timeout(timeout, callers).await;
-    let elapsed = n.clock.now().saturating_sub(start).as_millis().to_string();
-    let unfinished = n.in_flight().to_string();
-    n.log
-        .event("stopped", &[("ms", &elapsed), ("cut", &unfinished)]);
-}
--- a/tests/sidecar_stop.rs
+++ b/tests/sidecar_stop.rs
@@ -63,6 +63,15 @@
     site.nodes.iter().map(|n| n.target.runs(id)).sum()
 }
 
+/// Time from the signal until a target began to run a request.
+fn began(site: &Site, id: &str, since: Instant) -> Option<Duration> {
+    site.nodes.iter().find_map(|n| {
+        let received = n.target.received.lock().unwrap();
+        let run = received.iter().find(|r| r.id == id)?;
+        Some(run.at.saturating_duration_since(since))
+    })
+}
+
 /// What a request got that was sent while the node stopped.
 #[derive(Debug)]
 #[allow(dead_code)]
@@ -71,6 +80,7 @@
     path: &'static str,
     kind: &'static str,
     sent_after: Duration,
+    ended_after: Duration,
     status: Option<u16>,
 }
 
@@ -99,6 +109,7 @@
         path,
         kind,
         sent_after,
+        ended_after: since.elapsed(),
         status,
     }
 }
@@ -164,7 +175,10 @@
         match o.status {
             Some(200) => assert!(runs >= 1, "{o:?}"),
             None | Some(503) => assert_eq!(runs, 0, "{o:?}"),
-            Some(_) => panic!("{o:?}"),
+            Some(_) => panic!(
+                "{o:?}, began {:?} after the signal",
+                began(&site, &o.id, since)
+            ),
         }
         if o.path.starts_with("/once") {
             assert!(runs <= 1, "{o:?}");
@@ -173,6 +187,52 @@
     assert_eq!(site.nodes[0].process.wait(), Some(0));
 }
 
+/// Guards against requests that become complete after the last one in progress has ended: they are taken and passed on,
+/// so they must get their responses.
+#[test]
+fn a_request_that_becomes_complete_late_gets_a_response() {
+    let mut site = Site::start(2);
+    let caller = site.nodes[0].caller;
+    site.nodes[0].process.signal("TERM");
+    let since = Instant::now();
+    std::thread::sleep(Duration::from_millis(1900));
+    let paths = ["/safe/slow", "/once/slow", "/safe/slow", "/once/slow"];
+    let threads: Vec<_> = paths
+        .into_iter()
+        .map(|path| {
+            let mut c = Kept::connect(caller).unwrap();
+            let task = std::thread::spawn(move || {
+                let id = fresh_id();
+                let method = if path.starts_with("/safe") {
+                    "GET"
+                } else {
+                    "POST"
+                };
+                let text = request(method, path, &id, 4000);
+                let (first, rest) = text.split_at(text.len() / 2);
+                c.write(first).unwrap();
+                std::thread::sleep(Duration::from_millis(500));
+                let status = c.write(rest).and_then(|()| c.read());
+                (path, id, status, since.elapsed())
+            });
+            std::thread::sleep(Duration::from_millis(50));
+            task
+        })
+        .collect();
+    for (path, id, status, ended) in threads.into_iter().map(|t| t.join().unwrap()) {
+        match status {
+            Some(200) => assert_eq!(runs(&site, &id), 1, "{path}"),
+            None => assert_eq!(
+                runs(&site, &id),
+                0,
+                "{path}: cut {ended:?} after the signal"
+            ),
+            other => panic!("{path}: {other:?}"),
+        }
+    }
+    assert_eq!(site.nodes[0].process.wait(), Some(0));
+}
+
 /// Guards against a cut without a response, at the end of the grace time, of a request whose target does not respond.
 /// Its caller is told that the outcome is unknown.
 #[test]
