Bound the memory of endless responses on all connections

Other operators reported a node that kept the endless bytes of a faulty target and ran out of memory. Tried here with 130 requests at once, as many as a target accepts connections, in ten parts of a response: with a body without length the process took 100.6 MB (debug build); the smallest VM beside such a target has 110 MB.

Cause: the first 256 KB of each body did not count against the 16 MB that all bodies share, and buffers grew by doubling.

Change: 32 KB of a body do not count, and a buffer grows by an eighth more than it holds.

--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{header, HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -21,8 +21,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a response body, which is buffered whole.
 pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Part of a response body that needs no room, so that large bodies do not hold up others.
-const SMALL_BODY_BYTES: usize = 256 << 10;
+/// Part of a response body that needs no room, so that large bodies do not hold up others. It is there for each
+/// connection of the target, so the sum has to be small.
+const SMALL_BODY_BYTES: usize = 32 << 10;
 /// Room for the rest of all bodies that are being read, so that a target that writes without end does not take the memory
 /// of the process. Large bodies wait for room.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
@@ -231,7 +232,7 @@
     async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendError> {
         let bad = |e: &dyn std::fmt::Display| SendError::BadResponse(e.to_string());
         let mut taken: Option<SemaphorePermit<'_>> = None;
-        let mut whole = BytesMut::new();
+        let mut whole = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|e| bad(&e))?.into_data() else {
                 continue;
@@ -239,19 +240,27 @@
             if whole.len() + data.len() > MAX_RESPONSE_BYTES {
                 return Err(bad(&"the body is too long"));
             }
-            whole.extend_from_slice(&data);
-            let large = whole.len().saturating_sub(SMALL_BODY_BYTES);
+            let large = (whole.len() + data.len()).saturating_sub(SMALL_BODY_BYTES);
             let room = self.room.acquire_many(large.min(data.len()) as u32).await;
             let room = room.map_err(|e| bad(&e))?;
             match &mut taken {
                 Some(permit) => permit.merge(room),
                 None => taken = Some(room),
             }
+            append(&mut whole, &data);
         }
-        Ok(whole.freeze())
+        Ok(whole.into())
     }
 }
 
+/// Appends data with little spare capacity, because the room for bodies does not count it.
+fn append(whole: &mut Vec<u8>, data: &[u8]) {
+    if whole.capacity() < whole.len() + data.len() {
+        whole.reserve_exact(data.len() + whole.len() / 8);
+    }
+    whole.extend_from_slice(data);
+}
+
 fn send_error(e: &hyper::Error) -> SendError {
     match e.is_parse() {
         true => SendError::BadResponse(e.to_string()),
--- a/tests/sidecar_faulty_target.rs
+++ b/tests/sidecar_faulty_target.rs
@@ -4,7 +4,7 @@
 mod workdir;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,11 @@
 
 /// Memory that a process may use, in KB: half of that of the smallest VM of the users.
 const MEMORY_LIMIT_KB: u64 = 44 << 10;
+/// Connections that a target of the users accepts.
+const CONNECTIONS: usize = 130;
+/// Memory that a process may use while all these respond without end, in KB: three quarters of that of the smallest VM
+/// beside such a target.
+const ALL_CONNECTIONS_LIMIT_KB: u64 = 110 * 1024 * 3 / 4;
 /// Concurrent requests to which the target responds without end.
 const ENDLESS: usize = 12;
 
@@ -65,6 +70,58 @@
     }
 }
 
+/// Guards against a sum of endless responses that takes the memory of the node although each of them is bounded: on as
+/// many connections as a target may have, in each part of a response.
+#[test]
+fn endless_responses_on_all_connections_leave_memory() {
+    let parts = [
+        "status",
+        "headers",
+        "header",
+        "body",
+        "length",
+        "chunks",
+        "size",
+        "extension",
+        "trailers",
+        "bytes",
+    ];
+    for part in parts {
+        let site = Site::start(2);
+        for n in &site.nodes {
+            n.target.state.lock().unwrap().slots = CONNECTIONS as u32;
+        }
+        // The next heartbeats.
+        std::thread::sleep(Duration::from_millis(700));
+        let caller = site.nodes[0].caller;
+        let endless: Vec<_> = (0..CONNECTIONS)
+            .map(|_| std::thread::spawn(move || send_endless(caller, part)))
+            .collect();
+        for thread in endless {
+            let status = thread.join().unwrap().unwrap();
+            assert!(matches!(status, 502..=504), "{part}: {status}");
+        }
+        for n in &site.nodes {
+            let peak = peak_memory_kb(n.process.pid());
+            assert!(peak <= ALL_CONNECTIONS_LIMIT_KB, "{part}: {peak} KB");
+            assert_eq!(n.send("GET", "/safe/x").unwrap().status, 200, "{part}");
+        }
+    }
+}
+
+/// Sends a request with a short deadline to which the target responds without end. Returns the status.
+fn send_endless(caller: SocketAddr, part: &str) -> Option<u16> {
+    let id = fresh_id();
+    let headers = [
+        ("dragonflyquay-request-id", id.as_str()),
+        ("dragonflyquay-deadline-ms", "1500"),
+        ("host", site_kit::HOST),
+    ];
+    let path = format!("/once/endless-{part}");
+    let res = workdir::http(caller, "POST", &path, &headers, "");
+    res.map(|res| res.status)
+}
+
 /// Sends a request with this path on a connection of the pool.
 async fn send(pool: &Pool, path: &str) -> Option<usize> {
     let req = Request::builder().uri(path).body(Full::default()).unwrap();
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -45,6 +45,8 @@
     pub held: bool,
     /// Whether the target has crashed and has not started again.
     pub down: bool,
+    /// `slots` in heartbeats.
+    pub slots: u32,
 }
 
 /// A running stand-in.
@@ -66,6 +68,7 @@
             headers: String::new(),
             held: false,
             down: false,
+            slots: 4,
         }));
         let received = Arc::new(Mutex::new(Vec::new()));
         let (s, r) = (state.clone(), received.clone());
@@ -96,8 +99,8 @@
     /// Sends a heartbeat with this state and sequence number.
     pub fn send_heartbeat_as(&self, control: SocketAddr, s: &State, seq: u64) -> Option<u16> {
         let body = format!(
-            r#"{{"service":"{SERVICE}","address":"{}","zone":"az","version":"v1","slots":4,"state":"{}","cold_remaining_ms":0,"seq":{seq},"born":{}}}"#,
-            self.address, s.reported, s.incarnation
+            r#"{{"service":"{SERVICE}","address":"{}","zone":"az","version":"v1","slots":{},"state":"{}","cold_remaining_ms":0,"seq":{seq},"born":{}}}"#,
+            self.address, s.slots, s.reported, s.incarnation
         );
         let path = format!("/api/instances/{}", s.id);
         http_json(control, "PUT", &path, &body).map(|res| res.status)
@@ -321,11 +324,21 @@
                 Some("status") => ("", b"HTTP/1.1 100 Continue\r\n\r\n".to_vec()),
                 Some("headers") => ("HTTP/1.1 200 OK\r\n", b"x-more: 1\r\n".to_vec()),
                 Some("header") => ("HTTP/1.1 200 OK\r\nx-long: ", part),
-                Some("chunks") => {
-                    let chunk = [b"10000\r\n", &part[..], b"\r\n"].concat();
+                Some("length") => {
+                    let _ = out
+                        .write_all(format!("{head}content-length: 9000000000\r\n\r\n").as_bytes());
+                    ("", part)
+                }
+                Some(kind @ ("chunks" | "size" | "extension" | "trailers" | "bytes")) => {
                     let _ = out
                         .write_all(format!("{head}transfer-encoding: chunked\r\n\r\n").as_bytes());
-                    ("", chunk)
+                    match kind {
+                        "chunks" => ("", [b"10000\r\n", &part[..], b"\r\n"].concat()),
+                        "size" => ("", b"0".repeat(64 << 10)),
+                        "extension" => ("5;x=", part),
+                        "trailers" => ("0\r\n", b"x-more: 1\r\n".to_vec()),
+                        _ => ("", b"1\r\nx\r\n".to_vec()),
+                    }
                 }
                 _ => {
                     let _ = out.write_all(format!("{head}connection: close\r\n\r\n").as_bytes());
