Move the reactions to other nodes out of the process state

What a node does with the records, targets and departures of other nodes is in process/fleet/peers.rs now; no behaviour changes.

--- a/src/sidecar/process/fleet/mod.rs
+++ b/src/sidecar/process/fleet/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod discovery;
 pub mod members;
+mod peers;
 pub mod target_history;
 pub mod watchers;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -14,24 +14,24 @@
 use crate::process::clock::Clock;
 use crate::settings::Settings;
 use crate::sidecar::adapter::Adapter;
-use crate::sidecar::connection::frame::{Head, Message};
+use crate::sidecar::connection::frame::Message;
 use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pacing::SharedLink;
 use crate::sidecar::connection::pool::Pool;
-use crate::sidecar::process::fleet::members::{MemberChange, Members, NodeRecord};
-use crate::sidecar::process::fleet::target_history::{KnownTarget, TargetHistory};
+use crate::sidecar::process::fleet::members::{Members, NodeRecord};
+use crate::sidecar::process::fleet::target_history::TargetHistory;
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
 use crate::sidecar::process::metrics::{Hop, Metrics};
 use crate::sidecar::process::routing::budget::RetryBudget;
 use crate::sidecar::process::routing::crash_suspects::CrashSuspects;
 use crate::sidecar::process::routing::fairness::Fairness;
-use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement, TargetInfo};
+use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement};
 use crate::sidecar::process::routing::split::TrafficSplit;
 use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
 use crate::sidecar::process::target::crash::LostRequests;
 use crate::sidecar::process::target::departure::DepartureState;
 use crate::sidecar::process::target::slots::Slots;
-use crate::sidecar::process::target::state::{OwnTarget, TargetState};
+use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::version::config_server::ConfigRequest;
 use crate::sidecar::version::freshness::FreshnessLimits;
 use crate::sidecar::version::routes::RouteTable;
@@ -304,89 +304,6 @@
         }
     }
 
-    pub(crate) fn update_placement(&self, r: &NodeRecord) {
-        let own = r.node == self.id;
-        let now = self.clock.now();
-        match &r.target {
-            Some(t) => {
-                let departed = lock(&self.target_history).has_departed(&r.node, t);
-                let info = TargetInfo {
-                    service: r.service.clone(),
-                    az: r.az.clone(),
-                    slots: t.slots,
-                    ready: t.ready && !r.leaving && !departed,
-                    reachable: own || self.links.is_open(&r.node),
-                    id: t.id.clone(),
-                    incarnation: t.incarnation,
-                };
-                self.placement().set(&r.node, info, now);
-            }
-            None => self.placement().remove(&r.node),
-        }
-    }
-
-    /// Applies a change of the known nodes to the placement, and opens a link to a new node.
-    pub fn apply_change(self: &Arc<Self>, change: MemberChange) {
-        match change {
-            MemberChange::Set(r) => {
-                self.record_target(&r);
-                self.update_placement(&r);
-                self.links.maintain(self, &r.node);
-                self.log.event(
-                    "member_learned",
-                    &[
-                        ("node", &r.node),
-                        ("target", r.target.as_ref().map_or("none", |t| &t.id)),
-                        (
-                            "ready",
-                            bool_str(r.target.as_ref().is_some_and(|t| t.ready)),
-                        ),
-                    ],
-                );
-            }
-            MemberChange::Forget(node) => {
-                self.placement().remove(&node);
-                self.log.event("member_forgotten", &[("node", &node)]);
-            }
-        }
-    }
-
-    /// Records the target of another node. A node that has restarted and does not know that its target announced its
-    /// stop is told so.
-    fn record_target(&self, r: &NodeRecord) {
-        let Some(t) = &r.target else { return };
-        let mut history = lock(&self.target_history);
-        history.record(&r.node, t, self.clock.now());
-        if t.ready && history.has_departed(&r.node, t) {
-            let known = Head::KnownTargets(history.targets(&r.node));
-            self.links.send(&r.node, Message::without_payload(known));
-        }
-    }
-
-    /// Message that tells another node what this node remembers of its targets; `None` if that is nothing.
-    pub(crate) fn known_targets_message(&self, node: &str) -> Option<Message> {
-        let known = lock(&self.target_history).targets(node);
-        (!known.is_empty()).then(|| Message::without_payload(Head::KnownTargets(known)))
-    }
-
-    /// Keeps an announced stop of another node's target.
-    pub(crate) fn keep_departure(&self, node: &NodeId, known: &KnownTarget) {
-        let now = self.clock.now();
-        lock(&self.target_history).record_target(node, known.clone(), now);
-        let record = self.members().get(node).cloned();
-        if let Some(r) = record {
-            self.update_placement(&r);
-        }
-    }
-
-    /// Merges a record that another node sent on a link.
-    pub fn on_peer_record(self: &Arc<Self>, record: NodeRecord) {
-        let change = self.members().merge_received(record, self.clock.now());
-        if let Some(change) = change {
-            self.apply_change(change);
-        }
-    }
-
     /// Location of the target of a node relative to this node.
     pub fn hop(&self, node: &str) -> Hop {
         match self.members().get(node) {
@@ -423,23 +340,6 @@
         let _ = self.config_updates.send(update);
     }
 
-    /// Merges the state of another node's target.
-    pub fn on_peer_target(
-        self: &Arc<Self>,
-        node: &NodeId,
-        sequence: u64,
-        target: Option<TargetState>,
-    ) {
-        let record = self.members().get(node).cloned();
-        if let Some(r) = record {
-            self.on_peer_record(NodeRecord {
-                sequence,
-                target,
-                ..r
-            });
-        }
-    }
-
     /// Chooses a target among those known to this node; see [`Placement::choose`].
     pub fn choose(&self, criteria: &Criteria<'_>) -> Choice {
         let now = self.clock.now();
--- a/src/sidecar/version/distribution.rs
+++ b/src/sidecar/version/distribution.rs
@@ -3,7 +3,8 @@
 //!
 //! A version that the watchers of the store send to the whole fleet fills their links for seconds, and requests queue
 //! behind it. Nodes therefore form a tree: a few nodes request a version from the watchers, the others from a node that
-//! is before them in an order that all nodes share. Nodes that reach the store come first in it. Each node passes a version on to a few others, one at a time.
+//! is before them in an order that all nodes share. Nodes that reach the store come first in it. Each node passes a
+//! version on to a few others, one at a time.
 
 use crate::prelude::*;
 use crate::sidecar::process::fleet::watchers::{sort_watchers, WatcherCandidate, WATCHER_COUNT};
