Authenticate callers by the API keys of tenants

Cause: the configuration decoder dropped tenants and keys, so keys reached the targets, requests with unknown keys ran, and no target learned the tenant of a request.

Change: versions hold the tenants and their keys. The entry node refuses unknown keys with 401, after it has confirmed that its version is current, and with 503 if it cannot. Targets get the name of the tenant in place of the key, by links too.

--- a/src/platform/adapter.rs
+++ b/src/platform/adapter.rs
@@ -13,7 +13,7 @@
     Adapter, CallerInfo, NamedLimit, ResponseInfo, TargetCall, TargetHeaders,
 };
 use crate::sidecar::process::target::state::TargetId;
-use crate::sidecar::version::routes::RouteTable;
+use crate::sidecar::version::routes::{ApiKey, RouteTable};
 
 /// Id that a caller assigned to one attempt.
 const REQUEST_ID: HeaderName = HeaderName::from_static("dragonflyquay-request-id");
@@ -27,6 +27,8 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("dragonflyquay-not-executed");
 /// Service on the VM where the request originated.
 const CALLER_SERVICE: HeaderName = HeaderName::from_static("dragonflyquay-caller-service");
+/// Name of the tenant of the caller.
+const TENANT: HeaderName = HeaderName::from_static("dragonflyquay-tenant");
 /// Id of the target that responded.
 const TARGET_ID: HeaderName = HeaderName::from_static("dragonflyquay-instance-id");
 
@@ -39,7 +41,16 @@
 const MAX_RATE: f64 = 1e6;
 
 /// Request headers that the node itself sets for its target. Those of the caller are removed.
-const RESERVED: [HeaderName; 4] = [REQUEST_ID, DEADLINE, EXPECTED_TARGET, CALLER_SERVICE];
+const RESERVED: [HeaderName; 5] = [
+    REQUEST_ID,
+    DEADLINE,
+    EXPECTED_TARGET,
+    CALLER_SERVICE,
+    TENANT,
+];
+
+/// Scheme of the `authorization` header that carries an API key.
+const KEY_SCHEME: &str = "bearer";
 
 /// Key of the operator's configuration document.
 const CONFIG_KEY: &str = "op/config";
@@ -62,6 +73,7 @@
         CallerInfo {
             id: context::parse_header(h, &REQUEST_ID),
             timeout: timeout_ms.map(|ms| Duration::from_secs_f64(ms.min(86_400_000.0) / 1000.0)),
+            key: api_key(h),
         }
     }
 
@@ -71,10 +83,17 @@
         }
     }
 
+    fn strip_key(&self, h: &mut HeaderMap) {
+        h.remove(header::AUTHORIZATION);
+    }
+
     fn set_target_headers(&self, h: &mut HeaderMap, values: &TargetHeaders<'_>) {
         set(h, REQUEST_ID, values.id);
         set(h, DEADLINE, &values.remaining.as_millis().to_string());
         set(h, CALLER_SERVICE, values.caller);
+        if !values.tenant.is_empty() {
+            set(h, TENANT, values.tenant);
+        }
         if !values.target.is_empty() {
             set(h, EXPECTED_TARGET, values.target);
         }
@@ -146,6 +165,15 @@
     }
 }
 
+/// Reads the API key; `None` if there is none, or more than one.
+fn api_key(h: &HeaderMap) -> Option<ApiKey> {
+    let mut values = h.get_all(header::AUTHORIZATION).iter();
+    let only = values.next().filter(|_| values.next().is_none());
+    let (scheme, key) = only?.to_str().ok()?.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case(KEY_SCHEME) && !key.is_empty()).then(|| ApiKey::new(key))
+}
+
 /// Reads the rate limit. Of several values the lowest valid one counts.
 fn named_limit(h: &HeaderMap) -> NamedLimit {
     let mut lines = h.get_all(&RATE_LIMIT).iter().peekable();
@@ -171,6 +199,7 @@
 fn failure_status(f: &Failure) -> StatusCode {
     match (f.outcome, f.reason) {
         (Outcome::NotRun, Reason::NoRoute) => StatusCode::NOT_FOUND,
+        (Outcome::NotRun, Reason::UnknownKey) => StatusCode::UNAUTHORIZED,
         (Outcome::NotRun, Reason::BadRequest) => StatusCode::BAD_REQUEST,
         (Outcome::NotRun, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (Outcome::NotRun, Reason::SlowCaller) => StatusCode::REQUEST_TIMEOUT,
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -6,15 +6,17 @@
 use crate::findings::Findings;
 use crate::prelude::*;
 use crate::sidecar::version::routes::{
-    CallerLimits, Route, RouteTable, Service, WeightedService, RANKS,
+    ApiKey, CallerLimits, Route, RouteTable, Service, Tenant, WeightedService, RANKS,
 };
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct Document {
     version: u64,
     services: Vec<ServiceEntry>,
     #[serde(default)]
     limits: Option<Limits>,
+    #[serde(default)]
+    tenants: Vec<TenantEntry>,
     virtual_hosts: Vec<VirtualHost>,
 }
 
@@ -34,6 +36,22 @@
     idle_timeout_ms: f64,
 }
 
+/// No `Debug`: it would contain the keys.
+#[derive(Deserialize)]
+struct TenantEntry {
+    name: TenantId,
+    #[serde(default)]
+    api_keys: Vec<SmolStr>,
+    /// Rank; 0 is the most urgent.
+    #[serde(default)]
+    priority: usize,
+    /// Requests per second over all nodes; 0 for no limit.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
 #[derive(Debug, Deserialize)]
 struct VirtualHost {
     host: SmolStr,
@@ -61,6 +79,9 @@
     /// Maximum number of targets that may run one request, including the first one.
     #[serde(default = "one")]
     retry_attempts: u32,
+    /// Whether requests need no API key.
+    #[serde(default)]
+    auth_exempt: bool,
 }
 
 /// Type of a route, which says whether its requests are idempotent.
@@ -72,6 +93,8 @@
     Download,
     /// Requests that must not run twice.
     Unsafe,
+    /// Requests that must not run twice and have large bodies.
+    Upload,
     /// A type that this version of the program does not know.
     Unknown,
 }
@@ -82,6 +105,7 @@
             "safe" => Self::Safe,
             "download" => Self::Download,
             "unsafe" => Self::Unsafe,
+            "upload" => Self::Upload,
             _ => Self::Unknown,
         }
     }
@@ -149,7 +173,9 @@
         header_timeout: millis(l.header_timeout_ms),
         idle_timeout: millis(l.idle_timeout_ms),
     });
+    let tenants = decode_tenants(&mut findings, d.tenants);
     let mut table = RouteTable::new(d.version, routes);
+    (table.tenants, table.keys) = tenants;
     table.limits = limits.unwrap_or_default();
     table.services = services;
     table.document = data;
@@ -157,6 +183,47 @@
     findings.into_result(table)
 }
 
+type Tenants = (HashMap<TenantId, Arc<Tenant>>, HashMap<ApiKey, Arc<Tenant>>);
+
+fn decode_tenants(f: &mut Findings, entries: Vec<TenantEntry>) -> Tenants {
+    let (mut tenants, mut keys) = Tenants::default();
+    for e in entries {
+        let place = format!("tenant {}", e.name);
+        let valid = |x: f64| x.is_finite() && x >= 0.0;
+        if !valid(e.rate_per_s) || !valid(e.burst) {
+            f.add(
+                place.clone(),
+                "the quota is invalid",
+                "set a rate and a burst of 0 or more",
+            );
+        }
+        let tenant = Arc::new(Tenant {
+            name: e.name.clone(),
+            rank: e.priority.min(RANKS - 1),
+            rate: e.rate_per_s,
+            burst: e.burst,
+        });
+        for key in &e.api_keys {
+            let other = keys.insert(ApiKey::new(key), tenant.clone());
+            if other.is_some_and(|t| t.name != tenant.name) {
+                f.add(
+                    place.clone(),
+                    "a key belongs to two tenants",
+                    "remove it from one of them",
+                );
+            }
+        }
+        if tenants.insert(e.name, tenant).is_some() {
+            f.add(
+                place,
+                "the tenant is listed twice",
+                "remove one of the entries",
+            );
+        }
+    }
+    (tenants, keys)
+}
+
 fn decode_route(p: PathEntry, route_type: RouteType) -> Route {
     let timeout = millis(p.timeout_ms);
     let weighted = |b: Backend| WeightedService {
@@ -175,6 +242,7 @@
         objective: p.aim_ms.map_or(timeout, millis),
         rank: p.priority.min(RANKS - 1),
         max_attempts: p.retry_attempts,
+        auth_exempt: p.auth_exempt,
         services: match split.is_empty() {
             true => only.into_iter().collect(),
             false => split,
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -24,6 +24,8 @@
 pub type RankId = SmolStr;
 /// Identity of a caller, for fairness between callers of one rank.
 pub type CallerId = SmolStr;
+/// Name of a tenant that the configuration declares; empty for requests without one.
+pub type TenantId = SmolStr;
 /// Number of a configuration version; 0 while there is none.
 pub type VersionNumber = u64;
 /// Number that distinguishes successive processes with the same node id.
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -60,7 +60,7 @@
     QueueFull,
     /// The rate limit of the target does not allow the request in time.
     RateLimited,
-    /// The link of the target's VM is full of large responses.
+    /// The link of the target's VM is full of large messages.
     LinkFull,
     /// The deadline passed or cannot be met.
     Deadline,
@@ -108,11 +108,15 @@
     BadResponse,
     /// A relayed request has no valid HMAC of the shared key.
     Unproven,
+    /// The API key is missing or belongs to no tenant.
+    UnknownKey,
+    /// The API key is unknown, and the configuration version could not be confirmed to be current.
+    Unconfirmed,
 }
 
 impl Reason {
     /// Every reason, for the parsing of headers.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 32] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
@@ -143,6 +147,8 @@
         Self::SuspectBusy,
         Self::BudgetSpent,
         Self::Draining,
+        Self::UnknownKey,
+        Self::Unconfirmed,
     ];
 
     /// Parses the value of [`REASON`]; `None` if it is unknown.
@@ -197,6 +203,8 @@
             Self::Declined => "declined",
             Self::BadResponse => "bad-answer",
             Self::Unproven => "unproven",
+            Self::UnknownKey => "unknown-key",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
@@ -248,6 +256,7 @@
             (Reason::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
             (Reason::SlowCaller, _) => StatusCode::REQUEST_TIMEOUT,
             (Reason::Unproven, _) => StatusCode::FORBIDDEN,
+            (Reason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
             (Reason::BadResponse, _) => StatusCode::BAD_GATEWAY,
             (_, Outcome::Unknown) | (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/sidecar/adapter.rs
+++ b/src/sidecar/adapter.rs
@@ -9,7 +9,7 @@
 use crate::request::reason::Failure;
 use crate::sidecar::process::target::rate_limit::RequestRate;
 use crate::sidecar::process::target::state::{Heartbeat, TargetId};
-use crate::sidecar::version::routes::RouteTable;
+use crate::sidecar::version::routes::{ApiKey, RouteTable};
 
 /// What the headers of a caller's request say.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     pub id: Option<SmolStr>,
     /// Time for which the caller waits for a response; `None` if the request does not say.
     pub timeout: Option<Duration>,
+    /// API key; `None` if there is none, or more than one.
+    pub key: Option<ApiKey>,
 }
 
 /// What the status and the headers of a target's response say.
@@ -61,6 +63,8 @@
     pub target: &'a TargetId,
     /// Service on the VM where the request originated.
     pub caller: &'a ServiceId,
+    /// Tenant of the caller; empty if the request has none.
+    pub tenant: &'a TenantId,
 }
 
 /// A call from the target to its node.
@@ -78,6 +82,8 @@
     fn caller_info(&self, h: &HeaderMap) -> CallerInfo;
     /// Removes the headers that the node itself sets for the target, so that the target gets none from the caller.
     fn strip_reserved(&self, h: &mut HeaderMap);
+    /// Removes the API key, which targets must not get.
+    fn strip_key(&self, h: &mut HeaderMap);
     /// Sets the headers that [`Adapter::strip_reserved`] removes to the node's own values.
     fn set_target_headers(&self, h: &mut HeaderMap, values: &TargetHeaders<'_>);
     /// Reads the status and the headers of a target's response.
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -37,6 +37,9 @@
     /// Service on the VM where the request originated.
     #[serde(rename = "c")]
     pub caller: ServiceId,
+    /// Tenant of the caller; empty if the request has none.
+    #[serde(rename = "t", default, skip_serializing_if = "SmolStr::is_empty")]
+    pub tenant: TenantId,
     /// Rank with which the request is queued; the receiver counts one that is too great as the last.
     #[serde(rename = "k")]
     pub rank: usize,
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -242,6 +242,7 @@
         route: request.route.clone(),
         service: request.service.clone(),
         caller: request.caller.clone(),
+        tenant: request.tenant.clone(),
         rank: request.rank,
         idempotent: request.idempotent,
         retry: request.retry,
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -274,6 +274,7 @@
         route: head.route.clone(),
         service: head.service.clone(),
         caller: head.caller.clone(),
+        tenant: head.tenant.clone(),
         rank: head.rank.min(crate::sidecar::version::routes::RANKS - 1),
         idempotent: head.idempotent,
         retry: head.retry,
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -1,7 +1,6 @@
 //! Start of the process.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize};
 use std::sync::Mutex;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -157,14 +156,14 @@
     }
 }
 
-/// Runs a node until a signal stops the process. `path` is the settings file, which is read again when it changes.
+/// Runs a node until a signal stops the process. The settings are read again when their file changes.
 ///
 /// # Errors
 ///
 /// A listener cannot be opened, or a signal handler cannot be installed.
 pub async fn run(
     settings: Settings,
-    path: PathBuf,
+    source: settings::Source,
     adapter: Arc<dyn Adapter>,
     store: Arc<dyn Store>,
 ) -> Result<(), Report<NodeError>> {
@@ -220,28 +219,31 @@
         serve,
         Some(Arc::new(EarlyRequests(n.clone()))),
     ));
-    tokio::spawn(watch_settings_file(n.clone(), path.clone()));
-    wait_for_stop_signal(&n, path).await?;
+    tokio::spawn(watch_settings_file(n.clone(), source.clone()));
+    wait_for_stop_signal(&n, source).await?;
     stop::stop(&n, close, callers).await;
     Ok(())
 }
 
 /// Waits for SIGTERM or SIGINT. SIGHUP reloads the settings.
-async fn wait_for_stop_signal(n: &Arc<Node>, path: PathBuf) -> Result<(), Report<NodeError>> {
+async fn wait_for_stop_signal(
+    n: &Arc<Node>,
+    source: settings::Source,
+) -> Result<(), Report<NodeError>> {
     let mut term = signal(SignalKind::terminate()).change_context(NodeError)?;
     let mut hup = signal(SignalKind::hangup()).change_context(NodeError)?;
     loop {
         tokio::select! {
             _ = term.recv() => return Ok(()),
             _ = tokio::signal::ctrl_c() => return Ok(()),
-            _ = hup.recv() => reload_settings(n, &path),
+            _ = hup.recv() => reload_settings(n, &source),
         }
     }
 }
 
 /// Reloads the settings. Addresses and ids take effect only after a restart of the process.
-fn reload_settings(n: &Node, path: &std::path::Path) {
-    match settings::read(path) {
+fn reload_settings(n: &Node, source: &settings::Source) {
+    match source.read() {
         Ok(settings) if settings == **n.settings() => {}
         Ok(settings) => {
             n.shared_link.set_rate(settings.sidecar.link_mbps);
@@ -255,15 +257,19 @@
     }
 }
 
-async fn watch_settings_file(n: Arc<Node>, path: PathBuf) {
-    let modified = || std::fs::metadata(&path).and_then(|m| m.modified()).ok();
+async fn watch_settings_file(n: Arc<Node>, source: settings::Source) {
+    let modified = || {
+        std::fs::metadata(&source.path)
+            .and_then(|m| m.modified())
+            .ok()
+    };
     let mut last = modified();
     loop {
         tokio::time::sleep(SETTINGS_INTERVAL).await;
         let now = modified();
         if now != last {
             last = now;
-            reload_settings(&n, &path);
+            reload_settings(&n, &source);
         }
     }
 }
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -162,6 +162,7 @@
         remaining: PROBE_TIMEOUT,
         target: &any_target,
         caller: &n.service,
+        tenant: &TenantId::default(),
     };
     n.adapter.set_target_headers(req.headers_mut(), &values);
     let now = n.clock.now();
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -30,6 +30,8 @@
     pub service: ServiceId,
     /// Service on the VM where the request originated.
     pub caller: ServiceId,
+    /// Tenant of the caller; empty if the request has none.
+    pub tenant: TenantId,
     /// Rank with which the request is queued; 0 is the most urgent.
     pub rank: usize,
     /// Whether running it twice has the effect of running it once.
@@ -303,6 +305,7 @@
             remaining,
             target,
             caller: &request.caller,
+            tenant: &request.tenant,
         },
     );
     Some(req)
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -16,6 +16,7 @@
 use crate::sidecar::request::admit::{strip_response, TargetRequest};
 use crate::sidecar::request::attempt::{RequestState, NOT_READY_BACK_OFF};
 use crate::sidecar::request::attempts::run_attempts;
+use crate::sidecar::request::authenticate::authenticate;
 use crate::sidecar::version::routes::{Route, RouteTable};
 
 /// Minimum time after which a caller is told to retry, before jitter.
@@ -191,8 +192,8 @@
 {
     let table = wait_for_version(n).await?;
     let (parts, body) = req.into_parts();
-    let route = table.route(host(&parts.headers, &parts.uri), parts.uri.path());
-    let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
+    let (host, path) = (host(&parts.headers, &parts.uri), parts.uri.path());
+    let (table, route, tenant) = authenticate(n, table, host, path, info.key.as_ref()).await?;
     let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
     let body = read_body(body, table.limits.body_bytes, remaining).await?;
     let service = n
@@ -204,6 +205,9 @@
     context::strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     n.adapter.strip_reserved(&mut headers);
+    if !table.tenants.is_empty() {
+        n.adapter.strip_key(&mut headers);
+    }
     n.count_request(&service, route.rank, start);
     let rank = n.fairness().effective_rank(&service, route.rank);
     Ok(RequestState {
@@ -212,6 +216,7 @@
             route: route.name.clone(),
             service,
             caller: n.service.clone(),
+            tenant: tenant.map_or_else(TenantId::default, |t| t.name.clone()),
             rank,
             idempotent: route.idempotent,
             objective: route.objective,
--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -3,5 +3,6 @@
 pub mod admit;
 pub mod attempt;
 mod attempts;
+mod authenticate;
 pub mod early;
 pub mod entry;
--- a/src/sidecar/version/routes.rs
+++ b/src/sidecar/version/routes.rs
@@ -1,5 +1,7 @@
 //! An immutable configuration version, whose routes are looked up by host and longest path prefix.
 
+use std::fmt;
+
 use bytes::Bytes;
 
 use crate::prelude::*;
@@ -16,6 +18,36 @@
     pub weight: u32,
 }
 
+/// API key of a caller. Its debug output is redacted, so that no log contains a key.
+#[derive(Clone, PartialEq, Eq, Hash)]
+pub struct ApiKey(SmolStr);
+
+impl ApiKey {
+    /// Wraps the text of a key.
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ApiKey(..)")
+    }
+}
+
+/// A customer whose callers authenticate with API keys.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tenant {
+    /// Name, unique in the version.
+    pub name: TenantId,
+    /// Rank of its requests, which comes before the rank of the route; 0 is the most urgent.
+    pub rank: usize,
+    /// Requests per second over all nodes; 0 for no quota.
+    pub rate: f64,
+    /// Requests beyond the rate that may come at once, over all nodes.
+    pub burst: f64,
+}
+
 /// How requests to a host and a path prefix are run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
@@ -33,6 +65,8 @@
     pub rank: usize,
     /// Maximum number of targets that may run one request; targets that did not run it do not count.
     pub max_attempts: u32,
+    /// Whether its requests need no API key.
+    pub auth_exempt: bool,
     /// Services that run the requests, at least one.
     pub services: Vec<WeightedService>,
 }
@@ -81,6 +115,10 @@
     pub services: HashMap<ServiceId, Service>,
     /// Document that the version was parsed from, to be sent to nodes that cannot reach the store.
     pub document: Bytes,
+    /// Tenants by name. Without any, requests need no API key.
+    pub tenants: HashMap<TenantId, Arc<Tenant>>,
+    /// Tenant of each API key.
+    pub keys: HashMap<ApiKey, Arc<Tenant>>,
     /// Types of routes that the document names and that are unknown; their requests count as not idempotent.
     pub unknown_types: Vec<SmolStr>,
     hosts: HashMap<SmolStr, Vec<Arc<Route>>>,
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use dragonflyquay::settings::Source;
 use site_kit::store::Faults;
 use site_kit::{config, fresh_id, Site};
 use workdir::{http, http_json, wait_until};
@@ -434,6 +435,34 @@
     }
 }
 
+/// Guards against overrides on the command line that are ignored, accepted in a wrong unit, or lost.
+#[test]
+fn the_command_line_overrides_settings() {
+    let dir = workdir::Workdir::new();
+    dir.write("ok.toml", "");
+    for (option, message) in [
+        ("sidecar.heartbeat_ms=1", "sidecar.heartbeat_ms"),
+        ("sidecar.unknown=1", "sidecar.unknown"),
+        ("nowhere.key=1", "unknown section"),
+        ("sidecar.target=0.0.0.0:1", "sidecar.target"),
+    ] {
+        let out = dir.run(&["sidecar", "ok.toml", "--set", option]);
+        let text = String::from_utf8_lossy(&out.stderr);
+        assert_eq!(out.status.code(), Some(3), "{option}: {text}");
+        assert!(text.contains(message), "{option}: {text}");
+    }
+    let out = dir.run(&["sidecar", "ok.toml", "--set", "heartbeat_ms"]);
+    assert_eq!(out.status.code(), Some(2));
+    let mut source = Source::new(dir.path("ok.toml"));
+    source.add_override("sidecar.apply_ms=2500").unwrap();
+    source.add_override("sidecar.link_mbps=").unwrap();
+    source.add_override("sidecar.budget_least=40").unwrap();
+    let settings = source.read().unwrap();
+    assert_eq!(settings.sidecar.apply_ms, 2500);
+    assert_eq!(settings.sidecar.link_mbps, 1000.0);
+    assert_eq!(settings.sidecar.budget_least, 40.0);
+}
+
 /// Guards against a limit on the headers of callers that the configuration sets and the listener ignores.
 #[test]
 fn the_configuration_limits_the_headers_of_callers() {
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -23,6 +23,8 @@
     /// Target that must run the request.
     pub expected_target: String,
     pub caller: String,
+    pub tenant: String,
+    pub authorization: String,
     pub remaining_ms: u64,
     pub body: Vec<u8>,
     /// Whether the connection was still open when the response was ready.
@@ -229,6 +231,8 @@
             id: header("dragonflyquay-request-id"),
             expected_target: header("dragonflyquay-expected-instance"),
             caller: header("dragonflyquay-caller-service"),
+            tenant: header("dragonflyquay-tenant"),
+            authorization: header("authorization"),
             remaining_ms: header("dragonflyquay-deadline-ms").parse().unwrap_or(0),
             path: path.clone(),
             body,
