Share slots among the tenants of a rank by need

Cause: requests of a rank were served in order of arrival, so a tenant that sends most of the requests took most of the slots.

Change: the queue of a target records the slot time that each tenant has used in the last seconds. Within a rank the tenant that has used the least goes first, and a request counts as ahead of a new one only if it would go first.

--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -8,3 +8,4 @@
 pub mod rate_limit;
 pub mod slots;
 pub mod state;
+pub mod tenant_shares;
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::request::reason::Reason;
 use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
+use crate::sidecar::process::target::tenant_shares::TenantShares;
 use crate::sidecar::version::routes::RANKS;
 
 /// Maximum number of waiting requests; wait estimates are meaningless for longer queues.
@@ -41,6 +42,8 @@
     pub ticket: Ticket,
     /// Route, which determines the expected service time.
     pub route: SmolStr,
+    /// Tenant; empty if the request has none.
+    pub tenant: TenantId,
     /// Rank, below [`RANKS`].
     pub rank: usize,
     /// Latency objective of the route; a request that will miss it may wait for a fraction of it.
@@ -140,6 +143,7 @@
     usage_at: Now,
     /// Moving average of the fraction of failed responses.
     failure_rate: f64,
+    tenant_shares: TenantShares,
     limit: RateLimit,
     /// Whether the present target has said whether it has a rate limit.
     limit_known: bool,
@@ -157,6 +161,7 @@
             slot_usage: [0.0; RANKS],
             usage_at: Now::ZERO,
             failure_rate: 0.0,
+            tenant_shares: TenantShares::default(),
             limit: RateLimit::default(),
             limit_known: false,
         }
@@ -211,8 +216,9 @@
         if a.deadline < now + service_time.mul_f64(MIN_TIME_FRACTION) {
             return Some((Reason::Deadline, Duration::ZERO));
         }
-        let slot_wait = self.expected_wait(a.rank);
-        let limit_wait = self.limit_wait(now, a.rank);
+        let ahead = self.ahead(a.rank, &a.tenant);
+        let slot_wait = self.expected_wait(a.rank, ahead);
+        let limit_wait = self.limit_wait(now, a.rank, ahead);
         let queue_wait = slot_wait.max(limit_wait);
         // The link sends other responses while the request waits and runs.
         let link_wait = a.link_backlog.saturating_sub(queue_wait + service_time);
@@ -251,16 +257,26 @@
         self.mean_time.unwrap_or(INITIAL_SERVICE_TIME.as_secs_f64())
     }
 
-    /// Number of waiting requests that a new one of this rank would queue behind. Requests that can no longer meet
-    /// their latency objective do not count, because all others go before them.
-    fn ahead(&self, rank: usize) -> usize {
+    /// Number of waiting requests that a new one of this rank and tenant would queue behind. Requests that can no longer
+    /// meet their latency objective do not count, because all others go before them.
+    fn ahead(&self, rank: usize, tenant: &TenantId) -> usize {
+        let used = self.tenant_shares.used(tenant);
+        let before = |w: &&Waiting| match w.arrival.rank {
+            _ if w.late_since.is_some() => false,
+            r if r == rank => self.tenant_shares.used(&w.arrival.tenant) <= used,
+            r => r < rank,
+        };
+        self.waiting.iter().filter(before).count()
+    }
+
+    /// Number of waiting requests that one of this rank would queue behind on average over the tenants.
+    fn ahead_of_rank(&self, rank: usize) -> usize {
         let before = |w: &&Waiting| w.arrival.rank <= rank && w.late_since.is_none();
         self.waiting.iter().filter(before).count()
     }
 
     /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
-    fn expected_wait(&self, rank: usize) -> Duration {
-        let ahead = self.ahead(rank);
+    fn expected_wait(&self, rank: usize, ahead: usize) -> Duration {
         if self.running.len() + ahead < self.slots {
             return Duration::ZERO;
         }
@@ -273,8 +289,8 @@
 
     /// Expected wait of a new request for the rate limit: the time for the requests ahead of it at the part of the rate
     /// that more urgent ranks leave.
-    fn limit_wait(&self, now: Now, rank: usize) -> Duration {
-        let wait = self.limit.wait(now, self.ahead(rank));
+    fn limit_wait(&self, now: Now, rank: usize, ahead: usize) -> Duration {
+        let wait = self.limit.wait(now, ahead);
         if wait.is_zero() {
             return wait;
         }
@@ -359,7 +375,7 @@
         let age = ages.sum::<Duration>().as_secs_f64() / self.running.len().max(1) as f64;
         let mut waiting = [0; RANKS];
         for (rank, n) in waiting.iter_mut().enumerate() {
-            *n = self.ahead(rank) as u32;
+            *n = self.ahead_of_rank(rank) as u32;
         }
         Load {
             running: self.running.len() as u32,
@@ -395,13 +411,12 @@
         let mut out = Vec::new();
         self.expire(now, &mut out);
         while self.running.len() < self.slots && !self.waiting.is_empty() && self.limit.take(now) {
-            let key = |w: &Waiting| (w.late_since.is_some(), w.arrival.rank);
-            let best = self.waiting.iter().enumerate();
-            // `min_by_key` returns the first of equal elements, which arrived first.
-            let Some((i, _)) = best.min_by_key(|(_, w)| key(w)) else {
+            let Some(i) = self.next_waiting() else {
                 break;
             };
             let a = self.waiting.remove(i).arrival;
+            let time = self.route_time(&a.route);
+            self.tenant_shares.record(&a.tenant, time, now);
             self.running.push(Running {
                 ticket: a.ticket,
                 route: a.route,
@@ -415,6 +430,21 @@
         out
     }
 
+    /// Index of the waiting request that gets the next slot: the most urgent one that can meet its objective, of the
+    /// tenant that has used the least.
+    fn next_waiting(&self) -> Option<usize> {
+        let key = |w: &Waiting| (w.late_since.is_some(), w.arrival.rank);
+        let used = |w: &Waiting| self.tenant_shares.used(&w.arrival.tenant);
+        let order = |a: &Waiting, b: &Waiting| {
+            let by_rank = key(a).cmp(&key(b));
+            by_rank.then_with(|| used(a).total_cmp(&used(b)))
+        };
+        let waiting = self.waiting.iter().enumerate();
+        // `min_by` returns the first of equal elements, which arrived first.
+        let next = waiting.min_by(|(_, a), (_, b)| order(a, b));
+        next.map(|(i, _)| i)
+    }
+
     fn expire(&mut self, now: Now, out: &mut Vec<Action>) {
         let mut i = 0;
         while i < self.waiting.len() {
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -126,6 +126,7 @@
     let arrival = Arrival {
         ticket: 0,
         route: request.route.clone(),
+        tenant: request.tenant.clone(),
         rank: request.rank,
         objective: request.objective,
         due: request.due,
--- a/tests/sidecar_bandwidth.rs
+++ b/tests/sidecar_bandwidth.rs
@@ -183,6 +183,7 @@
     Arrival {
         ticket: 1,
         route: "bulk".into(),
+        tenant: Default::default(),
         rank: 2,
         objective: ms(1500),
         due: ms(1500),
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -28,6 +28,7 @@
     Arrival {
         ticket,
         route: "r".into(),
+        tenant: Default::default(),
         rank,
         objective: ms(objective),
         due: now + ms(objective),
--- a/tests/sidecar_rate_limit.rs
+++ b/tests/sidecar_rate_limit.rs
@@ -68,6 +68,7 @@
     Arrival {
         ticket,
         route: "r".into(),
+        tenant: Default::default(),
         rank,
         objective: ms(400),
         due: now + ms(400),
