--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -155,6 +155,16 @@
     /// A request for the target of the receiver; the payload is its header lines and its body.
     #[serde(rename = "q")]
     Request(Box<RequestHead>),
+    /// A request with a large body, and the length of the body; the payload is its header lines. The body follows in
+    /// [`Head::BodyPart`] messages, as the receiver grants it. A request without all of its body does not run.
+    #[serde(rename = "u")]
+    Offer(Box<RequestHead>, usize),
+    /// The receiver may send this number of further bytes of the body of a request that it offered.
+    #[serde(rename = "m")]
+    Grant(Seq, usize),
+    /// The next part of the body of an offered request.
+    #[serde(rename = "i")]
+    BodyPart(Seq),
     /// Cancels a request, because its caller has gone.
     #[serde(rename = "x")]
     Cancel(Seq),
@@ -203,10 +213,10 @@
 }
 
 impl Head {
-    /// Whether the message is part of a large response, whose use of the link is recorded when it may be sent.
+    /// Whether the message is part of a large body, whose use of the link is recorded when it may be sent.
     pub fn is_paced(&self) -> bool {
         match self {
-            Self::ResponsePart(_) => true,
+            Self::ResponsePart(_) | Self::BodyPart(_) => true,
             Self::Response(r, _) => r.sent_before > 0,
             _ => false,
         }
@@ -215,7 +225,8 @@
     /// Kind of the message, as a metric label.
     pub fn kind(&self) -> &'static str {
         match self {
-            Self::Request(_) | Self::Cancel(_) => "request",
+            Self::Request(_) | Self::Offer(..) | Self::Grant(..) | Self::Cancel(_) => "request",
+            Self::BodyPart(_) => "body",
             Self::Response(..) | Self::ResponsePart(_) | Self::Failed(..) => "answer",
             Self::GetConfig(_) | Self::Config(_) => "config",
             Self::Hello(..)
--- a/src/sidecar/connection/link.rs
+++ b/src/sidecar/connection/link.rs
@@ -23,6 +23,23 @@
     pub(super) deadline: Now,
     /// Parts of the response that have arrived.
     pub(super) parts: BytesMut,
+    /// Large body of the request, if it has one.
+    pub(super) body: Option<OutgoingBody>,
+}
+
+/// A body that the peer takes in pieces.
+pub(super) struct OutgoingBody {
+    /// Numbers of bytes that the peer has granted.
+    pub(super) grants: mpsc::UnboundedSender<usize>,
+    /// Whether all of it may have been written. Before, the request cannot run.
+    pub(super) passed_on: bool,
+}
+
+impl PendingRequest {
+    /// Whether the peer cannot have the whole request.
+    fn is_incomplete(&self) -> bool {
+        self.body.as_ref().is_some_and(|b| !b.passed_on)
+    }
 }
 
 /// An open link from this node to another one.
@@ -137,6 +154,21 @@
         parts.unwrap_or_default()
     }
 
+    /// Passes a grant on to the sender of a body.
+    pub(super) fn grant(&self, seq: Seq, bytes: usize) {
+        let pending = lock(&self.pending);
+        let body = pending.get(&seq).and_then(|p| p.body.as_ref());
+        // The receiver is dropped once the whole body is on its way.
+        let _ = body.map(|b| b.grants.send(bytes));
+    }
+
+    /// Records that the last part of a body may be written from now on.
+    pub(super) fn pass_body_on(&self, seq: Seq) {
+        let mut pending = lock(&self.pending);
+        let body = pending.get_mut(&seq).and_then(|p| p.body.as_mut());
+        body.into_iter().for_each(|b| b.passed_on = true);
+    }
+
     /// Marks a request as written. Returns false if it was cancelled while it waited, and must not be sent.
     pub(super) fn begin_write(&self, seq: Seq) -> bool {
         // Under the lock, because a request that fails as not written must never be sent.
@@ -158,11 +190,11 @@
         let _ = self.cancels.send(seq);
     }
 
-    /// Fails all pending requests, because the link is closed; those that were not written were not run.
+    /// Fails all pending requests, because the link is closed; those that were not written whole were not run.
     pub(super) fn fail_all(&self) {
         let mut pending = lock(&self.pending);
         for (seq, p) in std::mem::take(&mut *pending) {
-            let result = match self.was_written(seq) {
+            let result = match self.was_written(seq) && !p.is_incomplete() {
                 true => AttemptResult::Failed {
                     failure: Failure::unknown(Reason::Lost),
                     delivered: true,
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -191,9 +191,12 @@
 
 /// Handles a message on a link that this node opened.
 fn handle_message(n: &Arc<Node>, link: &Link, data: Bytes) -> Result<(), String> {
+    let bytes = data.len();
     let message = Message::decode(data)?;
+    n.record_received(&message.head, bytes);
     let now = n.clock.now();
     match &message.head {
+        Head::Grant(seq, bytes) => link.grant(*seq, *bytes),
         Head::ResponsePart(seq) => link.add_part(*seq, &message.payload)?,
         Head::Response(r, load) => {
             n.placement().record_load(now, &link.node, *load);
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use tokio::sync::oneshot;
 
 use crate::digest::Digest;
@@ -33,6 +33,10 @@
 }
 
 impl PendingCall {
+    pub(super) fn new(rx: oneshot::Receiver<AttemptResult>, guard: CancelOnDrop) -> Self {
+        Self { rx, guard }
+    }
+
     /// Waits for the result.
     pub(crate) async fn wait(&mut self) -> AttemptResult {
         let result = (&mut self.rx).await;
@@ -99,6 +103,7 @@
             result: tx,
             deadline: request.deadline,
             parts: BytesMut::new(),
+            body: None,
         };
         link.add(n, seq, pending);
         let mut suspected = link.suspected.subscribe();
@@ -107,12 +112,16 @@
             seq,
             finished: false,
         };
-        let message = request_message(n, request, seq);
+        let (head, payload) = request_head(n, request, seq);
+        let message = Message {
+            head: Head::Request(Box::new(head)),
+            payload,
+        };
         if link.outgoing.try_send((seq, message)).is_err() {
             lock(&link.pending).remove(&seq);
             return CallResult::Done(not_sent);
         }
-        let mut call = PendingCall { rx, guard };
+        let mut call = PendingCall::new(rx, guard);
         tokio::select! {
             biased;
             result = call.wait() => CallResult::Done(result),
@@ -233,7 +242,8 @@
     }
 }
 
-fn request_message(n: &Node, request: &TargetRequest, seq: Seq) -> Message {
+/// Head and payload of a message with a request.
+pub(super) fn request_head(n: &Node, request: &TargetRequest, seq: Seq) -> (RequestHead, Bytes) {
     let now = n.clock.now();
     let (header_len, payload) = join_payload(&request.headers, &request.body);
     let head = RequestHead {
@@ -257,8 +267,5 @@
         path: request.path.clone(),
         header_len,
     };
-    Message {
-        head: Head::Request(Box::new(head)),
-        payload,
-    }
+    (head, payload)
 }
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod dial;
 pub mod frame;
+pub mod inbound_link;
 mod link;
 mod link_task;
 pub mod links;
@@ -11,3 +12,5 @@
 pub mod pool;
 pub mod relay;
 pub mod transit;
+mod upload_receiver;
+mod upload_sender;
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -19,6 +19,7 @@
 use crate::sidecar::connection::liveness::CLOSE_AFTER;
 use crate::sidecar::connection::pacing::is_large;
 use crate::sidecar::connection::transit::TransitDelay;
+use crate::sidecar::connection::upload_receiver::{IncomingBodies, IncomingBody};
 use crate::sidecar::process::bandwidth::Urgency;
 use crate::sidecar::process::metrics::Hop;
 use crate::sidecar::process::node::Node;
@@ -50,6 +51,7 @@
 #[derive(Default)]
 struct RunningRequests {
     tasks: Mutex<HashMap<Seq, AbortHandle>>,
+    bodies: IncomingBodies,
 }
 
 impl Drop for RunningRequests {
@@ -102,16 +104,31 @@
                 continue;
             }
         };
+        let bytes = data.len();
         let Ok(message) = Message::decode(data) else {
             break;
         };
+        n.record_received(&message.head, bytes);
         match &message.head {
             Head::Request(head) => {
                 let delay = transit.record(head.sent_ms, n.clock.boot_time());
                 record_delay(&n, peer.get(), head, delay);
-                start_request(&n, &requests, &tx, head, &message, delay);
+                start_request(&n, &requests, &tx, head, &message, delay, None);
             }
+            Head::Offer(head, len) => {
+                let delay = transit.record(head.sent_ms, n.clock.boot_time());
+                record_delay(&n, peer.get(), head, delay);
+                let body = IncomingBody {
+                    seq: head.seq,
+                    len: *len,
+                    parts: requests.bodies.begin(head.seq),
+                    tx: tx.clone(),
+                };
+                start_request(&n, &requests, &tx, head, &message, delay, Some(body));
+            }
+            Head::BodyPart(seq) => requests.bodies.add(*seq, message.payload),
             Head::Cancel(seq) => {
+                requests.bodies.end(*seq);
                 if let Some(task) = lock(&requests.tasks).remove(seq) {
                     task.abort();
                 }
@@ -226,6 +243,7 @@
     head: &RequestHead,
     message: &Message,
     delay: Duration,
+    body: Option<IncomingBody>,
 ) {
     let seq = head.seq;
     let request = match decode_request(n, head, message, delay) {
@@ -233,6 +251,7 @@
         Err(reason) => {
             let rejection = AttemptResult::undelivered(Failure::not_run(reason));
             let _ = tx.try_send(result_message(n, seq, 0, rejection));
+            requests.bodies.end(seq);
             return;
         }
     };
@@ -243,9 +262,13 @@
     };
     let task = tokio::spawn(async move {
         let _guard = n.track_request();
-        let result = admit::run(&n, request).await;
+        let result = match body {
+            Some(body) => body.run(&n, request).await,
+            None => admit::run(&n, request).await,
+        };
         send_result(&n, &tx, seq, urgency, result).await;
         if let Some(requests) = weak.upgrade() {
+            requests.bodies.end(seq);
             lock(&requests.tasks).remove(&seq);
         }
     });
@@ -327,7 +350,7 @@
 
 /// Message with a result. `sent_before` bytes of the body were sent in parts.
 fn result_message(n: &Node, seq: Seq, sent_before: usize, result: AttemptResult) -> Message {
-    let load = n.slots.load();
+    let load = n.load();
     match result {
         AttemptResult::Response(mut response) => {
             strip_response(&mut response.headers);
--- /dev/null
+++ b/src/sidecar/connection/upload_sender.rs
@@ -0,0 +1,137 @@
+//! Sends large request bodies to the nodes of their targets, as these grant them.
+
+use std::sync::atomic::Ordering;
+
+use bytes::BytesMut;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::prelude::*;
+use crate::request::reason::{Failure, Outcome, Reason};
+use crate::sidecar::connection::frame::{Head, Message, Seq};
+use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, OutgoingBody, PendingRequest};
+use crate::sidecar::connection::links::{request_head, Links, PendingCall};
+use crate::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
+use crate::sidecar::process::node::Node;
+use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
+use crate::sidecar::request::upload::Upload;
+
+impl Links {
+    /// Offers a request to the node of a target, sends its body as that node grants it, and waits for the result.
+    /// Dropping the future cancels the request.
+    pub(crate) async fn call_upload(
+        &self,
+        n: &Arc<Node>,
+        node: &NodeId,
+        request: &TargetRequest,
+        upload: &Upload,
+    ) -> AttemptResult {
+        let link = lock(&self.open).get(node).cloned();
+        let not_sent = AttemptResult::undelivered(Failure::not_run(Reason::NotSent));
+        let Some(link) = link else {
+            return not_sent;
+        };
+        let seq = link.last_seq.fetch_add(1, Ordering::SeqCst) + 1;
+        let (tx, rx) = oneshot::channel();
+        let (grants, granted) = mpsc::unbounded_channel();
+        let pending = PendingRequest {
+            result: tx,
+            deadline: request.deadline,
+            parts: BytesMut::new(),
+            body: Some(OutgoingBody {
+                grants,
+                passed_on: false,
+            }),
+        };
+        link.add(n, seq, pending);
+        let guard = CancelOnDrop {
+            link: link.clone(),
+            seq,
+            finished: false,
+        };
+        let (head, payload) = request_head(n, request, seq);
+        let offer = Message {
+            head: Head::Offer(Box::new(head), upload.len()),
+            payload,
+        };
+        if link.outgoing.try_send((seq, offer)).is_err() {
+            lock(&link.pending).remove(&seq);
+            return not_sent;
+        }
+        let mut call = PendingCall::new(rx, guard);
+        let sender = BodySender {
+            n: n.clone(),
+            link: &link,
+            seq,
+            upload,
+            urgency: Urgency {
+                rank: request.rank,
+                due: request.due,
+            },
+        };
+        let sent = tokio::select! {
+            biased;
+            result = call.wait() => return explain(n, upload, result),
+            sent = sender.send(granted) => sent,
+        };
+        match sent {
+            Ok(()) => call.wait().await,
+            // Dropping the call cancels it before its body is whole, so the request does not run.
+            Err(f) => AttemptResult::undelivered(f),
+        }
+    }
+}
+
+/// Names the caller as the cause if the node gave up a body that the caller did not send.
+fn explain(n: &Node, upload: &Upload, result: AttemptResult) -> AttemptResult {
+    match result {
+        AttemptResult::Failed { failure, delivered }
+            if failure.outcome == Outcome::NotRun && !delivered =>
+        {
+            AttemptResult::undelivered(upload.explain(n.clock.now(), failure))
+        }
+        other => other,
+    }
+}
+
+/// A body that is being sent.
+struct BodySender<'a> {
+    n: Arc<Node>,
+    link: &'a Link,
+    seq: Seq,
+    upload: &'a Upload,
+    urgency: Urgency,
+}
+
+impl BodySender<'_> {
+    /// Sends the body as it is granted. Returns when all of it is on its way or the request has ended.
+    async fn send(&self, mut grants: mpsc::UnboundedReceiver<usize>) -> Result<(), Failure> {
+        let (mut granted, mut sent) = (0, 0);
+        while sent < self.upload.len() {
+            while granted <= sent {
+                match grants.recv().await {
+                    Some(bytes) => granted = (granted + bytes).min(self.upload.len()),
+                    // The request has ended.
+                    None => return Ok(()),
+                }
+            }
+            let bytes = PIECE_BYTES.min(granted - sent);
+            let part = self.upload.read(&self.n, sent, bytes).await?;
+            // The next grant may be late, so only what was granted counts as waiting for the link.
+            let transfer = self.n.shared_link.begin(self.urgency, bytes);
+            transfer.next_piece().await;
+            sent += bytes;
+            if sent == self.upload.len() {
+                self.upload.pass_on();
+                self.link.pass_body_on(self.seq);
+            }
+            let message = Message {
+                head: Head::BodyPart(self.seq),
+                payload: part,
+            };
+            if self.link.outgoing.send((self.seq, message)).await.is_err() {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -52,6 +52,8 @@
     pub rejected_inputs: IntCounterVec,
     /// Bytes sent on links, by kind of message and hop.
     pub link_bytes: IntCounterVec,
+    /// Bytes received on links, by kind of message.
+    pub link_received_bytes: IntCounterVec,
     /// Calls to the store, by kind and result.
     pub store_calls: IntCounterVec,
     /// Watches that are waiting at the store.
@@ -107,6 +109,11 @@
                 "Bytes sent on links",
                 &["kind", "hop"],
             ),
+            link_received_bytes: counter(
+                "dq_sidecar_link_received_bytes_total",
+                "Bytes received on links",
+                &["kind"],
+            ),
             store_calls: counter("dq_store_calls_total", "Store calls", &["kind", "result"]),
             store_waiting: gauge(
                 r,
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod bandwidth;
 pub mod fleet;
+pub mod inbound;
 pub mod metrics;
 pub mod node;
 pub mod routing;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -7,14 +7,15 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use rand::rngs::SmallRng;
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch, Notify, Semaphore};
 
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
 use crate::settings::Settings;
 use crate::sidecar::adapter::Adapter;
-use crate::sidecar::connection::frame::Message;
+use crate::sidecar::connection::frame::{Head, Message};
+use crate::sidecar::connection::inbound_link::SharedInbound;
 use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pacing::SharedLink;
 use crate::sidecar::connection::pool::Pool;
@@ -30,6 +31,7 @@
 use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
 use crate::sidecar::process::target::crash::LostRequests;
 use crate::sidecar::process::target::departure::DepartureState;
+use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::version::config_server::ConfigRequest;
@@ -78,6 +80,10 @@
     pub pool: Pool,
     /// Link of the VM, which all connections share.
     pub shared_link: Arc<SharedLink>,
+    /// The same link for what the node receives.
+    pub inbound: Arc<SharedInbound>,
+    /// Room for the bytes of uploads that are kept for another attempt.
+    pub(crate) upload_room: Arc<Semaphore>,
     /// Links that this node opened to other nodes.
     pub links: Links,
     /// Notifies accepted links that the target, the version or `reaches_store` of this node changed.
@@ -325,6 +331,26 @@
         data
     }
 
+    /// Counts the bytes of a message that arrived on a link. Granted bodies have their share of the link already.
+    pub fn record_received(&self, head: &Head, bytes: usize) {
+        let received = &self.metrics.link_received_bytes;
+        received
+            .with_label_values(&[head.kind()])
+            .inc_by(bytes as u64);
+        if !matches!(head, Head::BodyPart(_)) {
+            self.inbound.record_received(bytes);
+        }
+    }
+
+    /// Load of the target and of the link to report to other nodes.
+    pub fn load(&self) -> Load {
+        let backlog = self.inbound.backlog().as_millis();
+        Load {
+            inbound_ms: u32::try_from(backlog).unwrap_or(u32::MAX),
+            ..self.slots.load()
+        }
+    }
+
     /// Records which version another node holds; a newer one than the version in force is requested from it.
     pub fn on_peer_version(&self, node: &NodeId, number: VersionNumber) {
         if number > self.version() && !node.is_empty() {
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -112,6 +112,8 @@
     pub until_due: Duration,
     /// Time left until the deadline.
     pub remaining: Duration,
+    /// Whether the request has a large body, which waits for the link into the VM of the target.
+    pub upload: bool,
     /// Nodes whose targets must not be chosen.
     pub excluded: &'a [NodeId],
 }
@@ -210,6 +212,12 @@
         let cold = self.cold_factor(now);
         let requests = self.requests(req.rank, service.load, now);
         let wait = (requests + 1.0 - self.slots()).max(0.0) * self.service_time() / self.slots();
+        let inbound_wait = match req.upload {
+            true => self.inbound_wait(now),
+            false => 0.0,
+        };
+        // Requests ahead run while the body arrives.
+        let wait = wait.max(inbound_wait);
         let (dist, slowdown) = match times.get(req.route) {
             Some(dist) => (*dist, self.slowdown(service.slowdown()) * cold),
             None => (
@@ -223,9 +231,16 @@
         Evaluation {
             wait,
             cost: 1.0 - (1.0 - late_cost) * (1.0 - failed),
-            load: requests / self.slots(),
+            load: requests / self.slots() + inbound_wait / INITIAL_SERVICE_TIME.as_secs_f64(),
         }
     }
+
+    /// Expected wait of a large body for the link into the VM, in seconds. The link works off what was reported.
+    fn inbound_wait(&self, now: Now) -> f64 {
+        let reported = Duration::from_millis(self.load.inbound_ms.into());
+        let age = now.saturating_sub(self.reported_at);
+        reported.saturating_sub(age).as_secs_f64()
+    }
 }
 
 impl ServiceState {
--- a/src/sidecar/process/sample.rs
+++ b/src/sidecar/process/sample.rs
@@ -15,6 +15,8 @@
     queued: IntGaugeVec,
     in_flight: IntGauge,
     link_backlog: IntGauge,
+    inbound_backlog: IntGauge,
+    upload_bytes: IntGauge,
     known_nodes: IntGaugeVec,
     ages: IntGaugeVec,
     log_dropped: IntGauge,
@@ -36,6 +38,16 @@
                 "dq_sidecar_link_backlog_milliseconds",
                 "Time that the link of the VM needs for what is to be sent",
             ),
+            inbound_backlog: gauge(
+                r,
+                "dq_sidecar_inbound_backlog_milliseconds",
+                "Time that the link of the VM needs for the admitted request bodies",
+            ),
+            upload_bytes: gauge(
+                r,
+                "dq_sidecar_upload_bytes",
+                "Length of the admitted request bodies",
+            ),
             known_nodes: gauges(r, "dq_sidecar_known_nodes", "Other nodes", &["state"]),
             ages: gauges(
                 r,
@@ -61,6 +73,10 @@
         self.in_flight.set(n.in_flight() as i64);
         self.link_backlog
             .set(n.shared_link.backlog().as_millis() as i64);
+        self.inbound_backlog
+            .set(n.inbound.backlog().as_millis() as i64);
+        let held = n.inbound.policy().held_bytes();
+        self.upload_bytes.set(held as i64);
         let nodes = n.members().count() as i64 - 1;
         let links = n.links.len() as i64;
         self.known_nodes.with_label_values(&["known"]).set(nodes);
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch, Notify, Semaphore};
 
 use crate::connection::listen;
 use crate::logging::EventLog;
@@ -18,6 +18,7 @@
 use crate::process::node::NodeError;
 use crate::settings::{self, LimitSettings, Settings};
 use crate::sidecar::adapter::Adapter;
+use crate::sidecar::connection::inbound_link::SharedInbound;
 use crate::sidecar::connection::links::Links;
 use crate::sidecar::connection::pacing::SharedLink;
 use crate::sidecar::connection::pool::Pool;
@@ -36,6 +37,7 @@
 use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::request::early::EarlyRequests;
 use crate::sidecar::request::entry;
+use crate::sidecar::request::upload::MAX_KEPT_BYTES;
 use crate::sidecar::version::config;
 use crate::sidecar::version::config_server;
 use crate::sidecar::version::config_server::ConfigRequest;
@@ -69,6 +71,7 @@
 ) -> (Arc<Node>, Queues) {
     let s = &settings.sidecar;
     let shared_link = SharedLink::new(s.link_mbps, clock.clone());
+    let inbound = SharedInbound::new(s.link_mbps, clock.clone());
     let (updates, config_updates) = mpsc::unbounded_channel();
     let (requests, config_requests) = mpsc::unbounded_channel();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -103,6 +106,8 @@
         slots: Arc::new(Slots::new(clock.clone())),
         pool: Pool::new(s.target),
         shared_link: Arc::new(shared_link),
+        inbound: Arc::new(inbound),
+        upload_room: Arc::new(Semaphore::new(MAX_KEPT_BYTES)),
         links: Links::default(),
         state_changed: watch::channel(0).0,
         reaches_store: AtomicBool::new(false),
@@ -209,7 +214,7 @@
     let serve = move |req, _| control::serve_readiness(p.clone(), req);
     tokio::spawn(listen::serve(readiness_listener, limits, serve));
     let p = n.clone();
-    let serve = move |req, _| entry::serve(p.clone(), req);
+    let serve = move |req, from| entry::serve_caller(p.clone(), req, from);
     let p = n.clone();
     let limits = move || caller_limits(&p);
     let callers = tokio::spawn(listen::serve_until(
@@ -247,6 +252,7 @@
         Ok(settings) if settings == **n.settings() => {}
         Ok(settings) => {
             n.shared_link.set_rate(settings.sidecar.link_mbps);
+            n.inbound.set_rate(settings.sidecar.link_mbps);
             n.settings.store(Arc::new(settings));
             n.log.event("settings_reloaded", &[]);
         }
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -92,6 +92,13 @@
     /// Rate limit that the target names; `None` without one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<f32>,
+    /// Time that the VM's link needs for the request bodies that were admitted, in ms.
+    #[serde(rename = "i", default, skip_serializing_if = "is_zero")]
+    pub inbound_ms: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
 }
 
 #[derive(Debug)]
@@ -241,8 +248,41 @@
         }
     }
 
+    /// Returns why a request that arrives after `delay` would be rejected then, and the back-off; `None` if it would be
+    /// admitted. `arriving` others that were admitted arrive before it.
+    pub fn preview(
+        &self,
+        now: Now,
+        a: &Arrival,
+        delay: Duration,
+        arriving: usize,
+    ) -> Option<(Reason, Duration)> {
+        if self.slots == 0 {
+            return Some((Reason::NotReady, Duration::ZERO));
+        }
+        let service_time = self.route_time(&a.route);
+        let at = now + delay;
+        if a.deadline < at + service_time.mul_f64(MIN_TIME_FRACTION) {
+            return Some((Reason::Deadline, Duration::ZERO));
+        }
+        let queue_wait = self.expected_wait_behind(a.rank, self.ahead(a.rank) + arriving);
+        let wait = queue_wait
+            .max(self.limit_wait(now, a.rank))
+            .saturating_sub(delay);
+        let end = at + wait + service_time;
+        let late_wait = a.objective.mul_f64(LATE_WAIT_FRACTION);
+        let late_allowed = at + service_time > a.due && wait <= late_wait && end <= a.deadline;
+        if a.max_wait.is_some_and(|max| wait > max) {
+            return Some((Reason::QueueFull, Duration::ZERO));
+        }
+        match wait.is_zero() || end <= a.due || late_allowed {
+            true => None,
+            false => Some((Reason::QueueFull, end.saturating_sub(a.due).min(wait))),
+        }
+    }
+
     /// Mean service time of a route at this target.
-    fn route_time(&self, route: &str) -> Duration {
+    pub fn route_time(&self, route: &str) -> Duration {
         let known = self.route_times.get(route).copied().or(self.mean_time);
         known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
     }
@@ -260,7 +300,11 @@
 
     /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
     fn expected_wait(&self, rank: usize) -> Duration {
-        let ahead = self.ahead(rank);
+        self.expected_wait_behind(rank, self.ahead(rank))
+    }
+
+    /// Expected wait of a new request behind this number of others.
+    fn expected_wait_behind(&self, rank: usize, ahead: usize) -> Duration {
         if self.running.len() + ahead < self.slots {
             return Duration::ZERO;
         }
@@ -368,6 +412,7 @@
             slowdown_pct: self.slowdown_pct(now),
             failed_pct: (self.failure_rate * 100.0) as u8,
             limit: self.limit.rate().map(|rate| rate as f32),
+            inbound_ms: 0,
         }
     }
 
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -75,6 +75,22 @@
         self.state().queue.load(self.clock.now())
     }
 
+    /// Mean service time of a route at the target.
+    pub fn route_time(&self, route: &str) -> Duration {
+        self.state().queue.route_time(route)
+    }
+
+    /// Why a request that arrives after `delay` would be rejected then; see [`Queue::preview`].
+    pub fn preview(
+        &self,
+        arrival: &Arrival,
+        delay: Duration,
+        arriving: usize,
+    ) -> Option<(Reason, Duration)> {
+        let now = self.clock.now();
+        self.state().queue.preview(now, arrival, delay, arriving)
+    }
+
     /// Fraction of the running requests that are retries.
     pub fn retry_fraction(&self) -> f64 {
         self.state().queue.retry_fraction()
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -108,35 +108,10 @@
 pub async fn run(n: &Arc<Node>, mut request: TargetRequest) -> AttemptResult {
     // The queue rejects a request that cannot end before this process does.
     request.end_before(n.stop_end());
-    if let Err(f) = usable_target(n, &request) {
+    if let Err(f) = check_target(n, &request) {
         return AttemptResult::undelivered(f);
     }
-    match n.crash_verdict(&request) {
-        CrashVerdict::Rejected(_) => {
-            return AttemptResult::undelivered(Failure::not_run(Reason::Quarantined))
-        }
-        CrashVerdict::NoRetry if request.retry => {
-            return AttemptResult::undelivered(Failure::not_run(Reason::Quarantined))
-        }
-        _ => {}
-    }
-    if request.retry && !n.others_allow_retry(n.clock.now()) {
-        return AttemptResult::undelivered(Failure::not_run(Reason::BudgetSpent));
-    }
-    let arrival = Arrival {
-        ticket: 0,
-        route: request.route.clone(),
-        rank: request.rank,
-        objective: request.objective,
-        due: request.due,
-        deadline: request.deadline,
-        baseline: request.baseline,
-        max_wait: request.max_wait,
-        retry: request.retry,
-        link_backlog: Duration::ZERO,
-        transfer: Duration::ZERO,
-    };
-    let arrival = with_link_use(n, arrival);
+    let arrival = arrival(n, &request);
     let _reservation = n.shared_link.reserve(&request.route);
     if let Some(rate) = request.limit {
         n.slots.update(|q, now| {
@@ -163,6 +138,40 @@
         .unwrap_or_else(|_| AttemptResult::failed_at_target(lost))
 }
 
+/// Checks whether the target of this node may run a request.
+pub(crate) fn check_target(n: &Node, request: &TargetRequest) -> Result<(), Failure> {
+    usable_target(n, request)?;
+    match n.crash_verdict(request) {
+        CrashVerdict::Rejected(_) => return Err(Failure::not_run(Reason::Quarantined)),
+        CrashVerdict::NoRetry if request.retry => {
+            return Err(Failure::not_run(Reason::Quarantined))
+        }
+        _ => {}
+    }
+    match request.retry && !n.others_allow_retry(n.clock.now()) {
+        true => Err(Failure::not_run(Reason::BudgetSpent)),
+        false => Ok(()),
+    }
+}
+
+/// What the queue for slots needs to know about a request.
+pub(crate) fn arrival(n: &Node, request: &TargetRequest) -> Arrival {
+    let arrival = Arrival {
+        ticket: 0,
+        route: request.route.clone(),
+        rank: request.rank,
+        objective: request.objective,
+        due: request.due,
+        deadline: request.deadline,
+        baseline: request.baseline,
+        max_wait: request.max_wait,
+        retry: request.retry,
+        link_backlog: Duration::ZERO,
+        transfer: Duration::ZERO,
+    };
+    with_link_use(n, arrival)
+}
+
 /// Adds what is known about the link to a request whose response is expected to be large.
 fn with_link_use(n: &Node, a: Arrival) -> Arrival {
     let bandwidth = n.shared_link.bandwidth();
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -1,11 +1,15 @@
 //! One attempt of a request: chooses a target, sends the request there and records what the result says.
 
+use futures_util::FutureExt;
+
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::connection::links::CallResult;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::request::admit::{self, AttemptResult, TargetRequest};
+use crate::sidecar::request::admit_upload::{self, Source};
+use crate::sidecar::request::upload::Upload;
 use crate::sidecar::version::routes::Route;
 
 /// Maximum number of attempts that are admitted only if a slot is free at once. Load reports are old where there are
@@ -25,6 +29,8 @@
 /// A request of a caller, from its arrival to its response.
 pub(crate) struct RequestState {
     pub(crate) request: TargetRequest,
+    /// Large body of the request, which is read as it is sent on; the body of `request` is empty then.
+    pub(crate) upload: Option<Arc<Upload>>,
     pub(crate) route: Arc<Route>,
     /// Version that the route is from.
     pub(crate) version: VersionNumber,
@@ -65,6 +71,7 @@
         rank: state.request.rank,
         until_due: state.request.due.saturating_sub(now),
         remaining: state.request.deadline.saturating_sub(now),
+        upload: state.upload.is_some(),
         excluded: &excluded,
     };
     let choice = n.choose(&criteria);
@@ -107,20 +114,12 @@
     // The attempt may be cancelled at any time, so the request counts as run until the result says otherwise.
     state.sent += 1;
     state.possible_runs += 1;
-    let result = match node == n.id {
-        true => {
-            let result = admit::run(n, state.request.clone()).await;
-            n.placement()
-                .record_load(n.clock.now(), &node, n.slots.load());
-            result
+    let result = match send(n, &node, &state.request, state.upload.as_deref()).await {
+        CallResult::Done(result) => result,
+        CallResult::Suspected(call) => {
+            state.trace_attempt(&node, SUSPECTED);
+            return Ok(CallResult::Suspected(call));
         }
-        false => match n.links.call(n, &node, &state.request).await {
-            CallResult::Done(result) => result,
-            CallResult::Suspected(call) => {
-                state.trace_attempt(&node, SUSPECTED);
-                return Ok(CallResult::Suspected(call));
-            }
-        },
     };
     if let AttemptResult::Response(response) = &result {
         let info = n.adapter.response_info(response.status, &response.headers);
@@ -138,6 +137,44 @@
     Ok(CallResult::Done(result))
 }
 
+/// Sends a request to a node, which may be this one.
+async fn send(
+    n: &Arc<Node>,
+    node: &NodeId,
+    request: &TargetRequest,
+    upload: Option<&Upload>,
+) -> CallResult {
+    if let Some(upload) = upload {
+        upload.begin_attempt();
+    }
+    // The futures of uploads are on the heap, so that other requests need no memory for them.
+    let result = match (*node == n.id, upload) {
+        (true, None) => admit::run(n, request.clone()).await,
+        (true, Some(upload)) => run_upload(n, request, upload).boxed().await,
+        (false, None) => return n.links.call(n, node, request).await,
+        (false, Some(upload)) => n.links.call_upload(n, node, request, upload).boxed().await,
+    };
+    if *node == n.id {
+        n.placement().record_load(n.clock.now(), node, n.load());
+    }
+    CallResult::Done(result)
+}
+
+/// Runs a request with a large body at the target of this node, once the body is whole.
+async fn run_upload(n: &Arc<Node>, request: &TargetRequest, upload: &Upload) -> AttemptResult {
+    let transfer = match admit_upload::admit(n, request, upload.len(), Source::Caller) {
+        Ok(transfer) => transfer,
+        Err(f) => return AttemptResult::undelivered(f),
+    };
+    match upload.read(n, 0, upload.len()).await {
+        Ok(body) => {
+            upload.pass_on();
+            admit_upload::run(n, request.clone(), body, transfer).await
+        }
+        Err(f) => AttemptResult::undelivered(f),
+    }
+}
+
 /// Records what the result of an attempt says about the request and about its target.
 fn record_result(n: &Node, state: &mut RequestState, node: &NodeId, result: &AttemptResult) {
     let now = n.clock.now();
@@ -193,11 +230,22 @@
 }
 
 impl RequestState {
+    /// Whether the body can still be sent from its start.
+    pub(crate) fn is_replayable(&self) -> bool {
+        self.upload.as_ref().is_none_or(|u| u.is_replayable())
+    }
+
     /// Failure of a request whose deadline passed before the response to its last attempt arrived.
-    pub(crate) fn deadline_failure(&mut self) -> Failure {
+    pub(crate) fn deadline_failure(&mut self, now: Now) -> Failure {
         if self.sent == 0 {
             return Failure::not_run(Reason::Deadline);
         }
+        if let Some(upload) = self.upload.as_ref().filter(|u| !u.was_passed_on()) {
+            // No node has the whole body of the last attempt, so it did not run.
+            self.sent -= 1;
+            self.possible_runs -= 1;
+            return upload.explain(now, Failure::not_run(Reason::Deadline));
+        }
         if let Some(node) = self.tried.last().cloned() {
             self.trace_attempt(&node, NO_RESPONSE);
         }
--- a/src/sidecar/request/attempts.rs
+++ b/src/sidecar/request/attempts.rs
@@ -71,7 +71,7 @@
             Step::Attempted(result) => result,
             Step::DeadlinePassed => {
                 suspected.0.clear();
-                Err(state.deadline_failure())
+                Err(state.deadline_failure(n.clock.now()))
             }
         };
         let f = match result {
@@ -139,7 +139,8 @@
         _ if now >= state.request.deadline => false,
         _ if may_have_run && !state.request.idempotent => false,
         Reason::Deadline if may_have_run => false,
-        Reason::BadRequest | Reason::TooLarge | Reason::Quarantined => false,
+        Reason::BadRequest | Reason::TooLarge | Reason::SlowCaller | Reason::Quarantined => false,
+        _ if !state.is_replayable() => false,
         _ if n.crash_verdict(&state.request) != CrashVerdict::Allowed => false,
         _ if state.tried.len() >= MAX_TRIED_NODES => false,
         _ if state.possible_runs >= state.route.max_attempts.max(1) => false,
--- a/src/sidecar/request/early.rs
+++ b/src/sidecar/request/early.rs
@@ -24,6 +24,6 @@
     }
 
     fn start(&self, request: Request<Empty<Bytes>>) -> ResponseFuture {
-        Box::pin(entry::serve(self.0.clone(), request))
+        Box::pin(entry::serve(self.0.clone(), request.map(|_| None), false))
     }
 }
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -1,8 +1,12 @@
 //! Entry node: finds the route of a caller's request, tries targets one after the other and responds to the caller.
 
-use bytes::Bytes;
+use std::net::IpAddr;
+
+use bytes::{Bytes, BytesMut};
+use http::request::Parts;
 use http::{header, HeaderMap, HeaderValue, Request, Response, Uri};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body as _;
+use http_body_util::BodyExt;
 
 use crate::prelude::*;
 use crate::request::body::{full, Body, BodyError};
@@ -17,7 +21,8 @@
 use crate::sidecar::request::attempt::{RequestState, NOT_READY_BACK_OFF};
 use crate::sidecar::request::attempts::run_attempts;
 use crate::sidecar::request::authenticate::authenticate;
-use crate::sidecar::version::routes::{Route, RouteTable};
+use crate::sidecar::request::upload::{self, upload_len, Upload};
+use crate::sidecar::version::routes::{CallerLimits, Route, RouteTable};
 
 /// Minimum time after which a caller is told to retry, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -28,19 +33,34 @@
 const MEAN_HEAD_BYTES: usize = 250;
 const VERSION_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Serves a request of a caller; the body is read whole before a target is chosen.
-pub async fn serve<B>(n: Arc<Node>, req: Request<B>) -> Response<Body>
+/// Serves a request of a caller at the address `from`.
+pub async fn serve_caller<B>(n: Arc<Node>, req: Request<B>, from: IpAddr) -> Response<Body>
 where
-    B: http_body::Body,
+    B: http_body::Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BodyError>,
 {
+    let own_vm = from.is_loopback() || from == n.settings().listen.caller.ip();
+    let body = |b: B| (!b.is_end_stream()).then(|| b.map_err(Into::into).boxed_unsync());
+    serve(n, req.map(body), !own_vm).await
+}
+
+/// Serves a request of a caller. A large body with an announced length is read as it is sent on; any other is read whole
+/// before a target is chosen. `over_link` says whether it comes over the link of this VM.
+pub(crate) async fn serve(
+    n: Arc<Node>,
+    req: Request<Option<Body>>,
+    over_link: bool,
+) -> Response<Body> {
     let start = n.clock.now();
     let info = n.adapter.caller_info(req.headers());
     let id = info.id.clone().unwrap_or_default();
     let _guard = n.track_request();
-    let mut state = match read_request(&n, req, info, start).await {
+    let (parts, body) = req.into_parts();
+    let mut body = CallerBody { body, over_link };
+    let mut state = match read_request(&n, parts, &mut body, info, start).await {
         Ok(state) => state,
         Err(f) => {
+            body.discard(&n);
             n.metrics
                 .record_request("none", 0, Some(&f), Duration::ZERO);
             log_rejected(&n, &id, &f);
@@ -54,6 +74,9 @@
         true => Err(Failure::not_run(Reason::HeldOff)),
         false => run_attempts(&n, &mut state).await,
     };
+    if let Some(upload) = state.upload.take() {
+        upload.discard(&n, body_limits(&n).idle_timeout);
+    }
     let now = n.clock.now();
     let elapsed = now.saturating_sub(start);
     let (name, rank) = (&state.route.name, state.route.rank);
@@ -179,23 +202,19 @@
         .unwrap_or_default()
 }
 
-/// Finds the route of a request and reads its whole body.
-async fn read_request<B>(
+/// Finds the route of a request and reads its body, unless that is an upload.
+async fn read_request(
     n: &Arc<Node>,
-    req: Request<B>,
+    parts: Parts,
+    body: &mut CallerBody,
     info: CallerInfo,
     start: Now,
-) -> Result<RequestState, Failure>
-where
-    B: http_body::Body,
-    B::Error: Into<BodyError>,
-{
+) -> Result<RequestState, Failure> {
     let table = wait_for_version(n).await?;
-    let (parts, body) = req.into_parts();
     let (host, path) = (host(&parts.headers, &parts.uri), parts.uri.path());
     let (table, route, tenant) = authenticate(n, table, host, path, info.key.as_ref()).await?;
     let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
-    let body = read_body(body, table.limits.body_bytes, remaining).await?;
+    let (body, upload) = body.take(n, table.limits.body_bytes, remaining).await?;
     let service = n
         .traffic_split()
         .next(&route.name, &route.services)
@@ -235,6 +254,7 @@
             headers,
             body,
         },
+        upload,
         version: table.number,
         route,
         tried: Vec::new(),
@@ -266,20 +286,68 @@
     route.objective.saturating_sub(spent)
 }
 
-async fn read_body<B>(body: B, max: usize, remaining: Duration) -> Result<Bytes, Failure>
-where
-    B: http_body::Body,
-    B::Error: Into<BodyError>,
-{
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
+/// Limits on bodies of callers, from the version in force.
+fn body_limits(n: &Node) -> CallerLimits {
+    let table = n.routes.load();
+    table.as_ref().map(|t| t.limits.clone()).unwrap_or_default()
+}
+
+/// Body of a caller's request; `None` if it is empty or was taken.
+struct CallerBody {
+    body: Option<Body>,
+    over_link: bool,
+}
+
+impl CallerBody {
+    /// Takes the body of a request that may run: whole, or as an upload if it announces that it is large.
+    async fn take(
+        &mut self,
+        n: &Node,
+        max: usize,
+        remaining: Duration,
+    ) -> Result<(Bytes, Option<Arc<Upload>>), Failure> {
+        let fits = |b: &mut Body| b.size_hint().lower() <= max as u64;
+        if self.body.is_none() {
+            return Ok((Bytes::new(), None));
+        }
+        let body = self.body.take_if(fits);
+        let body = body.ok_or(Failure::not_run(Reason::TooLarge))?;
+        match upload_len(&body) {
+            Some(len) => {
+                let upload = Upload::new(body, len, &n.upload_room, self.over_link);
+                Ok((Bytes::new(), Some(Arc::new(upload))))
+            }
+            None => Ok((read_body(body, max, remaining).await?, None)),
+        }
+    }
+
+    /// Discards a body that was not read, in the background.
+    fn discard(&mut self, n: &Arc<Node>) {
+        if let Some(body) = self.body.take() {
+            let limits = body_limits(n);
+            upload::discard(n, body, limits.body_bytes, limits.idle_timeout);
+        }
     }
-    match tokio::time::timeout(remaining, Limited::new(body, max).collect()).await {
-        Ok(Ok(b)) => Ok(b.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Failure::not_run(Reason::TooLarge))
+}
+
+async fn read_body(body: Body, max: usize, remaining: Duration) -> Result<Bytes, Failure> {
+    let read = tokio::time::timeout(remaining, read_frames(body, max)).await;
+    read.unwrap_or(Err(Failure::not_run(Reason::SlowCaller)))
+}
+
+async fn read_frames(mut body: Body, max: usize) -> Result<Bytes, Failure> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Failure::not_run(Reason::BadRequest))?;
+        let data = frame.into_data().unwrap_or_default();
+        if whole.len() + data.len() > max {
+            return Err(Failure::not_run(Reason::TooLarge));
+        }
+        match whole.is_empty() {
+            // Most bodies have one frame, which is not copied.
+            true => whole = data.into(),
+            false => whole.extend_from_slice(&data),
         }
-        Ok(Err(_)) => Err(Failure::not_run(Reason::BadRequest)),
-        Err(_) => Err(Failure::not_run(Reason::SlowCaller)),
     }
+    Ok(whole.freeze())
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -38,6 +38,7 @@
         slowdown_pct: 100,
         failed_pct: 0,
         limit: None,
+        inbound_ms: 0,
     }
 }
 
@@ -48,6 +49,7 @@
         rank: 1,
         until_due: ms(300),
         remaining: ms(800),
+        upload: false,
         excluded,
     }
 }
--- /dev/null
+++ b/tests/sidecar_inbound.rs
@@ -0,0 +1,409 @@
+//! Admission of large request bodies to a VM's link, played on a simulated link without a network.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use dragonflyquay::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
+use dragonflyquay::sidecar::process::inbound::{Full, Inbound, Offer, Turn};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Width of the simulated link, in Mbit/s.
+const MBPS: f64 = 10.0;
+/// Part of the width that is granted, as on a real link.
+const USABLE_FRACTION: f64 = 0.95;
+/// Time from a grant until the piece reaches the link of the receiver: a round trip between zones.
+const ROUND_TRIP: Duration = Duration::from_micros(2800);
+/// Latency objective of the uploads.
+const OBJECTIVE: Duration = Duration::from_millis(1500);
+/// Time for which the target runs an upload.
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// Size of a small message.
+const SMALL_BYTES: usize = 400;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn link_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 * 8.0 / (MBPS * 1e6))
+}
+
+fn new_inbound() -> Inbound {
+    Inbound::new(USABLE_FRACTION * MBPS)
+}
+
+fn offer(now: Duration, rank: usize, bytes: usize) -> Offer {
+    Offer {
+        urgency: Urgency {
+            rank,
+            due: now + OBJECTIVE,
+        },
+        bytes,
+        deadline: now + 2 * OBJECTIVE,
+        objective: OBJECTIVE,
+        service_time: SERVICE_TIME,
+        max_wait: None,
+    }
+}
+
+/// An upload that was admitted.
+struct Upload {
+    id: u64,
+    rank: usize,
+    bytes: usize,
+    arrived: usize,
+    due: Duration,
+    begun: Duration,
+    /// Time of the arrival of the last byte.
+    whole: Option<Duration>,
+    /// Whether it was given up because it could not arrive in time.
+    given_up: bool,
+}
+
+impl Upload {
+    fn ended(&self) -> bool {
+        self.whole.is_some() || self.given_up
+    }
+}
+
+/// A receiver and its link. Every piece that was granted reaches the link after a round trip and waits for what is
+/// before it.
+struct SimulatedLink {
+    inbound: Inbound,
+    now: Duration,
+    /// Time at which the link has delivered everything that has reached it.
+    clear_at: Duration,
+    /// Pieces on their way to the link: time, upload and size.
+    sent: VecDeque<(Duration, usize, usize)>,
+    /// Pieces in the link: time of arrival, upload and size.
+    queued: VecDeque<(Duration, usize, usize)>,
+    uploads: Vec<Upload>,
+    rejected: Vec<Duration>,
+    longest_small_wait: Duration,
+}
+
+impl SimulatedLink {
+    fn new() -> Self {
+        Self {
+            inbound: new_inbound(),
+            now: Duration::ZERO,
+            clear_at: Duration::ZERO,
+            sent: VecDeque::new(),
+            queued: VecDeque::new(),
+            uploads: Vec::new(),
+            rejected: Vec::new(),
+            longest_small_wait: Duration::ZERO,
+        }
+    }
+
+    /// Offers an upload. Returns its index if it was admitted.
+    fn offer(&mut self, rank: usize, bytes: usize) -> Result<usize, Full> {
+        let offer = offer(self.now, rank, bytes);
+        let id = self
+            .inbound
+            .admit(self.now, &offer)
+            .inspect_err(|_| self.rejected.push(self.now))?;
+        self.uploads.push(Upload {
+            id,
+            rank,
+            bytes,
+            arrived: 0,
+            due: offer.urgency.due,
+            begun: self.now,
+            whole: None,
+            given_up: false,
+        });
+        Ok(self.uploads.len() - 1)
+    }
+
+    fn enter(&mut self, bytes: usize) -> Duration {
+        self.clear_at = self.clear_at.max(self.now) + link_time(bytes);
+        self.clear_at
+    }
+
+    /// A small message of another node, which the link delivers behind what is in it.
+    fn send_small(&mut self) {
+        let wait = self.clear_at.saturating_sub(self.now);
+        self.longest_small_wait = self.longest_small_wait.max(wait);
+        self.enter(SMALL_BYTES);
+        self.inbound.record_received(self.now, SMALL_BYTES);
+    }
+
+    fn cancel(&mut self, i: usize) {
+        self.inbound.end(self.uploads[i].id);
+        self.uploads[i].given_up = true;
+        self.sent.retain(|(_, upload, _)| *upload != i);
+    }
+
+    /// Plays one millisecond.
+    fn step(&mut self) {
+        while let Some((_, i, bytes)) = self.sent.pop_front_if(|(at, ..)| *at <= self.now) {
+            let arrival = self.enter(bytes);
+            self.queued.push_back((arrival, i, bytes));
+        }
+        while let Some((at, i, bytes)) = self.queued.pop_front_if(|(at, ..)| *at <= self.now) {
+            self.inbound.arrived(self.now, self.uploads[i].id, bytes);
+            self.uploads[i].arrived += bytes;
+            if self.uploads[i].arrived == self.uploads[i].bytes {
+                self.uploads[i].whole = Some(at);
+                self.inbound.end(self.uploads[i].id);
+            }
+        }
+        for i in 0..self.uploads.len() {
+            if self.uploads[i].ended() {
+                continue;
+            }
+            match self.inbound.take_turn(self.now, self.uploads[i].id) {
+                Turn::Grant(bytes) => self.sent.push_back((self.now + ROUND_TRIP, i, bytes)),
+                // The receiver asks for no turn once all was granted.
+                Turn::TooLate if !self.is_granted(i) => self.cancel(i),
+                Turn::TooLate | Turn::Wait(_) => {}
+            }
+        }
+        self.now += ms(1);
+    }
+
+    /// Whether all of an upload was granted.
+    fn is_granted(&self, i: usize) -> bool {
+        let pieces = self.sent.iter().chain(&self.queued);
+        let in_flight: usize = pieces.filter(|(_, u, _)| *u == i).map(|(.., n)| n).sum();
+        self.uploads[i].arrived + in_flight == self.uploads[i].bytes
+    }
+
+    /// Plays uploads that need this multiple of the width, with small messages in between.
+    fn play(&mut self, rng: &mut SmallRng, load: f64, duration: Duration) {
+        let end = self.now + duration;
+        let mean_interval = link_time(60_000).as_secs_f64() / load;
+        let mut next = self.now;
+        while self.now < end {
+            while next <= self.now {
+                // Sizes from 12 KB to 108 KB, and now and then the largest one: 60 KB on average.
+                let bytes = match rng.random::<f64>() < 0.03 {
+                    true => 360_000,
+                    false => 12_000 + (rng.random::<f64>() * 78_000.0) as usize,
+                };
+                let _ = self.offer(1, bytes);
+                next += Duration::from_secs_f64(
+                    -mean_interval * (1.0 - rng.random::<f64>()).max(1e-9).ln(),
+                );
+            }
+            if self.now.as_millis().is_multiple_of(10) {
+                self.send_small();
+            }
+            self.step();
+        }
+    }
+}
+
+/// Guards against a burst beyond the width that blocks small messages, fills the link with bodies that arrive too late,
+/// or leaves a backlog behind that keeps rejecting uploads after its end.
+#[test]
+fn service_recovers_within_seconds_after_a_burst() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut link = SimulatedLink::new();
+        link.play(&mut rng, 0.66, ms(3000));
+        let before = link.rejected.len();
+        link.play(&mut rng, 1.5, ms(6000));
+        let burst_end = link.now;
+        link.play(&mut rng, 0.66, ms(8000));
+        while link.uploads.iter().any(|u| !u.ended()) {
+            link.step();
+            assert!(link.now < ms(60_000), "seed {seed}: an upload never ends");
+        }
+        let piece = link_time(PIECE_BYTES);
+        assert!(
+            link.longest_small_wait <= 4 * piece,
+            "seed {seed}: {:?}",
+            link.longest_small_wait
+        );
+        assert_eq!(before, 0, "seed {seed}: rejected without overload");
+        // What was admitted is served in time.
+        let given_up = link.uploads.iter().filter(|u| u.given_up).count();
+        assert!(
+            given_up * 100 <= link.uploads.len(),
+            "seed {seed}: {given_up}"
+        );
+        let late = link.uploads.iter().filter(|u| {
+            let whole = u.whole.unwrap_or_default();
+            whole + SERVICE_TIME > u.due
+        });
+        let late = late.count();
+        assert!(late * 50 <= link.uploads.len(), "seed {seed}: {late}");
+        // The width is used during the burst.
+        let arrived: usize = link
+            .uploads
+            .iter()
+            .filter(|u| u.whole.is_some_and(|t| t >= ms(4000) && t < burst_end))
+            .map(|u| u.bytes)
+            .sum();
+        let used = link_time(arrived).as_secs_f64() / (burst_end - ms(4000)).as_secs_f64();
+        assert!(used > 0.85, "seed {seed}: {used}");
+        // Nothing is rejected from 3 s after the burst on, and nothing is slow from then on.
+        let settled = burst_end + ms(3000);
+        assert!(
+            link.rejected.iter().all(|t| *t < settled),
+            "seed {seed}: rejected {:?} after the burst",
+            link.rejected.last().unwrap().saturating_sub(burst_end)
+        );
+    }
+}
+
+/// Guards against urgent uploads that wait behind less urgent ones, on arrival and while those are being received.
+#[test]
+fn urgent_bodies_go_first() {
+    let mut link = SimulatedLink::new();
+    let low: Vec<usize> = (0..6).map(|_| link.offer(2, 120_000).unwrap()).collect();
+    for _ in 0..100 {
+        link.step();
+    }
+    let urgent = link.offer(0, 60_000).unwrap();
+    while !link.uploads[urgent].ended() {
+        link.step();
+    }
+    let u = &link.uploads[urgent];
+    let time = u.whole.unwrap() - u.begun;
+    // Its own time, what was granted before, and round trips.
+    assert!(time < link_time(60_000).mul_f64(1.2) + ms(40), "{time:?}");
+    let early = low.iter().filter(|i| link.uploads[**i].whole.is_some());
+    assert!(early.count() <= 1);
+    assert_eq!(link.uploads[low[0]].rank, 2);
+    // Within a rank, what is due first arrives first.
+    while link.uploads.iter().any(|u| !u.ended()) {
+        link.step();
+    }
+    let ends: Vec<_> = low.iter().map(|i| link.uploads[*i].whole).collect();
+    assert!(ends.is_sorted(), "{ends:?}");
+}
+
+/// Guards against the width that a cancelled body keeps reserved.
+#[test]
+fn a_cancelled_body_frees_the_width_at_once() {
+    let mut link = SimulatedLink::new();
+    let mut admitted = Vec::new();
+    while let Ok(i) = link.offer(1, 120_000) {
+        admitted.push(i);
+        assert!(admitted.len() < 100);
+    }
+    assert!(link.inbound.backlog(link.now) > ms(1000));
+    link.cancel(admitted[0]);
+    assert!(link.offer(1, 120_000).is_ok());
+    admitted.iter().for_each(|i| link.cancel(*i));
+    assert!(link.inbound.backlog(link.now) < ms(130));
+}
+
+/// Guards against bodies that are read although they cannot arrive in time, and against the rejection of those that can.
+#[test]
+fn what_cannot_arrive_in_time_is_rejected_at_once() {
+    let now = ms(1000);
+    // Bytes, time until the objective and until the deadline, longest wait, and whether it is admitted.
+    let cases = [
+        (60_000, 1500, 3000, None, true),
+        // Takes 1.6 s alone, more than the objective but less than the deadline.
+        (1_700_000, 1500, 3000, None, true),
+        (1_700_000, 1500, 1600, None, false),
+        (60_000, 100, 120, None, false),
+        (60_000, 1500, 3000, Some(10), true),
+    ];
+    for (bytes, due, deadline, max_wait, admitted) in cases {
+        let mut inbound = new_inbound();
+        let offer = Offer {
+            urgency: Urgency {
+                rank: 1,
+                due: now + ms(due),
+            },
+            deadline: now + ms(deadline),
+            max_wait: max_wait.map(ms),
+            ..offer(now, 1, bytes)
+        };
+        assert_eq!(
+            inbound.admit(now, &offer).is_ok(),
+            admitted,
+            "{bytes} {due} {deadline}"
+        );
+    }
+    let mut inbound = new_inbound();
+    for _ in 0..10 {
+        inbound.admit(now, &offer(now, 1, 60_000)).unwrap();
+    }
+    let at_once = Offer {
+        max_wait: Some(ms(75)),
+        ..offer(now, 1, 60_000)
+    };
+    // Another target may have room, so there is no back-off.
+    let full = inbound.admit(now, &at_once).unwrap_err();
+    assert_eq!(full.back_off, ms(0));
+    let large = inbound.admit(now, &offer(now, 1, 1_200_000)).unwrap_err();
+    assert!(large.back_off > ms(0) && large.back_off < ms(600));
+}
+
+/// Guards against a sender that stops half-way and holds up the bodies of others, or whose part of the width stays
+/// reserved.
+#[test]
+fn a_stalled_sender_holds_up_no_other() {
+    let mut inbound = new_inbound();
+    let stalled = inbound.admit(ms(0), &offer(ms(0), 0, 360_000)).unwrap();
+    let other = inbound.admit(ms(0), &offer(ms(0), 1, 60_000)).unwrap();
+    let mut now = ms(0);
+    let mut granted = [0, 0];
+    // The sender of the first body delivers nothing; that of the second one delivers at once.
+    while now < ms(400) {
+        if let Turn::Grant(bytes) = inbound.take_turn(now, stalled) {
+            granted[0] += bytes;
+        }
+        if let Turn::Grant(bytes) = inbound.take_turn(now, other) {
+            granted[1] += bytes;
+            inbound.arrived(now, other, bytes);
+        }
+        now += ms(1);
+    }
+    assert!(granted[0] <= 4 * PIECE_BYTES, "{granted:?}");
+    assert_eq!(granted[1], 60_000);
+    assert!(inbound.backlog(now) < ms(10), "{:?}", inbound.backlog(now));
+    // It goes on once its bytes arrive.
+    inbound.arrived(now, stalled, granted[0]);
+    assert!(matches!(inbound.take_turn(now, stalled), Turn::Grant(_)));
+}
+
+/// Guards against grants that ignore other traffic, and against traffic of the past that delays grants for long.
+#[test]
+fn other_traffic_shares_the_width() {
+    let mut inbound = new_inbound();
+    let now = ms(1000);
+    let id = inbound.admit(now, &offer(now, 1, 360_000)).unwrap();
+    assert!(matches!(inbound.take_turn(now, id), Turn::Grant(_)));
+    inbound.record_received(now, 24_000);
+    match inbound.take_turn(now, id) {
+        Turn::Wait(t) => assert!(t > ms(15) && t < ms(30), "{t:?}"),
+        turn => panic!("{turn:?}"),
+    }
+    // Messages that arrived while nothing was granted used time that has passed.
+    let mut idle = new_inbound();
+    idle.record_received(now, 100_000);
+    assert_eq!(idle.backlog(now), ms(0));
+    // A width that is set too low does not stop the grants.
+    for _ in 0..1000 {
+        idle.record_received(now, 100_000);
+    }
+    assert!(idle.backlog(now) <= ms(100));
+}
+
+/// Guards against memory for bodies that grows with what is announced.
+#[test]
+fn the_memory_of_admitted_bodies_is_bounded() {
+    let mut inbound = Inbound::new(10_000.0);
+    let mut admitted = Vec::new();
+    while let Ok(id) = inbound.admit_local(ms(0), 1 << 20) {
+        admitted.push(id);
+        assert!(admitted.len() < 1000);
+    }
+    let held = inbound.held_bytes();
+    assert!(held <= 16 << 20, "{held}");
+    assert!(inbound.admit(ms(0), &offer(ms(0), 0, 1 << 20)).is_err());
+    inbound.end(admitted[0]);
+    assert!(inbound.admit(ms(0), &offer(ms(0), 0, 1 << 20)).is_ok());
+    // The largest legal body is admitted when there is no other.
+    let mut empty = Inbound::new(10_000.0);
+    assert!(empty.admit(ms(0), &offer(ms(0), 0, 64 << 20)).is_ok());
+}
