Keep rejections of uploads apart from those of other requests

In a burst of uploads, lookups of the same callers were rejected as held-off: a back-off for a full link kept all requests of the rank away from the target, and the fairness between ranks counted the rejections as a lack of slots. Both now concern uploads only. In tests/sidecar_uploads.rs all lookups beside a burst from three nodes are served.

--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -94,6 +94,8 @@
     unreported: f64,
     sent_at: Now,
     back_offs: [BackOff; RANKS],
+    /// Back-offs of large bodies for which the link into the VM has no room.
+    upload_back_offs: [BackOff; RANKS],
     cold_until: Now,
     /// Whether a response of the target said that it is about to stop.
     leaving: bool,
@@ -196,6 +198,16 @@
         }
     }
 
+    /// Remaining back-off for a request.
+    fn back_off(&self, req: &Criteria<'_>, now: Now) -> Duration {
+        let rank = req.rank.min(RANKS - 1);
+        let any = self.back_offs[rank].duration(req.until_due, now);
+        match req.upload {
+            true => any.max(self.upload_back_offs[rank].duration(req.until_due, now)),
+            false => any,
+        }
+    }
+
     /// Requests that the target can run per second.
     fn capacity(&self, now: Now) -> f64 {
         self.slots() / (self.service_time() * self.cold_factor(now))
@@ -328,6 +340,7 @@
                         unreported: 0.0,
                         sent_at: now,
                         back_offs: [BackOff::default(); RANKS],
+                        upload_back_offs: [BackOff::default(); RANKS],
                         cold_until,
                         leaving: false,
                     },
@@ -389,7 +402,7 @@
             if !t.info.ready || !t.info.reachable || t.leaving {
                 continue;
             }
-            let back_off = t.back_offs[req.rank.min(RANKS - 1)].duration(req.until_due, now);
+            let back_off = t.back_off(req, now);
             if !back_off.is_zero() {
                 min_back_off = Some(min_back_off.map_or(back_off, |b| b.min(back_off)));
                 continue;
@@ -452,17 +465,42 @@
         until_due: Duration,
         back_off: Duration,
     ) {
-        let ends = now + back_off.min(MAX_BACK_OFF);
-        let Some(t) = self.targets.get_mut(node) else {
-            return;
-        };
-        for b in &mut t.back_offs[rank.min(RANKS - 1)..] {
-            match b.ends <= now {
-                true => *b = BackOff { ends, until_due },
-                false => {
-                    b.ends = b.ends.max(ends);
-                    b.until_due = b.until_due.max(until_due);
-                }
+        if let Some(t) = self.targets.get_mut(node) {
+            back_off_from(&mut t.back_offs, now, rank, until_due, back_off);
+        }
+    }
+
+    /// Records that the link into the VM of a target had no room for a large body, as
+    /// [`record_rejection`](Self::record_rejection) does. Other requests are not affected.
+    pub fn record_upload_rejection(
+        &mut self,
+        now: Now,
+        node: &NodeId,
+        rank: usize,
+        until_due: Duration,
+        back_off: Duration,
+    ) {
+        if let Some(t) = self.targets.get_mut(node) {
+            back_off_from(&mut t.upload_back_offs, now, rank, until_due, back_off);
+        }
+    }
+}
+
+/// Begins or extends the back-offs of a rank and of the less urgent ones.
+fn back_off_from(
+    back_offs: &mut [BackOff; RANKS],
+    now: Now,
+    rank: usize,
+    until_due: Duration,
+    back_off: Duration,
+) {
+    let ends = now + back_off.min(MAX_BACK_OFF);
+    for b in &mut back_offs[rank.min(RANKS - 1)..] {
+        match b.ends <= now {
+            true => *b = BackOff { ends, until_due },
+            false => {
+                b.ends = b.ends.max(ends);
+                b.until_due = b.until_due.max(until_due);
             }
         }
     }
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -205,6 +205,11 @@
     let rank = state.request.rank;
     let until_due = state.request.due.saturating_sub(now);
     match failure.reason {
+        Reason::LinkFull if state.upload.is_some() => {
+            n.placement()
+                .record_upload_rejection(now, node, rank, until_due, failure.back_off);
+            state.retry_after = shorter_back_off(state.retry_after, failure.back_off);
+        }
         Reason::QueueFull | Reason::RateLimited | Reason::LinkFull | Reason::Declined => {
             n.placement()
                 .record_rejection(now, node, rank, until_due, failure.back_off);
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -74,18 +74,19 @@
         true => Err(Failure::not_run(Reason::HeldOff)),
         false => run_attempts(&n, &mut state).await,
     };
-    if let Some(upload) = state.upload.take() {
-        upload.discard(&n, body_limits(&n).idle_timeout);
-    }
     let now = n.clock.now();
     let elapsed = now.saturating_sub(start);
     let (name, rank) = (&state.route.name, state.route.rank);
     n.metrics
         .record_request(name, rank, result.as_ref().err(), elapsed);
-    if let Some(served) = was_served(&result) {
+    let over_width = state.upload.is_some() && is_over_width(&result);
+    if let Some(served) = was_served(&result).filter(|_| !over_width) {
         n.fairness()
             .record(&state.request.service, rank, served, now);
     }
+    if let Some(upload) = state.upload.take() {
+        upload.discard(&n, body_limits(&n).idle_timeout);
+    }
     match result {
         Ok(response) => {
             if response.status.is_server_error() {
@@ -147,6 +148,12 @@
     }
 }
 
+/// Whether an upload was rejected because links into VMs are full. More slots for its rank would not help it.
+fn is_over_width(result: &Result<TargetResponse, Failure>) -> bool {
+    let reason = result.as_ref().err().map(|f| f.reason);
+    matches!(reason, Some(Reason::LinkFull | Reason::HeldOff))
+}
+
 fn caller_response(
     n: &Arc<Node>,
     request: &TargetRequest,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -314,3 +314,36 @@
     let choice = p.choose(ms(4), &criteria(&[]), &mut rng);
     assert_eq!(choice, Choice::Target(node));
 }
+
+/// Guards against large bodies that go to a target whose link is full while another one has room, and against other
+/// requests that avoid it for that.
+#[test]
+fn uploads_avoid_targets_whose_links_are_full() {
+    let mut p = Placement::new("a".into());
+    let now = ms(1000);
+    for node in ["n0", "n1"] {
+        p.set(&node.into(), info("a"), now);
+    }
+    let busy = Load {
+        inbound_ms: 400,
+        ..load(1, 0)
+    };
+    p.record_load(now, &"n0".into(), busy);
+    p.record_load(now, &"n1".into(), load(1, 0));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut share = |upload: bool, now| {
+        let criteria = Criteria {
+            upload,
+            until_due: ms(1500),
+            remaining: ms(3000),
+            ..criteria(&[])
+        };
+        let chosen = (0..200).map(|_| p.choose(now, &criteria, &mut rng));
+        let full = chosen.filter(|c| *c == Choice::Target("n0".into()));
+        full.count() as f64 / 200.0
+    };
+    assert_eq!(share(true, now), 0.0);
+    assert!(share(false, now) > 0.3);
+    // The link works off what was reported.
+    assert!(share(true, now + ms(450)) > 0.3);
+}
--- a/tests/sidecar_inbound.rs
+++ b/tests/sidecar_inbound.rs
@@ -5,6 +5,7 @@
 
 use dragonflyquay::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
 use dragonflyquay::sidecar::process::inbound::{Full, Inbound, Offer, Turn};
+use dragonflyquay::sidecar::process::target::queue::{Arrival, Queue};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -407,3 +408,43 @@
     let mut empty = Inbound::new(10_000.0);
     assert!(empty.admit(ms(0), &offer(ms(0), 0, 64 << 20)).is_ok());
 }
+
+/// Guards against uploads that are admitted although there will be no slot for them, and against the rejection of those
+/// that get one while their bodies arrive.
+#[test]
+fn a_slot_is_expected_once_the_body_is_there() {
+    let mut q = Queue::default();
+    q.set_slots(ms(0), 2);
+    let arrival = |objective: u64| Arrival {
+        ticket: 1,
+        route: "up".into(),
+        rank: 1,
+        objective: ms(objective),
+        due: ms(objective),
+        deadline: ms(3 * objective),
+        baseline: ms(0),
+        max_wait: None,
+        retry: false,
+        link_backlog: ms(0),
+        transfer: ms(0),
+    };
+    // Objective, time until the body is there, others that arrive before it, and whether it is admitted. Each request
+    // takes 100 ms at one of two slots.
+    let cases = [
+        (1000, 0, 0, true),
+        (1000, 0, 30, false),
+        // 15 of the others are served meanwhile.
+        (1000, 750, 16, true),
+        (1000, 800, 30, false),
+        (1000, 2990, 0, false),
+    ];
+    for (objective, delay, arriving, admitted) in cases {
+        let rejection = q.preview(ms(0), &arrival(objective), ms(delay), arriving);
+        assert_eq!(
+            rejection.is_none(),
+            admitted,
+            "{delay} {arriving} {rejection:?}"
+        );
+    }
+    assert!(q.is_empty());
+}
--- a/tests/sidecar_uploads.rs
+++ b/tests/sidecar_uploads.rs
@@ -312,3 +312,65 @@
         assert!(backlog < ms(200).as_millis() as u64);
     }
 }
+
+/// What the callers of one node got in a burst: the ids and statuses of their uploads.
+fn burst(node: &Node, duration: Duration) -> JoinHandle<Vec<(String, u16)>> {
+    let caller = node.caller;
+    std::thread::spawn(move || {
+        let one = move || {
+            let end = std::time::Instant::now() + duration;
+            let mut results = Vec::new();
+            while std::time::Instant::now() < end {
+                let id = fresh_id();
+                let res = send(caller, &id, "/up/x", "1500", &body(LARGE / 3));
+                results.push((id, res.map_or(0, |r| r.status)));
+                std::thread::sleep(ms(20));
+            }
+            results
+        };
+        let callers: Vec<_> = (0..8).map(|_| std::thread::spawn(one)).collect();
+        callers
+            .into_iter()
+            .flat_map(|c| c.join().unwrap())
+            .collect()
+    })
+}
+
+/// Guards against a burst of uploads from several nodes that blocks pings and small requests of all nodes, so that links
+/// are closed, against untrue rejections, and against service that does not recover.
+#[test]
+fn a_burst_of_uploads_leaves_the_links_usable() {
+    let site = UploadSite::start(4);
+    for n in &site.0.nodes[1..3] {
+        n.target.state.lock().unwrap().reported = "draining";
+    }
+    std::thread::sleep(ms(1100));
+    let entries = &site.0.nodes[..3];
+    let bursts: Vec<_> = entries.iter().map(|n| burst(n, ms(2500))).collect();
+    while !bursts.iter().all(JoinHandle::is_finished) {
+        for n in entries {
+            let res = n.send_as(&fresh_id(), "GET", "/safe/x", "1000");
+            assert_eq!(res.unwrap().status, 200);
+        }
+    }
+    let results: Vec<_> = bursts.into_iter().flat_map(|b| b.join().unwrap()).collect();
+    for (id, status) in &results {
+        let runs = site.received(id).len();
+        match status {
+            200 => assert_eq!(runs, 1, "{id}"),
+            408 | 503 => assert_eq!(runs, 0, "{id} {status}"),
+            _ => assert!(runs <= 1, "{id} {status}"),
+        }
+    }
+    assert!(results.iter().any(|(_, status)| *status == 200));
+    assert!(results.iter().any(|(_, status)| *status == 503));
+    for n in &site.0.nodes {
+        let lost = n.process.lines().iter().any(|l| l.contains("link_lost"));
+        assert!(!lost, "a link was closed");
+    }
+    wait_until("uploads are served again", || {
+        let id = fresh_id();
+        let res = send(site.entry().caller, &id, "/up/x", "9000", &body(LARGE));
+        res.is_some_and(|r| r.status == 200)
+    });
+}
