Count of a stalled upload only what has arrived

Senders that announce large bodies and deliver little took the memory and the room for further attempts that the announced length needs, and kept out other uploads.

--- a/src/sidecar/process/inbound.rs
+++ b/src/sidecar/process/inbound.rs
@@ -29,7 +29,8 @@
 /// Fraction of its latency objective for which a body that can no longer meet it may wait, as for slots.
 const LATE_WAIT_FRACTION: f64 = 0.125;
 /// Bytes of all admitted bodies, which are buffered whole until their requests end. A larger body is admitted only if
-/// there is no other.
+/// there is no other. Of a stalled body only what has arrived counts, so that senders that announce much and deliver
+/// little do not keep out others.
 const MAX_HELD_BYTES: usize = 16 << 20;
 
 /// Id of an admitted body.
@@ -87,6 +88,8 @@
     give_up_at: Now,
     /// Time of the last arrival, or of the first grant after it.
     moved_at: Now,
+    /// Whether it does not come over the link.
+    local: bool,
 }
 
 impl Upload {
@@ -97,6 +100,11 @@
     fn is_stalled(&self, now: Now) -> bool {
         self.in_flight > 0 && now >= self.moved_at + STALLED_AFTER
     }
+
+    /// Bytes that have arrived.
+    fn arrived(&self) -> usize {
+        self.bytes - self.left - self.in_flight
+    }
 }
 
 fn order(u: &Urgency, id: UploadId, now: Now) -> (bool, usize, Now, UploadId) {
@@ -193,12 +201,21 @@
     /// There is no memory for the body.
     pub fn admit_local(&mut self, now: Now, bytes: usize) -> Result<UploadId, Full> {
         let urgency = Urgency { rank: 0, due: now };
-        self.hold(now, urgency, bytes)
+        let id = self.hold(now, urgency, bytes)?;
+        if let Some(u) = self.uploads.last_mut() {
+            u.local = true;
+            u.in_flight = bytes;
+        }
+        Ok(id)
     }
 
     /// Adds a body that needs nothing of the link.
     fn hold(&mut self, now: Now, urgency: Urgency, bytes: usize) -> Result<UploadId, Full> {
-        let held = self.held_bytes();
+        let held = self.uploads.iter().map(|u| match u.is_stalled(now) {
+            true => u.arrived(),
+            false => u.bytes,
+        });
+        let held: usize = held.sum();
         if held > 0 && held + bytes > MAX_HELD_BYTES {
             let back_off = self.duration(bytes);
             return Err(Full { back_off });
@@ -213,6 +230,7 @@
             latest: Now::MAX,
             give_up_at: Now::MAX,
             moved_at: now,
+            local: false,
         });
         Ok(self.last_id)
     }
@@ -257,8 +275,9 @@
             return Turn::TooLate;
         }
         let flowing = self.uploads.iter().filter(|u| !u.is_stalled(now));
-        let in_flight: usize = flowing.map(|u| u.in_flight).sum();
-        if self.first(now) != Some(id) || in_flight + PIECE_BYTES > self.window() {
+        let in_flight = flowing.filter(|u| !u.local).map(|u| u.in_flight);
+        let full = in_flight.sum::<usize>() + PIECE_BYTES > self.window();
+        if self.first(now) != Some(id) || full || self.has_no_memory() {
             return Turn::Wait(CHECK_INTERVAL);
         }
         let lead = self.clear_at.saturating_sub(now);
@@ -278,6 +297,15 @@
         Turn::Grant(bytes)
     }
 
+    /// Whether stalled bodies have gone on, so that there is no memory for more of any.
+    fn has_no_memory(&self) -> bool {
+        let taken = self.uploads.iter().map(|u| match u.local {
+            true => u.arrived(),
+            false => u.arrived() + u.in_flight,
+        });
+        self.uploads.len() > 1 && taken.sum::<usize>() + PIECE_BYTES > MAX_HELD_BYTES
+    }
+
     /// Records that granted bytes of a body have arrived.
     pub fn arrived(&mut self, now: Now, id: UploadId, bytes: usize) {
         if let Some(u) = self.uploads.iter_mut().find(|u| u.id == id) {
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -1,10 +1,12 @@
 //! One attempt of a request: chooses a target, sends the request there and records what the result says.
 
+use bytes::BytesMut;
 use futures_util::FutureExt;
 
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::connection::links::CallResult;
+use crate::sidecar::process::bandwidth::PIECE_BYTES;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::request::admit::{self, AttemptResult, TargetRequest};
@@ -166,13 +168,17 @@
         Ok(transfer) => transfer,
         Err(f) => return AttemptResult::undelivered(f),
     };
-    match upload.read(n, 0, upload.len()).await {
-        Ok(body) => {
-            upload.pass_on();
-            admit_upload::run(n, request.clone(), body, transfer).await
+    let mut body = BytesMut::new();
+    while body.len() < upload.len() {
+        let bytes = PIECE_BYTES.min(upload.len() - body.len());
+        match upload.read(n, body.len(), bytes).await {
+            Ok(part) => body.extend_from_slice(&part),
+            Err(f) => return AttemptResult::undelivered(f),
         }
-        Err(f) => AttemptResult::undelivered(f),
+        transfer.arrived(bytes);
     }
+    upload.pass_on();
+    admit_upload::run(n, request.clone(), body.freeze(), transfer).await
 }
 
 /// Records what the result of an attempt says about the request and about its target.
--- a/src/sidecar/request/upload.rs
+++ b/src/sidecar/request/upload.rs
@@ -20,6 +20,28 @@
 /// few tens of ms.
 const SLOW_CALLER_AFTER: Duration = Duration::from_millis(150);
 
+/// Room for the bytes of uploads that are kept for another attempt.
+struct Kept {
+    room: Arc<Semaphore>,
+    /// Room that is taken; `None` if there was none for a part.
+    permits: Option<OwnedSemaphorePermit>,
+}
+
+impl Kept {
+    /// Takes room for further bytes.
+    fn add(&mut self, bytes: usize) {
+        let Some(permits) = self.permits.as_mut() else {
+            return;
+        };
+        let bytes = u32::try_from(bytes).ok();
+        let more = bytes.and_then(|n| self.room.clone().try_acquire_many_owned(n).ok());
+        match more {
+            Some(more) => permits.merge(more),
+            None => self.permits = None,
+        }
+    }
+}
+
 /// What has been read from the caller.
 struct Reading {
     body: Body,
@@ -27,15 +49,14 @@
     data: BytesMut,
     /// Number of bytes that were dropped.
     start: usize,
+    kept: Kept,
 }
 
 /// A request body with an announced length that is sent in pieces.
 pub(crate) struct Upload {
     len: usize,
     reading: Mutex<Reading>,
-    /// Room for the whole body; without it, the body is dropped as it is sent on.
-    kept: Option<OwnedSemaphorePermit>,
-    /// Whether bytes were dropped.
+    /// Whether bytes were dropped, because there was no room to keep them.
     dropped: AtomicBool,
     /// Whether the current attempt may have passed the whole body on.
     passed_on: AtomicBool,
@@ -57,15 +78,18 @@
 impl Upload {
     /// Wraps a body of which nothing has been read. `room` limits the bytes that are kept over all uploads.
     pub(crate) fn new(body: Body, len: usize, room: &Arc<Semaphore>, over_link: bool) -> Self {
-        let permits = u32::try_from(len).ok();
+        let kept = Kept {
+            room: room.clone(),
+            permits: room.clone().try_acquire_many_owned(0).ok(),
+        };
         Self {
             len,
             reading: Mutex::new(Reading {
                 body,
                 data: BytesMut::new(),
                 start: 0,
+                kept,
             }),
-            kept: permits.and_then(|bytes| room.clone().try_acquire_many_owned(bytes).ok()),
             dropped: AtomicBool::new(false),
             passed_on: AtomicBool::new(false),
             waiting_since: AtomicU64::new(u64::MAX),
@@ -126,10 +150,11 @@
             if self.over_link {
                 n.inbound.record_received(data.len());
             }
+            r.kept.add(data.len());
             r.data.extend_from_slice(&data);
         }
         let at = from.checked_sub(r.start).ok_or(broken)?;
-        if self.kept.is_some() {
+        if r.kept.permits.is_some() {
             return Ok(Bytes::copy_from_slice(&r.data[at..at + bytes]));
         }
         self.dropped.store(true, Ordering::SeqCst);
