Order requests by the rank of their tenant

Cause: only the rank of the route counted, so the requests of an urgent tenant waited behind those of others, and calls of targets, whose routes are no more urgent than those of callers, were refused under overload; the request that made the call then failed after it had occupied a slot.

Change: the rank of a tenant replaces that of the route. Where callers authenticate, requests without a tenant are calls of targets and go first. Deployments without tenants keep the ranks of their routes.

Test: ranks_of_tenants_come_before_those_of_routes.

--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -34,6 +34,8 @@
     /// Large body of the request, which is read as it is sent on; the body of `request` is empty then.
     pub(crate) upload: Option<Arc<Upload>>,
     pub(crate) route: Arc<Route>,
+    /// Rank of the request before [`Fairness`](crate::sidecar::process::routing::fairness::Fairness) changes it.
+    pub(crate) rank: usize,
     /// Version that the route is from.
     pub(crate) version: VersionNumber,
     /// Nodes that the request was sent to, except those in `full`.
@@ -112,7 +114,7 @@
     state.request.retry = state.sent > 0;
     n.placement().record_sent(&node, now);
     let hop = n.hop(&node);
-    n.metrics.record_attempt(state.route.rank, hop);
+    n.metrics.record_attempt(state.rank, hop);
     // The attempt may be cancelled at any time, so the request counts as run until the result says otherwise.
     state.sent += 1;
     state.possible_runs += 1;
@@ -133,7 +135,7 @@
                 .record_service_time(&node, &state.request.route, response.service_time);
         }
         let elapsed = n.clock.now().saturating_sub(now);
-        n.metrics.record_response(state.route.rank, hop, elapsed);
+        n.metrics.record_response(state.rank, hop, elapsed);
     }
     record_result(n, state, &node, &result);
     Ok(CallResult::Done(result))
--- a/src/sidecar/request/attempts.rs
+++ b/src/sidecar/request/attempts.rs
@@ -144,6 +144,6 @@
         _ if n.crash_verdict(&state.request) != CrashVerdict::Allowed => false,
         _ if state.tried.len() >= MAX_TRIED_NODES => false,
         _ if state.possible_runs >= state.route.max_attempts.max(1) => false,
-        _ => state.sent == 0 || n.take_retry(&state.request.service, state.route.rank, now),
+        _ => state.sent == 0 || n.take_retry(&state.request.service, state.rank, now),
     }
 }
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -67,16 +67,14 @@
             return failure_response(&n, &f, &id, NOT_READY_BACK_OFF);
         }
     };
-    let shed = n
-        .fairness()
-        .must_shed(&state.request.service, state.route.rank);
+    let shed = n.fairness().must_shed(&state.request.service, state.rank);
     let result = match shed {
         true => Err(Failure::not_run(Reason::HeldOff)),
         false => run_attempts(&n, &mut state).await,
     };
     let now = n.clock.now();
     let elapsed = now.saturating_sub(start);
-    let (name, rank) = (&state.route.name, state.route.rank);
+    let (name, rank) = (&state.route.name, state.rank);
     n.metrics
         .record_request(name, rank, result.as_ref().err(), elapsed);
     let over_width = state.upload.is_some() && is_over_width(&result);
@@ -126,7 +124,8 @@
             ("route", &request.route),
             ("service", &request.service),
             ("version", &state.version.to_string()),
-            ("rank", &state.route.rank.to_string()),
+            ("rank", &state.rank.to_string()),
+            ("tenant", &request.tenant),
             ("as_rank", &request.rank.to_string()),
             ("outcome", outcome),
             ("reason", reason),
@@ -234,16 +233,16 @@
     if !table.tenants.is_empty() {
         n.adapter.strip_key(&mut headers);
     }
-    n.count_request(&service, route.rank, start);
-    let rank = n.fairness().effective_rank(&service, route.rank);
+    let rank = table.rank(&route, tenant.as_deref());
+    n.count_request(&service, rank, start);
     Ok(RequestState {
         request: TargetRequest {
             id: info.id.ok_or(Failure::not_run(Reason::BadRequest))?,
             route: route.name.clone(),
-            service,
+            service: service.clone(),
             caller: n.service.clone(),
             tenant: tenant.map_or_else(TenantId::default, |t| t.name.clone()),
-            rank,
+            rank: n.fairness().effective_rank(&service, rank),
             idempotent: route.idempotent,
             objective: route.objective,
             due: start + until_due(&route, remaining),
@@ -264,6 +263,7 @@
         upload,
         version: table.number,
         route,
+        rank,
         tried: Vec::new(),
         full: Vec::new(),
         sent: 0,
--- a/src/sidecar/version/routes.rs
+++ b/src/sidecar/version/routes.rs
@@ -152,6 +152,17 @@
         list.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Rank of the requests of a tenant to a route: that of the tenant, or of the route if there is no tenant. Where
+    /// callers authenticate, requests without a tenant are calls of targets. They go first, because a call that is refused
+    /// wastes the slot that the calling request occupies.
+    pub fn rank(&self, route: &Route, tenant: Option<&Tenant>) -> usize {
+        match tenant {
+            Some(t) => t.rank,
+            None if self.tenants.is_empty() => route.rank,
+            None => 0,
+        }
+    }
+
     /// Names of the routes of all hosts.
     pub fn route_names(&self) -> HashSet<&str> {
         let all = self.hosts.values().flatten();
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -2,6 +2,7 @@
 
 mod property;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dragonflyquay::request::reason::Reason;
@@ -14,7 +15,7 @@
 use dragonflyquay::sidecar::process::routing::budget::{RetryBudget, RetryLimits};
 use dragonflyquay::sidecar::process::routing::fairness::{Fairness, MIN_RELATIVE_SHARE};
 use dragonflyquay::sidecar::process::target::queue::{Action, Arrival, Queue};
-use dragonflyquay::sidecar::version::routes::{Route, RouteTable, WeightedService};
+use dragonflyquay::sidecar::version::routes::{Route, RouteTable, Tenant, WeightedService};
 use property::run;
 use proptest::prelude::*;
 
@@ -376,6 +377,24 @@
     }
 }
 
+/// Guards against ranks of routes that override those of tenants, and against calls of targets that wait behind the
+/// requests of tenants.
+#[test]
+fn ranks_of_tenants_come_before_those_of_routes() {
+    let mut table = RouteTable::new(1, vec![("h".into(), route("/a/", "x"))]);
+    let route = table.route("h", "/a/b").unwrap().clone();
+    let tenant = Tenant {
+        name: "t".into(),
+        rank: 2,
+        rate: 0.0,
+        burst: 0.0,
+    };
+    assert_eq!(table.rank(&route, None), route.rank);
+    table.tenants.insert("t".into(), Arc::new(tenant.clone()));
+    assert_eq!(table.rank(&route, Some(&tenant)), 2);
+    assert_eq!(table.rank(&route, None), 0);
+}
+
 /// Guards against a match of a shorter prefix instead of a longer one, or of a route of another host.
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
