Apply the quotas of tenants over all nodes

Cause: versions hold the rate and the burst of a tenant, but no node applied them.

Change: up to eight nodes of each tenant, spread over the zones, each own a fixed part of its quota as a token bucket and lend rate and units of it to the nodes at which the requests arrive. No part has two owners, so the sum is bounded in partitions, too. The entry node takes a unit after authentication and before the body; above the quota it answers 429 with the time at which there should be room. A request that provably did not run returns its unit. Settings quota_window_s, quota_overage, quota_slack.

--- a/src/platform/adapter.rs
+++ b/src/platform/adapter.rs
@@ -203,6 +203,7 @@
         (Outcome::NotRun, Reason::BadRequest) => StatusCode::BAD_REQUEST,
         (Outcome::NotRun, Reason::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
         (Outcome::NotRun, Reason::SlowCaller) => StatusCode::REQUEST_TIMEOUT,
+        (Outcome::NotRun, Reason::Quota) => StatusCode::TOO_MANY_REQUESTS,
         (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, Reason::Deadline) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -112,11 +112,13 @@
     UnknownKey,
     /// The API key is unknown, and the configuration version could not be confirmed to be current.
     Unconfirmed,
+    /// The tenant has used up its quota.
+    Quota,
 }
 
 impl Reason {
     /// Every reason, for the parsing of headers.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
@@ -149,6 +151,7 @@
         Self::Draining,
         Self::UnknownKey,
         Self::Unconfirmed,
+        Self::Quota,
     ];
 
     /// Parses the value of [`REASON`]; `None` if it is unknown.
@@ -205,6 +208,7 @@
             Self::Unproven => "unproven",
             Self::UnknownKey => "unknown-key",
             Self::Unconfirmed => "unconfirmed",
+            Self::Quota => "quota",
         }
     }
 }
@@ -257,6 +261,7 @@
             (Reason::SlowCaller, _) => StatusCode::REQUEST_TIMEOUT,
             (Reason::Unproven, _) => StatusCode::FORBIDDEN,
             (Reason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+            (Reason::Quota, _) => StatusCode::TOO_MANY_REQUESTS,
             (Reason::BadResponse, _) => StatusCode::BAD_GATEWAY,
             (_, Outcome::Unknown) | (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -383,12 +383,13 @@
     let limits = &s.limits;
     let sidecar = &s.sidecar;
     // The ranges reject values in a wrong unit, such as seconds instead of milliseconds.
-    let ranges: [(&str, u64, RangeInclusive<u64>); 13] = [
+    let ranges: [(&str, u64, RangeInclusive<u64>); 14] = [
         ("sidecar.heartbeat_ms", sidecar.heartbeat_ms, 10..=600_000),
         ("sidecar.drain_ms", sidecar.drain_ms, 0..=600_000),
         ("sidecar.apply_ms", sidecar.apply_ms, 500..=600_000),
         ("sidecar.grace_s", sidecar.grace_s, 1..=600),
         ("sidecar.budget_window_s", sidecar.budget_window_s, 1..=3600),
+        ("sidecar.quota_window_s", sidecar.quota_window_s, 1..=3600),
         ("node.threads", s.node.threads as u64, 1..=64),
         ("store.timeout_ms", s.store.timeout_ms, 10..=60_000),
         ("limits.connections", limits.connections as u64, 1..=65_536),
@@ -419,6 +420,8 @@
     for (location, value) in [
         ("sidecar.budget_ratio", sidecar.budget_ratio),
         ("sidecar.budget_least", sidecar.budget_least),
+        ("sidecar.quota_overage", sidecar.quota_overage),
+        ("sidecar.quota_slack", sidecar.quota_slack),
     ] {
         if !(0.0..=1e6).contains(&value) {
             f.add(
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -11,6 +11,7 @@
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::process::fleet::members::NodeRecord;
 use crate::sidecar::process::fleet::target_history::KnownTarget;
+use crate::sidecar::process::quota::{UnitAsk, UnitGrant};
 use crate::sidecar::process::routing::crash_suspects::{CrashedRequest, Fingerprint};
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
@@ -200,6 +201,13 @@
     /// The version in force is the payload, as a patch of the version given here, or whole for 0.
     #[serde(rename = "w")]
     Config(VersionNumber),
+    /// Reports what the sender has borrowed of the quotas of tenants, and asks for more; carries the incarnation of the
+    /// sender.
+    #[serde(rename = "u")]
+    QuotaAsk(u64, Vec<UnitAsk>),
+    /// Lends parts of the quotas of tenants; carries the incarnation of the sender.
+    #[serde(rename = "r")]
+    QuotaGrant(u64, Vec<UnitGrant>),
 }
 
 impl Head {
@@ -226,6 +234,7 @@
             | Self::DepartureKept(_)
             | Self::Crash(_)
             | Self::NoSuspect(_) => "state",
+            Self::QuotaAsk(..) | Self::QuotaGrant(..) => "quota",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
     }
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -243,6 +243,7 @@
             }
         }
         Head::KnownTargets(known) => n.on_known_targets(known),
+        Head::QuotaGrant(process, grants) => n.on_quota_grants(&link.node, *process, grants),
         Head::DepartureKept(known) => n.on_departure_kept(&link.node, known),
         Head::Config(base) => n.on_peer_config(&link.node, *base, message.payload),
         _ => return Err("unexpected message".into()),
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -70,6 +70,13 @@
         lock(&self.open).contains_key(node)
     }
 
+    /// Whether a link from this node to `node` is open and its peer responds.
+    pub fn is_responsive(&self, node: &str) -> bool {
+        let open = lock(&self.open);
+        open.get(node)
+            .is_some_and(|l| l.responsive.load(Ordering::SeqCst))
+    }
+
     /// Number of open links that this node opened.
     pub fn len(&self) -> usize {
         lock(&self.open).len()
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -146,6 +146,12 @@
                     let _ = tx.try_send(Message::without_payload(kept));
                 }
             }
+            Head::QuotaAsk(process, asks) => {
+                let answer = peer.get().and_then(|p| n.on_quota_asks(p, *process, asks));
+                if let Some(answer) = answer {
+                    let _ = tx.try_send(answer);
+                }
+            }
             Head::GetConfig(held) => {
                 let request = ConfigRequest {
                     reply: tx.clone(),
--- a/src/sidecar/process/fleet/members.rs
+++ b/src/sidecar/process/fleet/members.rs
@@ -94,6 +94,12 @@
         self.nodes.get(node).map(|m| &m.record)
     }
 
+    /// Ids and zones of the other nodes.
+    pub fn zones(&self) -> impl Iterator<Item = (NodeId, Az)> + '_ {
+        let nodes = self.nodes.iter();
+        nodes.map(|(id, m)| (id.clone(), m.record.az.clone()))
+    }
+
     fn merge(&mut self, record: NodeRecord, in_store: bool, now: Now) -> Option<MemberChange> {
         if record.node == self.own {
             return None;
--- a/src/sidecar/process/fleet/peers.rs
+++ b/src/sidecar/process/fleet/peers.rs
@@ -87,6 +87,7 @@
 
     /// Merges a record that another node sent on a link.
     pub fn on_peer_record(self: &Arc<Self>, record: NodeRecord) {
+        self.quotas().on_process(&record.node, record.incarnation);
         let change = self.members().merge_received(record, self.clock.now());
         if let Some(change) = change {
             self.apply_change(change);
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -62,6 +62,8 @@
     pub attempt_seconds: HistogramVec,
     /// Delay of requests on links that other nodes opened, beyond the shortest transit.
     pub link_delay_seconds: HistogramVec,
+    /// Units of quotas, by tenant and event.
+    pub quota_units: IntCounterVec,
     /// Number of the version in force; 0 if there is none.
     pub version: IntGauge,
     gauges: SampledGauges,
@@ -131,6 +133,11 @@
                 "Delay of requests on links of other nodes",
                 &["hop"],
             ),
+            quota_units: counter(
+                "dq_sidecar_quota_units_total",
+                "Units of the quotas of tenants",
+                &["tenant", "event"],
+            ),
             version: gauge(
                 r,
                 "dq_sidecar_version_number",
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -22,6 +22,7 @@
 use crate::sidecar::process::fleet::target_history::TargetHistory;
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
 use crate::sidecar::process::metrics::{Hop, Metrics};
+use crate::sidecar::process::quota::driver::QuotaDriver;
 use crate::sidecar::process::routing::budget::RetryBudget;
 use crate::sidecar::process::routing::crash_suspects::CrashSuspects;
 use crate::sidecar::process::routing::fairness::Fairness;
@@ -113,6 +114,8 @@
     pub(crate) crash_suspects: Mutex<CrashSuspects>,
     /// Requests that were lost at the target of this node.
     pub(crate) lost_requests: Mutex<LostRequests>,
+    /// Quotas of tenants.
+    pub(crate) quota: QuotaDriver,
     pub(crate) retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
     pub(crate) rng: Mutex<SmallRng>,
     /// [`Phase`] as a number.
@@ -240,6 +243,11 @@
             && self.members_listed.load(Ordering::SeqCst)
     }
 
+    /// Whether the nodes have been read from the store at least once.
+    pub fn members_listed(&self) -> bool {
+        self.members_listed.load(Ordering::SeqCst)
+    }
+
     /// Path for health probes of the target; `None` while no version is known.
     pub fn health_path(&self) -> Option<SmolStr> {
         let table = self.routes.load();
--- a/src/sidecar/process/sample.rs
+++ b/src/sidecar/process/sample.rs
@@ -2,10 +2,10 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use prometheus::{GaugeVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::prelude::*;
-use crate::process::observe::metrics::{gauge, gauges};
+use crate::process::observe::metrics::{gauge, gauges, register};
 use crate::sidecar::process::node::Node;
 
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -17,6 +17,7 @@
     link_backlog: IntGauge,
     known_nodes: IntGaugeVec,
     ages: IntGaugeVec,
+    quota_rates: GaugeVec,
     log_dropped: IntGauge,
 }
 
@@ -43,6 +44,16 @@
                 "Time since a part of the state was last confirmed",
                 &["of"],
             ),
+            quota_rates: register(
+                r,
+                GaugeVec::new(
+                    Opts::new(
+                        "dq_sidecar_quota_rate",
+                        "Rates of quotas that are lent, per second",
+                    ),
+                    &["tenant", "of"],
+                ),
+            ),
             log_dropped: gauge(
                 r,
                 "dq_sidecar_log_lines_dropped",
@@ -74,6 +85,12 @@
                 .with_label_values(&[confirmation.as_str()])
                 .set(age as i64);
         }
+        self.quota_rates.reset();
+        for (tenant, borrowed, lent) in n.quota_rates() {
+            let rate = |of: &str| self.quota_rates.with_label_values(&[tenant.as_str(), of]);
+            rate("borrowed").add(borrowed);
+            rate("lent").add(lent);
+        }
         self.log_dropped.set(n.log.dropped() as i64);
     }
 }
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -27,6 +27,9 @@
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
 use crate::sidecar::process::metrics::Metrics;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
+use crate::sidecar::process::quota::driver::{self, QuotaDriver};
+use crate::sidecar::process::quota::limits::QuotaBounds;
+use crate::sidecar::process::quota::policy::Quotas;
 use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::sample::{self, LastConfirmed};
 use crate::sidecar::process::stop;
@@ -89,6 +92,12 @@
         Duration::from_millis(s.heartbeat_ms),
         Duration::from_millis(s.drain_ms) / 2,
     );
+    let quotas = Quotas::new(
+        settings.node.id.clone(),
+        settings.node.az.clone(),
+        QuotaBounds::new(s),
+        clock.boot_time(),
+    );
     let metrics = Metrics::default();
     let store = CountedStore::new(store, &metrics.store_calls, &metrics.store_waiting);
     let node = Node {
@@ -125,6 +134,7 @@
         fairness: Mutex::default(),
         crash_suspects: Mutex::default(),
         lost_requests: Mutex::default(),
+        quota: QuotaDriver::new(quotas),
         retry_budgets: Mutex::default(),
         rng: Mutex::new(rand::rngs::SmallRng::seed_from_u64(rand::random())),
         phase: AtomicU8::new(0),
@@ -200,6 +210,7 @@
     tokio::spawn(relay::accept(n.clone(), relay_listener));
     tokio::spawn(control::monitor_target(n.clone()));
     tokio::spawn(sample::log_summaries(n.clone()));
+    tokio::spawn(driver::run(n.clone()));
     let limits = n.settings().limits.clone();
     let p = n.clone();
     let serve = move |req, _| control::serve(p.clone(), req);
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -4,6 +4,7 @@
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::connection::links::CallResult;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::quota::driver::QuotaToken;
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::request::admit::{self, AttemptResult, TargetRequest};
 use crate::sidecar::version::routes::Route;
@@ -26,6 +27,8 @@
 pub(crate) struct RequestState {
     pub(crate) request: TargetRequest,
     pub(crate) route: Arc<Route>,
+    /// Unit of the tenant's quota; `None` if it has none.
+    pub(crate) quota: Option<QuotaToken>,
     /// Version that the route is from.
     pub(crate) version: VersionNumber,
     /// Nodes that the request was sent to, except those in `full`.
@@ -107,6 +110,7 @@
     // The attempt may be cancelled at any time, so the request counts as run until the result says otherwise.
     state.sent += 1;
     state.possible_runs += 1;
+    state.update_quota();
     let result = match node == n.id {
         true => {
             let result = admit::run(n, state.request.clone()).await;
@@ -156,6 +160,7 @@
         return;
     }
     state.possible_runs -= 1;
+    state.update_quota();
     let full = matches!(
         failure.reason,
         Reason::QueueFull | Reason::RateLimited | Reason::LinkFull
@@ -193,6 +198,13 @@
 }
 
 impl RequestState {
+    /// Tells the unit of the quota whether a target may have run the request.
+    fn update_quota(&mut self) {
+        if let Some(q) = &mut self.quota {
+            q.set_may_have_run(self.possible_runs > 0);
+        }
+    }
+
     /// Failure of a request whose deadline passed before the response to its last attempt arrived.
     pub(crate) fn deadline_failure(&mut self) -> Failure {
         if self.sent == 0 {
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -13,6 +13,7 @@
 use crate::sidecar::connection::pool::TargetResponse;
 use crate::sidecar::process::bandwidth::Urgency;
 use crate::sidecar::process::node::{Node, Phase};
+use crate::sidecar::process::quota::driver;
 use crate::sidecar::request::admit::{strip_response, TargetRequest};
 use crate::sidecar::request::attempt::{RequestState, NOT_READY_BACK_OFF};
 use crate::sidecar::request::attempts::run_attempts;
@@ -43,6 +44,10 @@
         Err(f) => {
             n.metrics
                 .record_request("none", 0, Some(&f), Duration::ZERO);
+            if f.reason == Reason::Quota {
+                // Logged by tenant; there may be very many.
+                return failure_response(&n, &f, &id, f.back_off);
+            }
             log_rejected(&n, &id, &f);
             return failure_response(&n, &f, &id, NOT_READY_BACK_OFF);
         }
@@ -150,8 +155,12 @@
 }
 
 fn failure_response(n: &Node, f: &Failure, id: &str, retry_after: Duration) -> Response<Body> {
-    // Without jitter, callers that were rejected together would retry together.
-    let jitter = 0.75 + 0.5 * rand::random::<f64>();
+    // Without jitter, callers that were rejected together would retry together. Before the time of a quota there is no
+    // room, and the times of its rejections differ.
+    let jitter = match f.reason {
+        Reason::Quota => 1.0 + 0.1 * rand::random::<f64>(),
+        _ => 0.75 + 0.5 * rand::random::<f64>(),
+    };
     let retry_after = retry_after
         .max(f.back_off)
         .max(MIN_RETRY_AFTER)
@@ -195,6 +204,10 @@
     let (host, path) = (host(&parts.headers, &parts.uri), parts.uri.path());
     let (table, route, tenant) = authenticate(n, table, host, path, info.key.as_ref()).await?;
     let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
+    let quota = match &tenant {
+        Some(t) => driver::take(n, t, remaining).await?,
+        None => None,
+    };
     let body = read_body(body, table.limits.body_bytes, remaining).await?;
     let service = n
         .traffic_split()
@@ -237,6 +250,7 @@
         },
         version: table.number,
         route,
+        quota,
         tried: Vec::new(),
         full: Vec::new(),
         sent: 0,
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -36,6 +36,12 @@
     pub budget_ratio: f64,
     /// Retries of a service that are always allowed in a window, over all nodes.
     pub budget_least: f64,
+    /// Length of the window in which the requests of a tenant are bounded, in seconds.
+    pub quota_window_s: u64,
+    /// Allowed excess of the requests of a tenant in a window, as a fraction of what its quota allows.
+    pub quota_overage: f64,
+    /// Further allowed excess, in requests.
+    pub quota_slack: f64,
 }
 
 impl Default for SidecarSettings {
@@ -55,6 +61,9 @@
             budget_window_s: 10,
             budget_ratio: 0.1,
             budget_least: 10.0,
+            quota_window_s: 5,
+            quota_overage: 0.1,
+            quota_slack: 20.0,
         }
     }
 }
--- a/src/sidecar/version/routes.rs
+++ b/src/sidecar/version/routes.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use crate::prelude::*;
+use crate::sidecar::process::quota::limits::Quota;
 
 /// Number of ranks; less urgent ones in a document count as the last.
 pub const RANKS: usize = 4;
@@ -158,6 +159,12 @@
         all.map(|r| r.name.as_str()).collect()
     }
 
+    /// Quota of a tenant; `None` if it has none.
+    pub fn quota(&self, tenant: &str) -> Option<Quota> {
+        let tenant = self.tenants.get(tenant)?;
+        Quota::new(tenant.rate, tenant.burst)
+    }
+
     /// Number of routes of all hosts.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
