--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod inbound;
 pub mod metrics;
 pub mod node;
+pub mod quota;
 pub mod routing;
 pub mod sample;
 pub mod start;
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -8,6 +8,7 @@
 use crate::sidecar::connection::links::CallResult;
 use crate::sidecar::process::bandwidth::PIECE_BYTES;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::quota::driver::QuotaToken;
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::request::admit::{self, AttemptResult, TargetRequest};
 use crate::sidecar::request::admit_upload::{self, Source};
@@ -36,6 +37,8 @@
     pub(crate) route: Arc<Route>,
     /// Rank of the request before [`Fairness`](crate::sidecar::process::routing::fairness::Fairness) changes it.
     pub(crate) rank: usize,
+    /// Unit of the tenant's quota; `None` if it has none.
+    pub(crate) quota: Option<QuotaToken>,
     /// Version that the route is from.
     pub(crate) version: VersionNumber,
     /// Nodes that the request was sent to, except those in `full`.
@@ -118,6 +121,7 @@
     // The attempt may be cancelled at any time, so the request counts as run until the result says otherwise.
     state.sent += 1;
     state.possible_runs += 1;
+    state.update_quota();
     let result = match send(n, &node, &state.request, state.upload.as_deref()).await {
         CallResult::Done(result) => result,
         CallResult::Suspected(call) => {
@@ -201,6 +205,7 @@
         return;
     }
     state.possible_runs -= 1;
+    state.update_quota();
     let full = matches!(
         failure.reason,
         Reason::QueueFull | Reason::RateLimited | Reason::LinkFull
@@ -248,6 +253,13 @@
         self.upload.as_ref().is_none_or(|u| u.is_replayable())
     }
 
+    /// Tells the unit of the quota whether a target may have run the request.
+    fn update_quota(&mut self) {
+        if let Some(q) = &mut self.quota {
+            q.set_may_have_run(self.possible_runs > 0);
+        }
+    }
+
     /// Failure of a request whose deadline passed before the response to its last attempt arrived.
     pub(crate) fn deadline_failure(&mut self, now: Now) -> Failure {
         if self.sent == 0 {
@@ -257,7 +269,9 @@
             // No node has the whole body of the last attempt, so it did not run.
             self.sent -= 1;
             self.possible_runs -= 1;
-            return upload.explain(now, Failure::not_run(Reason::Deadline));
+            let failure = upload.explain(now, Failure::not_run(Reason::Deadline));
+            self.update_quota();
+            return failure;
         }
         if let Some(node) = self.tried.last().cloned() {
             self.trace_attempt(&node, NO_RESPONSE);
