Move traffic to a new version in steps that a decider judges

Cause: an operator could only replace targets one by one, and a bad version got requests from all nodes at once.

Change: heartbeats carry the version of a target. Nodes that watch the store watch the operator's keys as a whole and pass orders of rollouts on over links. One decider, elected by compare-and-swap, sends a share of the requests to a few targets of the new version, judges it by failures and slowness relative to the old one on each route, and then moves the rest in two quick steps or rolls back. Each node bounds its own canary requests by a cumulative cap, and the node beside a target refuses what its version may not get. Services without orders are served as before, with the same number of store calls.

--- a/src/platform/adapter.rs
+++ b/src/platform/adapter.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::{header, HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode};
 
-use super::{document, heartbeat};
+use super::{document, heartbeat, rollout};
 use crate::findings::Findings;
 use crate::prelude::*;
 use crate::request::body::{full, Body};
@@ -12,6 +12,7 @@
 use crate::sidecar::adapter::{
     Adapter, CallerInfo, NamedLimit, ResponseInfo, TargetCall, TargetHeaders,
 };
+use crate::sidecar::process::rollout::order::{Order, RolloutStatus};
 use crate::sidecar::process::target::state::TargetId;
 use crate::sidecar::version::routes::{ApiKey, RouteTable};
 
@@ -54,6 +55,8 @@
 
 /// Key of the operator's configuration document.
 const CONFIG_KEY: &str = "op/config";
+/// Prefix of the keys that the operator writes.
+const OPERATOR_PREFIX: &str = "op/";
 const READY_PATH: &str = "/api/ready";
 
 /// Translates the names and formats of the users' platform.
@@ -141,6 +144,30 @@
         CONFIG_KEY
     }
 
+    fn operator_prefix(&self) -> &'static str {
+        OPERATOR_PREFIX
+    }
+
+    fn order_prefix(&self) -> &'static str {
+        rollout::ORDER_PREFIX
+    }
+
+    fn parse_order(&self, key: &str, value: &[u8]) -> Result<Order, String> {
+        rollout::parse_order(key, value)
+    }
+
+    fn rollout_status_key(&self, service: &str) -> String {
+        rollout::status_key(service)
+    }
+
+    fn rollout_status(&self, status: &RolloutStatus) -> Vec<u8> {
+        rollout::write_status(status)
+    }
+
+    fn parse_rollout_status(&self, value: &[u8]) -> Option<RolloutStatus> {
+        rollout::parse_status(value)
+    }
+
     fn parse_config(&self, data: Bytes) -> Result<RouteTable, Findings> {
         document::parse(data)
     }
--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -11,6 +11,8 @@
 const PATH_PREFIX: &str = "/api/instances/";
 /// Maximum length of a target id, in bytes.
 const MAX_ID_BYTES: usize = 128;
+/// Maximum length of the version of a target, in bytes; every node gets it.
+const MAX_VERSION_BYTES: usize = 128;
 
 /// Body of a heartbeat. Unknown fields are ignored.
 #[derive(Debug, Deserialize)]
@@ -26,6 +28,9 @@
     /// Incarnation: start of the target, in ms since 1970; 0 if absent.
     #[serde(default)]
     born: u64,
+    /// Version of the program that the target runs.
+    #[serde(default)]
+    version: Option<SmolStr>,
 }
 
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -69,6 +74,9 @@
                 warm_up: Duration::from_millis(warm_up_ms as u64),
                 incarnation: b.born,
                 seq: b.seq,
+                version: b
+                    .version
+                    .filter(|v| !v.is_empty() && v.len() <= MAX_VERSION_BYTES),
             }))
         }
         Method::DELETE if body.is_empty() => Ok(TargetCall::Stop(id.into(), 0)),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,4 +4,5 @@
 pub mod adapter;
 pub mod document;
 pub mod heartbeat;
+pub mod rollout;
 pub mod store;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -428,6 +428,13 @@
             );
         }
     }
+    if !(0.0..=1.0).contains(&sidecar.exposure_share) {
+        f.add(
+            "sidecar.exposure_share",
+            format!("{} is out of range", sidecar.exposure_share),
+            "use 0 to 1",
+        );
+    }
     if !(0.1..=1e6).contains(&sidecar.link_mbps) {
         f.add(
             "sidecar.link_mbps",
--- a/src/sidecar/adapter.rs
+++ b/src/sidecar/adapter.rs
@@ -7,6 +7,7 @@
 use crate::prelude::*;
 use crate::request::body::Body;
 use crate::request::reason::Failure;
+use crate::sidecar::process::rollout::order::{Order, RolloutStatus};
 use crate::sidecar::process::target::rate_limit::RequestRate;
 use crate::sidecar::process::target::state::{Heartbeat, TargetId};
 use crate::sidecar::version::routes::{ApiKey, RouteTable};
@@ -98,6 +99,22 @@
     ) -> Response<Body>;
     /// Store key of the configuration.
     fn config_key(&self) -> &'static str;
+    /// Prefix of all store keys that the operator writes; that of the configuration begins with it.
+    fn operator_prefix(&self) -> &'static str;
+    /// Prefix of the store keys of orders of rollouts; it begins with [`Adapter::operator_prefix`].
+    fn order_prefix(&self) -> &'static str;
+    /// Parses the order of a rollout.
+    ///
+    /// # Errors
+    ///
+    /// Description of what is wrong with it.
+    fn parse_order(&self, key: &str, value: &[u8]) -> Result<Order, String>;
+    /// Store key of the status of the rollouts of a service.
+    fn rollout_status_key(&self, service: &str) -> String;
+    /// Status document of a rollout.
+    fn rollout_status(&self, status: &RolloutStatus) -> Vec<u8>;
+    /// Parses the status document of a rollout; `None` if it is malformed.
+    fn parse_rollout_status(&self, value: &[u8]) -> Option<RolloutStatus>;
     /// Parses a configuration document, from the store or from another node, and checks it.
     ///
     /// # Errors
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -11,6 +11,8 @@
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::process::fleet::members::NodeRecord;
 use crate::sidecar::process::fleet::target_history::KnownTarget;
+use crate::sidecar::process::rollout::order::News;
+use crate::sidecar::process::rollout::samples::Report;
 use crate::sidecar::process::routing::crash_suspects::{CrashedRequest, Fingerprint};
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
@@ -197,6 +199,12 @@
     /// Requests the version in force; carries the version that the sender holds, 0 for none.
     #[serde(rename = "g")]
     GetConfig(VersionNumber),
+    /// News of a rollout, from its decider or passed on.
+    #[serde(rename = "ro")]
+    Rollout(Box<News>),
+    /// Samples of the target of the sender during a rollout, for its decider.
+    #[serde(rename = "rr")]
+    RolloutReport(Box<Report>),
     /// The version in force is the payload, as a patch of the version given here, or whole for 0.
     #[serde(rename = "w")]
     Config(VersionNumber),
@@ -225,6 +233,8 @@
             | Self::Departure(_)
             | Self::DepartureKept(_)
             | Self::Crash(_)
+            | Self::Rollout(_)
+            | Self::RolloutReport(_)
             | Self::NoSuspect(_) => "state",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -45,6 +45,9 @@
         // The queue is empty.
         let _ = link.outgoing.try_send((0, known));
     }
+    for news in n.rollout_messages() {
+        let _ = link.outgoing.try_send((0, news));
+    }
     // Messages are written by a separate task, because a peer that does not read must not delay the reading of its
     // responses.
     let writer = tokio::spawn(write_messages(
@@ -243,6 +246,7 @@
             }
         }
         Head::KnownTargets(known) => n.on_known_targets(known),
+        Head::Rollout(news) => n.on_rollout_news(news, &link.node),
         Head::DepartureKept(known) => n.on_departure_kept(&link.node, known),
         Head::Config(base) => n.on_peer_config(&link.node, *base, message.payload),
         _ => return Err("unexpected message".into()),
--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -149,6 +149,21 @@
         sent.count()
     }
 
+    /// Sends a message to a few randomly chosen linked nodes.
+    pub(crate) fn send_to_some(&self, count: usize, message: &Message) {
+        let open = lock(&self.open);
+        let first = rand::random_range(0..open.len().max(1));
+        // The map has a random order.
+        for link in open
+            .values()
+            .cycle()
+            .skip(first)
+            .take(count.min(open.len()))
+        {
+            let _ = link.outgoing.try_send((0, message.clone()));
+        }
+    }
+
     /// Pings the peers of all links that have been quiet for a while.
     pub(super) fn ping_all(&self) {
         lock(&self.open)
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -121,6 +121,9 @@
                 if let Some(known) = n.known_targets_message(&record.node) {
                     let _ = tx.try_send(known);
                 }
+                for news in n.rollout_messages() {
+                    let _ = tx.try_send(news);
+                }
                 n.on_peer_record(record.as_ref().clone());
                 n.on_peer_version(&record.node, *version);
                 let _ = peer.set(record.node.clone());
@@ -137,6 +140,14 @@
                 let _ = tx.try_send(Message::without_payload(answer));
             }
             Head::KnownTargets(known) => n.on_known_targets(known),
+            Head::Rollout(news) => {
+                n.on_rollout_news(news, peer.get().map_or("", |p| p));
+            }
+            Head::RolloutReport(report) => {
+                if let Some(peer) = peer.get() {
+                    n.on_rollout_report(peer, report.as_ref().clone());
+                }
+            }
             Head::Crash(crashed) => n.on_crash(crashed),
             Head::NoSuspect(fingerprint) => n.on_no_suspect(*fingerprint),
             Head::Departure(known) => {
--- a/src/sidecar/process/fleet/peers.rs
+++ b/src/sidecar/process/fleet/peers.rs
@@ -24,7 +24,9 @@
                     reachable: own || self.links.is_open(&r.node),
                     id: t.id.clone(),
                     incarnation: t.incarnation,
+                    version: t.version.clone(),
                 };
+                self.on_target_version(&r.service, t.version.as_ref(), now);
                 self.placement().set(&r.node, info, now);
             }
             None => self.placement().remove(&r.node),
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -1,13 +1,15 @@
 //! Prometheus metrics of a sidecar node.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Registry,
+    TextEncoder,
 };
 
 use crate::prelude::*;
-use crate::process::observe::metrics::{counters, gauge, register};
+use crate::process::observe::metrics::{counters, gauge, gauges, register};
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::rollout::decider::Decider;
 use crate::sidecar::process::sample::SampledGauges;
 
 /// Upper bounds of the histogram buckets, in seconds; dense around the usual latency objectives.
@@ -62,6 +64,10 @@
     pub attempt_seconds: HistogramVec,
     /// Delay of requests on links that other nodes opened, beyond the shortest transit.
     pub link_delay_seconds: HistogramVec,
+    /// Rollouts that ended with this node as the decider.
+    pub rollouts: IntCounterVec,
+    rollout_share: IntGaugeVec,
+    rollout_samples: IntGaugeVec,
     /// Number of the version in force; 0 if there is none.
     pub version: IntGauge,
     gauges: SampledGauges,
@@ -131,6 +137,23 @@
                 "Delay of requests on links of other nodes",
                 &["hop"],
             ),
+            rollouts: counter(
+                "dq_sidecar_rollouts_total",
+                "Rollouts that ended with this node as the decider",
+                &["verdict", "reason"],
+            ),
+            rollout_share: gauges(
+                r,
+                "dq_sidecar_rollout_share_percent",
+                "Requests that the decider sends to the new version",
+                &["service"],
+            ),
+            rollout_samples: gauges(
+                r,
+                "dq_sidecar_rollout_samples",
+                "Requests and responses that the decider knows of",
+                &["service", "kind"],
+            ),
             version: gauge(
                 r,
                 "dq_sidecar_version_number",
@@ -168,6 +191,24 @@
         }
     }
 
+    /// Records what the decider of a rollout knows.
+    pub fn record_rollout(&self, service: &str, decider: &Decider) {
+        let share = 100.0 * decider.step().share();
+        let shares = &self.rollout_share;
+        shares.with_label_values(&[service]).set(share as i64);
+        let (samples, bad) = decider.samples();
+        let (old, new) = decider.delivered();
+        for (kind, n) in [
+            ("old", old),
+            ("new", new),
+            ("judged", samples),
+            ("bad", bad),
+        ] {
+            let gauge = self.rollout_samples.with_label_values(&[service, kind]);
+            gauge.set(n as i64);
+        }
+    }
+
     /// Counts an attempt at a target, by rank and hop.
     pub fn record_attempt(&self, rank: usize, hop: Hop) {
         let labels = [rank_label(rank), hop.as_str()];
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod metrics;
 pub mod node;
+pub mod rollout;
 pub mod routing;
 pub mod sample;
 pub mod start;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -22,6 +22,7 @@
 use crate::sidecar::process::fleet::target_history::TargetHistory;
 use crate::sidecar::process::fleet::watchers::{must_watch, WatcherCandidate};
 use crate::sidecar::process::metrics::{Hop, Metrics};
+use crate::sidecar::process::rollout::table::Rollouts;
 use crate::sidecar::process::routing::budget::RetryBudget;
 use crate::sidecar::process::routing::crash_suspects::CrashSuspects;
 use crate::sidecar::process::routing::fairness::Fairness;
@@ -114,6 +115,8 @@
     /// Requests that were lost at the target of this node.
     pub(crate) lost_requests: Mutex<LostRequests>,
     pub(crate) retry_budgets: Mutex<HashMap<ServiceId, RetryBudget>>,
+    /// Orders of rollouts, and what this node does for them.
+    pub(crate) rollouts: Rollouts,
     pub(crate) rng: Mutex<SmallRng>,
     /// [`Phase`] as a number.
     pub(crate) phase: AtomicU8,
@@ -343,6 +346,9 @@
     /// Chooses a target among those known to this node; see [`Placement::choose`].
     pub fn choose(&self, criteria: &Criteria<'_>) -> Choice {
         let now = self.clock.now();
+        if let Some(passes) = self.rollout_passes(criteria.service, now) {
+            return self.choose_by_version(criteria, &passes, now);
+        }
         self.placement()
             .choose(now, criteria, &mut *lock(&self.rng))
     }
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -57,6 +57,8 @@
     pub id: SmolStr,
     /// Incarnation of the target; 0 if unknown.
     pub incarnation: u64,
+    /// Version of the program that the target runs; `None` if unknown.
+    pub version: Option<SmolStr>,
 }
 
 impl TargetInfo {
@@ -331,6 +333,18 @@
         }
     }
 
+    /// Nodes and properties of the targets of a service.
+    pub fn targets_of(&self, service: &str) -> Vec<(NodeId, TargetInfo)> {
+        let nodes = self.services.get(service).map_or(&[][..], |s| &s.nodes);
+        let known = nodes.iter().filter_map(|n| Some((n, self.targets.get(n)?)));
+        known.map(|(n, t)| (n.clone(), t.info.clone())).collect()
+    }
+
+    /// Version of the target of a node; `None` if unknown.
+    pub fn version_of(&self, node: &str) -> Option<SmolStr> {
+        self.targets.get(node).and_then(|t| t.info.version.clone())
+    }
+
     /// Rate limit of a target as last reported; `None` without one.
     pub fn limit(&self, node: &NodeId) -> Option<f32> {
         self.targets.get(node).and_then(|t| t.load.limit)
@@ -361,6 +375,21 @@
     pub fn choose<R>(&self, now: Now, req: &Criteria<'_>, rng: &mut R) -> Choice
     where
         R: Rng,
+    {
+        self.choose_among(now, req, rng, |_, _| true)
+    }
+
+    /// Chooses a target as [`Placement::choose`] does, among those for whose node and properties `allowed` returns true.
+    pub fn choose_among<R, F>(
+        &self,
+        now: Now,
+        req: &Criteria<'_>,
+        rng: &mut R,
+        allowed: F,
+    ) -> Choice
+    where
+        R: Rng,
+        F: Fn(&NodeId, &TargetInfo) -> bool,
     {
         let Some(service) = self.services.get(req.service) else {
             return Choice::None;
@@ -371,7 +400,7 @@
             let Some(t) = self.targets.get(node) else {
                 continue;
             };
-            if !t.info.ready || !t.info.reachable || t.leaving {
+            if !t.info.ready || !t.info.reachable || t.leaving || !allowed(node, &t.info) {
                 continue;
             }
             let back_off = t.back_offs[req.rank.min(RANKS - 1)].duration(req.until_due, now);
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -27,6 +27,8 @@
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
 use crate::sidecar::process::metrics::Metrics;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
+use crate::sidecar::process::rollout::driver;
+use crate::sidecar::process::rollout::table::Rollouts;
 use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::sample::{self, LastConfirmed};
 use crate::sidecar::process::stop;
@@ -126,6 +128,7 @@
         crash_suspects: Mutex::default(),
         lost_requests: Mutex::default(),
         retry_budgets: Mutex::default(),
+        rollouts: Rollouts::default(),
         rng: Mutex::new(rand::rngs::SmallRng::seed_from_u64(rand::random())),
         phase: AtomicU8::new(0),
         in_flight: AtomicUsize::new(0),
@@ -199,6 +202,7 @@
     tokio::spawn(config_server::serve(n.clone(), queues.config_requests));
     tokio::spawn(relay::accept(n.clone(), relay_listener));
     tokio::spawn(control::monitor_target(n.clone()));
+    tokio::spawn(driver::run(n.clone()));
     tokio::spawn(sample::log_summaries(n.clone()));
     let limits = n.settings().limits.clone();
     let p = n.clone();
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -72,6 +72,7 @@
         Ok(_) => {
             n.last_confirmed
                 .record(Confirmation::Heartbeat, n.clock.now());
+            n.on_own_heartbeat(h);
             n.apply_target_state();
             match h.state {
                 ReportedState::Draining => acknowledge_stop(n, &h.id, h.incarnation).await,
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -51,6 +51,8 @@
     pub incarnation: u64,
     /// Incremented with each heartbeat of an incarnation.
     pub seq: u64,
+    /// Version of the program that the target runs; `None` if the heartbeat does not tell it.
+    pub version: Option<SmolStr>,
 }
 
 /// Reason for which a heartbeat or an announced stop was rejected.
@@ -87,6 +89,9 @@
     /// Whether it announced its stop.
     #[serde(default)]
     pub leaving: bool,
+    /// Version of the program that it runs; `None` if unknown.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SmolStr>,
 }
 
 #[derive(Debug)]
@@ -96,6 +101,7 @@
     incarnation: u64,
     seq: u64,
     slots: u32,
+    version: Option<SmolStr>,
     last_heard: Now,
     /// Time until which it accepts requests although it is leaving; `None` if it is not leaving.
     accepts_until: Option<Now>,
@@ -296,6 +302,7 @@
             incarnation: h.incarnation,
             seq: h.seq,
             slots: h.slots.max(1),
+            version: h.version.clone(),
             last_heard: now,
             accepts_until: accepts_until.or(leaving.then_some(drain_end)),
             down_until: None,
@@ -374,6 +381,7 @@
             incarnation: 0,
             seq: 0,
             slots: *slots,
+            version: None,
             last_heard: now,
             accepts_until: None,
             down_until: None,
@@ -454,6 +462,7 @@
             slots: c.slots,
             incarnation: c.incarnation,
             leaving: c.accepts_until.is_some(),
+            version: c.version.clone(),
         })
     }
 }
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -183,7 +183,7 @@
     if n.phase() == Phase::Draining {
         return Err(Failure::not_run(Reason::Draining));
     }
-    if request.service != n.service {
+    if request.service != n.service || !n.rollout_admits() {
         return Err(Failure::not_run(Reason::NotReady));
     }
     let target = n.target();
@@ -194,8 +194,21 @@
     }
 }
 
-/// Sends a request to the target and checks its response.
+/// Runs a request at the target, and counts it for a rollout of the service.
 async fn exchange(
+    n: &Arc<Node>,
+    request: TargetRequest,
+    target: TargetId,
+    slot: Slot,
+) -> AttemptResult {
+    let (route, start) = (request.route.clone(), n.clock.now());
+    let result = send(n, request, target, slot).await;
+    n.count_rollout_sample(&route, &result, n.clock.now().saturating_sub(start));
+    result
+}
+
+/// Sends a request to the target and checks its response.
+async fn send(
     n: &Arc<Node>,
     request: TargetRequest,
     target: TargetId,
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -102,6 +102,7 @@
     state.request.limit = n.placement().limit(&node);
     state.request.retry = state.sent > 0;
     n.placement().record_sent(&node, now);
+    n.on_rollout_sent(&state.request.service, &node);
     let hop = n.hop(&node);
     n.metrics.record_attempt(state.route.rank, hop);
     // The attempt may be cancelled at any time, so the request counts as run until the result says otherwise.
@@ -122,6 +123,11 @@
             }
         },
     };
+    let delivered = match &result {
+        AttemptResult::Response(_) => true,
+        AttemptResult::Failed { delivered, .. } => *delivered,
+    };
+    n.on_rollout_result(&state.request.service, &node, delivered);
     if let AttemptResult::Response(response) = &result {
         let info = n.adapter.response_info(response.status, &response.headers);
         if info.leaving {
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -36,6 +36,13 @@
     pub budget_ratio: f64,
     /// Retries of a service that are always allowed in a window, over all nodes.
     pub budget_least: f64,
+    /// Fraction of the requests that reach a service between the order of a rollout and its time limit which a bad version
+    /// may get.
+    pub exposure_share: f64,
+    /// Requests that a bad version may get in addition.
+    pub exposure_slack: u64,
+    /// Time after the first bad responses of a version after which it gets no more requests, in milliseconds.
+    pub rollback_ms: u64,
 }
 
 impl Default for SidecarSettings {
@@ -55,6 +62,9 @@
             budget_window_s: 10,
             budget_ratio: 0.1,
             budget_least: 10.0,
+            exposure_share: 0.1,
+            exposure_slack: 50,
+            rollback_ms: 5000,
         }
     }
 }
--- a/src/sidecar/version/config.rs
+++ b/src/sidecar/version/config.rs
@@ -10,7 +10,7 @@
 use crate::sidecar::process::node::{ConfigUpdate, Node};
 use crate::sidecar::version::config_server;
 use crate::sidecar::version::patch;
-use crate::store::{Revision, StoreError};
+use crate::store::{Listing, Revision, StoreError};
 
 /// Longest delay after a change before the next watch call, so that one call covers a series of changes.
 const MAX_COALESCE_DELAY: Duration = Duration::from_millis(900);
@@ -82,14 +82,14 @@
 /// Reads the configuration and watches it until a call fails, a restart of the watch is requested, or other nodes watch
 /// instead.
 async fn read_and_watch(n: &Arc<Node>, back_off: &mut Duration) -> Result<(), StoreError> {
-    let key = n.adapter.config_key();
+    let prefix = n.adapter.operator_prefix();
     let mut restart = n.restart_watch.subscribe();
     let watching = n.must_watch();
     let start = n.clock.now();
-    let listing = n.store.list(key).await?;
+    let listing = list_documents(n, *back_off).await?;
     let mut from: Revision = listing.revision;
-    for e in listing.entries.into_iter().filter(|e| e.key == key) {
-        adopt_document(n, e.value.into(), "store");
+    for e in listing.entries {
+        apply_entry(n, &e.key, e.value, e.revision, true);
     }
     n.confirm_version(start);
     if watching {
@@ -99,21 +99,54 @@
         n.set_reaches_store(true);
         let wait = MAX_WATCH_WAIT.mul_f64(0.7 + 0.3 * rand::random::<f64>());
         let changes = tokio::select! {
-            changes = n.store.watch(key, from, wait) => changes?,
+            changes = n.store.watch(prefix, from, wait) => changes?,
             _ = restart.changed() => return Ok(()),
         };
         *back_off = RETRY_BACK_OFF.0;
         from = changes.revision;
-        let events = changes.events.into_iter().filter(|e| e.key == key);
         // Only the latest document of a series matters.
-        if let Some(value) = events.filter_map(|e| e.value).next_back() {
-            adopt_document(n, value.into(), "store");
+        let mut latest: BTreeMap<String, (Revision, Vec<u8>)> = BTreeMap::new();
+        for e in changes.events {
+            if let Some(value) = e.value {
+                latest.insert(e.key, (e.revision, value));
+            }
+        }
+        let changed = latest.contains_key(n.adapter.config_key());
+        for (key, (revision, value)) in latest {
+            apply_entry(n, &key, value, revision, false);
+        }
+        if changed {
             tokio::time::sleep(coalesce_delay(n)).await;
         }
     }
     Ok(())
 }
 
+/// Reads what the operator wrote. If that fails again and again, only the documents that this node uses are read, because
+/// others under the same prefix may be too large to be read in time.
+async fn list_documents(n: &Node, back_off: Duration) -> Result<Listing, StoreError> {
+    if back_off < RETRY_BACK_OFF.1 {
+        return n.store.list(n.adapter.operator_prefix()).await;
+    }
+    let mut listing = n.store.list(n.adapter.config_key()).await?;
+    let orders = n.store.list(n.adapter.order_prefix()).await?;
+    listing.entries.extend(orders.entries);
+    Ok(listing)
+}
+
+/// Applies what the operator wrote under a key; `listed` if it was there when this node began to watch.
+fn apply_entry(n: &Arc<Node>, key: &str, value: Vec<u8>, revision: Revision, listed: bool) {
+    match key {
+        k if k == n.adapter.config_key() => {
+            adopt_document(n, value.into(), "store");
+        }
+        k if k.starts_with(n.adapter.order_prefix()) => {
+            n.on_rollout_order(k, &value, revision, listed);
+        }
+        _ => {}
+    }
+}
+
 fn coalesce_delay(n: &Node) -> Duration {
     let apply_time = Duration::from_millis(n.settings().sidecar.apply_ms);
     apply_time
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -27,6 +27,7 @@
         reachable: true,
         id: format!("t-{az}").into(),
         incarnation: 1,
+        version: None,
     }
 }
 
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -24,6 +24,7 @@
         warm_up: Duration::ZERO,
         incarnation,
         seq,
+        version: None,
     }
 }
 
@@ -173,6 +174,7 @@
         slots: 4,
         incarnation,
         leaving,
+        version: None,
     };
     let mut h = TargetHistory::default();
     h.record(&"n".into(), &state("i", 10, false), ms(0));
