Serve a service whose targets all have the ordered version, and show rollouts in the status

Cause: an order that names the version in use would have held all its targets back until the traffic moves. A deadline that a cold target reports counted as a failure of the version.

Change: a version that is the only one of its service gets all requests at every step but a rollback. Status 504 counts by its time only. The admin API lists rollouts. Nodes of old targets report half as often, and canary silence has a minimum for short rollback times.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -419,6 +419,7 @@
     for (location, value) in [
         ("sidecar.budget_ratio", sidecar.budget_ratio),
         ("sidecar.budget_least", sidecar.budget_least),
+        ("sidecar.exposure_slack", sidecar.exposure_slack),
     ] {
         if !(0.0..=1e6).contains(&value) {
             f.add(
--- a/src/sidecar/process/admin.rs
+++ b/src/sidecar/process/admin.rs
@@ -13,6 +13,7 @@
 use crate::logging;
 use crate::prelude::*;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::rollout::view::View;
 
 type Ctx = RequestContext<Arc<Node>>;
 
@@ -35,6 +36,51 @@
     queued: usize,
     /// Number of requests of callers and of other nodes in progress.
     in_flight: usize,
+    /// Last rollout of each service that has an order.
+    rollouts: Vec<RolloutSummary>,
+}
+
+/// State of a rollout as this node knows it.
+#[derive(Debug, Serialize, JsonSchema)]
+struct RolloutSummary {
+    /// Service whose traffic moves.
+    service: String,
+    /// Version to which it moves.
+    to: String,
+    /// Version of the old targets; `null` if unknown.
+    from: Option<String>,
+    /// Current step: `listed`, `ordered`, `canary`, `move`, `completed` or `rolled-back`.
+    step: &'static str,
+    /// Fraction of the requests of this node that go to the new version now.
+    share: f64,
+    /// Time since the order, in ms.
+    elapsed_ms: u64,
+    /// Time limit of the order, in ms.
+    limit_ms: u64,
+    /// Time since the last news of the decider, in ms; `null` if there were none.
+    silent_ms: Option<u64>,
+    /// Node that decides; empty if none is known.
+    decider: String,
+    /// Term of that node.
+    term: u64,
+}
+
+fn rollouts(n: &Node) -> Vec<RolloutSummary> {
+    let now = n.clock.now();
+    let ms = |since: Now| now.saturating_sub(since).as_millis() as u64;
+    let summary = |v: &View| RolloutSummary {
+        service: v.news().order.service.to_string(),
+        to: v.news().order.to.to_string(),
+        from: v.news().from.as_ref().map(SmolStr::to_string),
+        step: v.news().step.as_str(),
+        share: v.share(now),
+        elapsed_ms: ms(v.started_at()),
+        limit_ms: v.news().order.limit.as_millis() as u64,
+        silent_ms: v.heard_at().map(ms),
+        decider: v.news().decider.to_string(),
+        term: v.news().term,
+    };
+    n.rollout_views(summary)
 }
 
 /// Metrics in the Prometheus text format.
@@ -63,6 +109,7 @@
         target: record.target.map(|t| t.id.to_string()),
         queued: n.slots.len(),
         in_flight: n.in_flight(),
+        rollouts: rollouts(n),
     }))
 }
 
--- a/src/sidecar/process/rollout/calls.rs
+++ b/src/sidecar/process/rollout/calls.rs
@@ -179,7 +179,7 @@
     let s = n.settings();
     let bounds = Bounds {
         share: s.sidecar.exposure_share,
-        slack: s.sidecar.exposure_slack as f64,
+        slack: s.sidecar.exposure_slack,
     };
     let now = n.clock.now();
     let service = news.order.service.clone();
--- a/src/sidecar/process/rollout/driver.rs
+++ b/src/sidecar/process/rollout/driver.rs
@@ -13,8 +13,11 @@
 
 /// Interval at which a running rollout is looked after.
 const TICK: Duration = Duration::from_millis(100);
-/// Interval of the decider's news, and of reports, up to the canary and after it, where exposure grows fast.
+/// Interval of the decider's news, and of reports on the new version, up to the canary and after it, where exposure grows
+/// fast.
 const INTERVALS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(200));
+/// Multiple of the interval at which the nodes of the other targets, which are many, report.
+const OLD_INTERVALS: u32 = 2;
 
 /// Drives the rollouts of this node. Never returns.
 pub async fn run(n: Arc<Node>) {
@@ -69,6 +72,10 @@
 
 /// Lets the decisions of this node go on, if it is the decider. Returns the news to send.
 fn decide(n: &Node, service: &ServiceId) -> Option<News> {
+    let decides = |e: &Entry| e.seat.is_some();
+    if !n.rollout_table().entries.get(service).is_some_and(decides) {
+        return None;
+    }
     let facts = target_facts(n, service);
     let now = n.clock.now();
     let mut table = n.rollout_table();
@@ -131,7 +138,12 @@
         return;
     };
     let news = entry.view.news();
-    let due = now >= entry.reported_at + interval(news.step);
+    let is_new = version.as_ref() == Some(&news.order.to);
+    let interval = match is_new {
+        true => interval(news.step),
+        false => interval(news.step) * OLD_INTERVALS,
+    };
+    let due = now >= entry.reported_at + interval && !(is_new && entry.report.delivered == 0);
     if !due || news.decider.is_empty() || news.step.is_final() {
         return;
     }
--- a/src/sidecar/process/rollout/hooks.rs
+++ b/src/sidecar/process/rollout/hooks.rs
@@ -2,11 +2,13 @@
 
 use std::sync::MutexGuard;
 
+use http::StatusCode;
+
 use crate::prelude::*;
 use crate::request::reason::{Outcome, Reason};
 use crate::sidecar::connection::frame::{Head, Message};
 use crate::sidecar::process::node::{lock, Node};
-use crate::sidecar::process::rollout::order::{News, Order};
+use crate::sidecar::process::rollout::order::{News, Order, Step};
 use crate::sidecar::process::rollout::samples::Report;
 use crate::sidecar::process::rollout::table::{SampleResult, Table};
 use crate::sidecar::process::rollout::view::{Filter, Passes, View};
@@ -108,6 +110,15 @@
         }
     }
 
+    /// Summarizes the rollouts that this node knows.
+    pub(crate) fn rollout_views<T, F>(&self, summarize: F) -> Vec<T>
+    where
+        F: Fn(&View) -> T,
+    {
+        let table = self.rollout_table();
+        table.entries.values().map(|e| summarize(&e.view)).collect()
+    }
+
     /// Messages that tell another node the rollouts that this node knows.
     pub(crate) fn rollout_messages(&self) -> Vec<Message> {
         if !self.rollouts.is_engaged() {
@@ -162,16 +173,30 @@
         self.rollout_table().on_heartbeat(h, now);
     }
 
+    /// Whether all ready targets of a service have the version to which its rollout moves, and the rollout has not gone far
+    /// enough to use them all.
+    fn is_alone(&self, service: &str) -> bool {
+        let table = self.rollout_table();
+        let news = table.entries.get(service).map(|e| e.view.news());
+        let gated = |n: &&News| matches!(n.step, Step::Ordered | Step::Canary(_));
+        let Some(to) = news.filter(gated).map(|n| n.order.to.clone()) else {
+            return false;
+        };
+        drop(table);
+        self.placement().has_only_version(service, &to)
+    }
+
     /// Filters by version for a request of a service; `None` if versions do not matter for it.
     pub(crate) fn rollout_passes(&self, service: &str, now: Now) -> Option<Passes> {
         if !self.rollouts.is_engaged() {
             return None;
         }
         let confirmed_at = self.last_confirmed.last(Confirmation::Version);
+        let alone = self.is_alone(service);
         let table = self.rollout_table();
         let held = table.versions.held(service, confirmed_at, now);
         match table.entries.get(service) {
-            Some(entry) => Some(entry.view.passes(rand::random(), &held, now)),
+            Some(entry) => Some(entry.view.passes(rand::random(), alone, &held, now)),
             None if held.is_empty() => None,
             None => Some(Passes {
                 first: Filter::without_order(held),
@@ -236,9 +261,10 @@
         if !self.rollouts.is_engaged() {
             return true;
         }
+        let alone = self.is_alone(&self.service);
         let table = self.rollout_table();
         let entry = table.entries.get(&self.service);
-        entry.is_none_or(|e| e.view.admits(&self.id, table.own_version()))
+        entry.is_none_or(|e| e.view.admits(&self.id, alone, table.own_version()))
     }
 
     /// Counts the result of a request at the target of this node, unless it did not run.
@@ -252,6 +278,10 @@
             return;
         }
         let sample = match result {
+            // The target reports that the deadline passed: it was slow, perhaps because it is cold.
+            AttemptResult::Response(r) if r.status == StatusCode::GATEWAY_TIMEOUT => {
+                SampleResult::Good
+            }
             AttemptResult::Response(r) if r.status.is_server_error() => SampleResult::Failed,
             AttemptResult::Response(_) => SampleResult::Good,
             AttemptResult::Failed {
--- a/src/sidecar/process/rollout/view.rs
+++ b/src/sidecar/process/rollout/view.rs
@@ -12,6 +12,8 @@
 /// Part of the rollback time without news after which no requests go to the new version: a rollback may have been
 /// missed, and requests that were sent before must arrive in time.
 const CANARY_SILENCE_PART: f64 = 0.5;
+/// Shortest such time; news arrive twice a second.
+const MIN_CANARY_SILENCE: Duration = Duration::from_millis(1200);
 
 /// Targets that a request may use.
 #[derive(Debug, Clone, PartialEq)]
@@ -94,7 +96,9 @@
             heard_at: None,
             credit,
             moved: false,
-            max_silence: rollback_time.mul_f64(CANARY_SILENCE_PART),
+            max_silence: rollback_time
+                .mul_f64(CANARY_SILENCE_PART)
+                .max(MIN_CANARY_SILENCE),
             news: news.clone(),
         };
         view.apply(news, now);
@@ -184,8 +188,9 @@
         }
     }
 
-    /// Filters for a request. `coin` is a random number from 0 to 1.
-    pub fn passes(&self, coin: f64, held: &[SmolStr], now: Now) -> Passes {
+    /// Filters for a request. `coin` is a random number from 0 to 1; `alone` says that the new version is the only one of
+    /// the service, as after an order that names the version in use.
+    pub fn passes(&self, coin: f64, alone: bool, held: &[SmolStr], now: Now) -> Passes {
         let step = self.news.step;
         let in_canary = matches!(step, Step::Canary(_));
         let new = coin < self.share(now) && (!in_canary || self.credit >= 1.0);
@@ -199,7 +204,7 @@
             self.moved || step == Step::Listed || now >= self.started_at + self.news.order.limit;
         match step {
             Step::RolledBack => only(false),
-            _ if !new && !ended => only(false),
+            _ if !new && !ended && !alone => only(false),
             _ => Passes {
                 second: Some(self.filter(!new, held)),
                 // The old targets are to become idle.
@@ -227,11 +232,12 @@
 
     /// Whether the target of a node with this version may run requests, as its own node sees it. It rejects what a node
     /// sends that has not heard of the order, the canary or the rollback.
-    pub fn admits(&self, node: &NodeId, version: Option<&SmolStr>) -> bool {
+    pub fn admits(&self, node: &NodeId, alone: bool, version: Option<&SmolStr>) -> bool {
         match self.news.step {
             _ if version != Some(&self.news.order.to) => true,
-            Step::RolledBack | Step::Ordered => false,
-            Step::Canary(_) => self.canary.contains(node),
+            Step::RolledBack => false,
+            Step::Ordered => alone,
+            Step::Canary(_) => alone || self.canary.contains(node),
             Step::Listed | Step::Move(_) | Step::Completed => true,
         }
     }
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -340,6 +340,14 @@
         known.map(|(n, t)| (n.clone(), t.info.clone())).collect()
     }
 
+    /// Whether all ready targets of a service have this version.
+    pub fn has_only_version(&self, service: &str, version: &str) -> bool {
+        let nodes = self.services.get(service).map_or(&[][..], |s| &s.nodes);
+        let targets = nodes.iter().filter_map(|n| self.targets.get(n));
+        let mut ready = targets.filter(|t| t.info.ready && !t.leaving);
+        ready.all(|t| t.info.version.as_deref() == Some(version))
+    }
+
     /// Version of the target of a node; `None` if unknown.
     pub fn version_of(&self, node: &str) -> Option<SmolStr> {
         self.targets.get(node).and_then(|t| t.info.version.clone())
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -40,7 +40,7 @@
     /// may get.
     pub exposure_share: f64,
     /// Requests that a bad version may get in addition.
-    pub exposure_slack: u64,
+    pub exposure_slack: f64,
     /// Time after the first bad responses of a version after which it gets no more requests, in milliseconds.
     pub rollback_ms: u64,
 }
@@ -63,7 +63,7 @@
             budget_ratio: 0.1,
             budget_least: 10.0,
             exposure_share: 0.1,
-            exposure_slack: 50,
+            exposure_slack: 50.0,
             rollback_ms: 5000,
         }
     }
