--- a/src/settings.rs
+++ b/src/settings.rs
@@ -422,6 +422,7 @@
         ("sidecar.budget_least", sidecar.budget_least),
         ("sidecar.quota_overage", sidecar.quota_overage),
         ("sidecar.quota_slack", sidecar.quota_slack),
+        ("sidecar.exposure_slack", sidecar.exposure_slack),
     ] {
         if !(0.0..=1e6).contains(&value) {
             f.add(
@@ -431,6 +432,13 @@
             );
         }
     }
+    if !(0.0..=1.0).contains(&sidecar.exposure_share) {
+        f.add(
+            "sidecar.exposure_share",
+            format!("{} is out of range", sidecar.exposure_share),
+            "use 0 to 1",
+        );
+    }
     if !(0.1..=1e6).contains(&sidecar.link_mbps) {
         f.add(
             "sidecar.link_mbps",
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod metrics;
 pub mod node;
 pub mod quota;
+pub mod rollout;
 pub mod routing;
 pub mod sample;
 pub mod start;
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -28,9 +28,12 @@
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
 use crate::sidecar::process::metrics::Metrics;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
-use crate::sidecar::process::quota::driver::{self, QuotaDriver};
+use crate::sidecar::process::quota::driver as quota_driver;
+use crate::sidecar::process::quota::driver::QuotaDriver;
 use crate::sidecar::process::quota::limits::QuotaBounds;
 use crate::sidecar::process::quota::policy::Quotas;
+use crate::sidecar::process::rollout::driver as rollout_driver;
+use crate::sidecar::process::rollout::table::Rollouts;
 use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::sample::{self, LastConfirmed};
 use crate::sidecar::process::stop;
@@ -141,6 +144,7 @@
         lost_requests: Mutex::default(),
         quota: QuotaDriver::new(quotas),
         retry_budgets: Mutex::default(),
+        rollouts: Rollouts::default(),
         rng: Mutex::new(rand::rngs::SmallRng::seed_from_u64(rand::random())),
         phase: AtomicU8::new(0),
         in_flight: AtomicUsize::new(0),
@@ -214,8 +218,9 @@
     tokio::spawn(config_server::serve(n.clone(), queues.config_requests));
     tokio::spawn(relay::accept(n.clone(), relay_listener));
     tokio::spawn(control::monitor_target(n.clone()));
+    tokio::spawn(rollout_driver::run(n.clone()));
     tokio::spawn(sample::log_summaries(n.clone()));
-    tokio::spawn(driver::run(n.clone()));
+    tokio::spawn(quota_driver::run(n.clone()));
     let limits = n.settings().limits.clone();
     let p = n.clone();
     let serve = move |req, _| control::serve(p.clone(), req);
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -42,6 +42,13 @@
     pub quota_overage: f64,
     /// Further allowed excess, in requests.
     pub quota_slack: f64,
+    /// Fraction of the requests that reach a service between the order of a rollout and its time limit which a bad version
+    /// may get.
+    pub exposure_share: f64,
+    /// Requests that a bad version may get in addition.
+    pub exposure_slack: f64,
+    /// Time after the first bad responses of a version after which it gets no more requests, in milliseconds.
+    pub rollback_ms: u64,
 }
 
 impl Default for SidecarSettings {
@@ -64,6 +71,9 @@
             quota_window_s: 5,
             quota_overage: 0.1,
             quota_slack: 20.0,
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
+            rollback_ms: 5000,
         }
     }
 }
