Bound the memory of large bodies at both nodes, describe uploads

Buffers that doubled as a body grew took up to twice its length, and the announced length was trusted. Bodies are kept in pieces at the entry node and grow by an eighth at the target's node; an upload that was not kept is not sent again. In tests/sidecar_uploads.rs the entry node uses less than 24 MB more for an upload of 50 MB.

--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -284,7 +284,7 @@
 }
 
 /// Appends data with little spare capacity, because the room for bodies does not count it.
-fn append(whole: &mut Vec<u8>, data: &[u8]) {
+pub(crate) fn append(whole: &mut Vec<u8>, data: &[u8]) {
     if whole.capacity() < whole.len() + data.len() {
         whole.reserve_exact(data.len() + whole.len() / 8);
     }
--- a/src/sidecar/connection/upload_receiver.rs
+++ b/src/sidecar/connection/upload_receiver.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Mutex;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use crate::prelude::*;
@@ -10,6 +10,7 @@
 use crate::sidecar::connection::frame::{Head, Message, Seq};
 use crate::sidecar::connection::inbound_link::InboundTransfer;
 use crate::sidecar::connection::link::lock;
+use crate::sidecar::connection::pool::append;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
 use crate::sidecar::request::admit_upload::{self, Source};
@@ -72,7 +73,7 @@
         deadline: Now,
     ) -> Result<Bytes, Failure> {
         // Grows with what arrives, because the announced length proves nothing.
-        let mut body = BytesMut::new();
+        let mut body = Vec::new();
         let mut granted = 0;
         while body.len() < self.len {
             tokio::select! {
@@ -83,7 +84,7 @@
                         return Err(Failure::not_run(Reason::BadRequest));
                     }
                     transfer.arrived(part.len());
-                    body.extend_from_slice(&part);
+                    append(&mut body, &part);
                 }
                 bytes = transfer.next_grant(), if granted < self.len => {
                     let bytes = bytes?;
@@ -94,6 +95,6 @@
                 () = n.wait_until(deadline) => return Err(Failure::not_run(Reason::Deadline)),
             }
         }
-        Ok(body.freeze())
+        Ok(body.into())
     }
 }
--- a/src/sidecar/connection/upload_sender.rs
+++ b/src/sidecar/connection/upload_sender.rs
@@ -109,7 +109,7 @@
         while sent < self.upload.len() {
             while granted <= sent {
                 match grants.recv().await {
-                    Some(bytes) => granted = (granted + bytes).min(self.upload.len()),
+                    Some(bytes) => granted = self.upload.len().min(bytes.saturating_add(granted)),
                     // The request has ended.
                     None => return Ok(()),
                 }
--- a/src/sidecar/process/inbound.rs
+++ b/src/sidecar/process/inbound.rs
@@ -33,6 +33,9 @@
 /// little do not keep out others.
 const MAX_HELD_BYTES: usize = 16 << 20;
 
+/// Longest body that is admitted, whatever a sender announces; more than the memory of a VM holds.
+const MAX_BODY_BYTES: usize = 256 << 20;
+
 /// Id of an admitted body.
 pub type UploadId = u64;
 
@@ -162,6 +165,10 @@
     ///
     /// The body was not admitted.
     pub fn admit(&mut self, now: Now, offer: &Offer) -> Result<UploadId, Full> {
+        if offer.bytes > MAX_BODY_BYTES {
+            let back_off = Duration::ZERO;
+            return Err(Full { back_off });
+        }
         let own = self.duration(offer.bytes).mul_f64(TRANSFER_MARGIN);
         let wait = self.wait(now, &offer.urgency);
         if offer.max_wait.is_some_and(|max| wait > max) {
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -1,11 +1,11 @@
 //! One attempt of a request: chooses a target, sends the request there and records what the result says.
 
-use bytes::BytesMut;
 use futures_util::FutureExt;
 
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::connection::links::CallResult;
+use crate::sidecar::connection::pool::append;
 use crate::sidecar::process::bandwidth::PIECE_BYTES;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
@@ -168,17 +168,17 @@
         Ok(transfer) => transfer,
         Err(f) => return AttemptResult::undelivered(f),
     };
-    let mut body = BytesMut::new();
+    let mut body = Vec::new();
     while body.len() < upload.len() {
         let bytes = PIECE_BYTES.min(upload.len() - body.len());
         match upload.read(n, body.len(), bytes).await {
-            Ok(part) => body.extend_from_slice(&part),
+            Ok(part) => append(&mut body, &part),
             Err(f) => return AttemptResult::undelivered(f),
         }
         transfer.arrived(bytes);
     }
     upload.pass_on();
-    admit_upload::run(n, request.clone(), body.freeze(), transfer).await
+    admit_upload::run(n, request.clone(), body.into(), transfer).await
 }
 
 /// Records what the result of an attempt says about the request and about its target.
--- a/src/sidecar/request/upload.rs
+++ b/src/sidecar/request/upload.rs
@@ -1,8 +1,9 @@
 //! Entry node: a large request body that is read from the caller only as it can be sent on.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore};
 
@@ -10,6 +11,7 @@
 use crate::request::body::Body;
 use crate::request::reason::{Failure, Reason};
 use crate::sidecar::connection::pacing::is_large;
+use crate::sidecar::process::bandwidth::PIECE_BYTES;
 use crate::sidecar::process::node::Node;
 
 /// Bytes of all uploads that are kept so that they can be sent to another node. Beyond it, an upload is dropped as it is
@@ -45,13 +47,58 @@
 /// What has been read from the caller.
 struct Reading {
     body: Body,
-    /// Bytes from `start` on.
-    data: BytesMut,
+    /// Bytes from `start` on, in pieces: one buffer would be copied as it grows. All but the last are full.
+    pieces: VecDeque<BytesMut>,
     /// Number of bytes that were dropped.
     start: usize,
+    /// Number of bytes that were read.
+    end: usize,
     kept: Kept,
 }
 
+impl Reading {
+    fn add(&mut self, mut data: &[u8]) {
+        self.kept.add(data.len());
+        self.end += data.len();
+        while !data.is_empty() {
+            if self.pieces.back().is_none_or(|p| p.len() == PIECE_BYTES) {
+                self.pieces.push_back(BytesMut::new());
+            }
+            let Some(last) = self.pieces.back_mut() else {
+                return;
+            };
+            let (now, later) = data.split_at(data.len().min(PIECE_BYTES - last.len()));
+            last.extend_from_slice(now);
+            data = later;
+        }
+    }
+
+    /// Copies bytes that have been read; `None` if some of them were dropped.
+    fn copy(&self, from: usize, bytes: usize) -> Option<Bytes> {
+        let at = from.checked_sub(self.start)?;
+        let mut out = BytesMut::with_capacity(bytes);
+        let mut skip = at % PIECE_BYTES;
+        for piece in self.pieces.iter().skip(at / PIECE_BYTES) {
+            let part = &piece[skip..];
+            out.extend_from_slice(&part[..part.len().min(bytes - out.len())]);
+            skip = 0;
+            if out.len() == bytes {
+                break;
+            }
+        }
+        Some(out.freeze())
+    }
+
+    /// Drops the pieces before an offset. Returns whether there were any.
+    fn drop_before(&mut self, offset: usize) -> bool {
+        let before = self.start;
+        while self.start + PIECE_BYTES <= offset && self.pieces.pop_front().is_some() {
+            self.start += PIECE_BYTES;
+        }
+        self.start > before
+    }
+}
+
 /// A request body with an announced length that is sent in pieces.
 pub(crate) struct Upload {
     len: usize,
@@ -86,8 +133,9 @@
             len,
             reading: Mutex::new(Reading {
                 body,
-                data: BytesMut::new(),
+                pieces: VecDeque::new(),
                 start: 0,
+                end: 0,
                 kept,
             }),
             dropped: AtomicBool::new(false),
@@ -141,7 +189,7 @@
     pub(crate) async fn read(&self, n: &Node, from: usize, bytes: usize) -> Result<Bytes, Failure> {
         let broken = Failure::not_run(Reason::BadRequest);
         let mut r = self.reading.lock().await;
-        while r.start + r.data.len() < from + bytes {
+        while r.end < from + bytes {
             let now = n.clock.now().as_millis() as u64;
             self.waiting_since.store(now, Ordering::SeqCst);
             let frame = r.body.frame().await.ok_or(broken)?.map_err(|_| broken)?;
@@ -150,17 +198,13 @@
             if self.over_link {
                 n.inbound.record_received(data.len());
             }
-            r.kept.add(data.len());
-            r.data.extend_from_slice(&data);
+            r.add(&data);
         }
-        let at = from.checked_sub(r.start).ok_or(broken)?;
-        if r.kept.permits.is_some() {
-            return Ok(Bytes::copy_from_slice(&r.data[at..at + bytes]));
+        let copy = r.copy(from, bytes).ok_or(broken)?;
+        if r.kept.permits.is_none() && r.drop_before(from + bytes) {
+            self.dropped.store(true, Ordering::SeqCst);
         }
-        self.dropped.store(true, Ordering::SeqCst);
-        r.data.advance(at);
-        r.start = from + bytes;
-        Ok(r.data.split_to(bytes).freeze())
+        Ok(copy)
     }
 
     /// Reads the rest of the body and discards it, for `timeout` at most. A connection that is closed with unread bytes
@@ -169,7 +213,7 @@
         let n = n.clone();
         tokio::spawn(async move {
             let mut r = self.reading.lock().await;
-            r.data.clear();
+            r.pieces.clear();
             discard_frames(&n, &mut r.body, self.len, timeout).await;
         });
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -347,3 +347,25 @@
     // The link works off what was reported.
     assert!(share(true, now + ms(450)) > 0.3);
 }
+
+/// Guards against a full link that keeps requests without a large body away from a target.
+#[test]
+fn a_full_link_holds_off_uploads_only() {
+    let mut p = Placement::new("a".into());
+    let now = ms(1000);
+    p.set(&"a".into(), info("a"), now);
+    p.record_upload_rejection(now, &"a".into(), 1, ms(300), ms(100));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut choose = |upload: bool, rank| {
+        let criteria = Criteria {
+            upload,
+            rank,
+            ..criteria(&[])
+        };
+        p.choose(now, &criteria, &mut rng)
+    };
+    assert_eq!(choose(true, 1), Choice::Full(ms(100)));
+    assert_eq!(choose(true, 2), Choice::Full(ms(100)));
+    assert_eq!(choose(true, 0), Choice::Target("a".into()));
+    assert_eq!(choose(false, 1), Choice::Target("a".into()));
+}
--- a/tests/sidecar_inbound.rs
+++ b/tests/sidecar_inbound.rs
@@ -242,6 +242,14 @@
         let used = link_time(arrived).as_secs_f64() / (burst_end - ms(4000)).as_secs_f64();
         assert!(used > 0.85, "seed {seed}: {used}");
         // Nothing is rejected from 3 s after the burst on, and nothing is slow from then on.
+        println!(
+            "seed {seed}: {} admitted, {} rejected, {given_up} given up, {late} late, small messages {:?}, width {used:.3}, \
+             last rejection {:.1} s after the burst",
+            link.uploads.len(),
+            link.rejected.len(),
+            link.longest_small_wait,
+            link.rejected.last().map_or(0.0, |t| t.as_secs_f64() - burst_end.as_secs_f64()),
+        );
         let settled = burst_end + ms(3000);
         assert!(
             link.rejected.iter().all(|t| *t < settled),
@@ -420,6 +428,8 @@
         granted += bytes;
     }
     assert!(granted < 1 << 20, "{granted}");
+    let announced = offer(ms(0), 0, usize::MAX);
+    assert!(Inbound::new(10_000.0).admit(ms(0), &announced).is_err());
     // The largest legal body is admitted when there is no other.
     let mut empty = Inbound::new(10_000.0);
     assert!(empty.admit(ms(0), &offer(ms(0), 0, 64 << 20)).is_ok());
--- a/tests/sidecar_uploads.rs
+++ b/tests/sidecar_uploads.rs
@@ -379,3 +379,82 @@
         res.is_some_and(|r| r.status == 200)
     });
 }
+
+/// Guards against an upload that is sent to a second node from its middle, because its beginning was not kept, and
+/// against memory of the entry node that grows with a body.
+#[test]
+fn an_upload_that_was_not_kept_is_not_sent_again() {
+    let mut site = Site::empty();
+    let upload = format!(
+        r#",{{"name":"up","prefix":"/up/","route_type":"upload","timeout_ms":20000,"priority":2,"service":"{SERVICE}","retry_attempts":2}}"#
+    );
+    let config = config(1, &upload).replace("1048576", "67108864");
+    site.store.put_config(&config);
+    (0..3).for_each(|i| {
+        site.add_node(i);
+    });
+    site.nodes.iter().for_each(Node::wait_ready);
+    site.wait_linked();
+    site.nodes[0].target.state.lock().unwrap().reported = "draining";
+    std::thread::sleep(ms(1100));
+    let (len, sent) = (60 << 20, 50 << 20);
+    let before = max_memory(&site.nodes[0]);
+    let id = fresh_id();
+    let mut stream = connect(&site.nodes[0]);
+    stream
+        .write_all(head(&id, "/up/x", 20_000, len).as_bytes())
+        .unwrap();
+    stream.write_all(body(sent).as_bytes()).unwrap();
+    let mut receiver = 0;
+    wait_until("a node has received what was sent", || {
+        let arrived = |n: &Node| metric(n, BODY_BYTES) + (1 << 20) > sent as u64;
+        let found = (1..3).find(|i| arrived(&site.nodes[*i]));
+        receiver = found.unwrap_or_default();
+        found.is_some()
+    });
+    let used = max_memory(&site.nodes[0]) - before;
+    // What is kept for another attempt, and what waits to be written.
+    assert!(used < 24 << 20, "{before} {used} bytes");
+    site.nodes[receiver].process.kill();
+    let (response, _) = read_response(&mut stream);
+    assert!(response.starts_with("http/1.1 503 "), "{response}");
+    let runs: usize = site.nodes.iter().map(|n| n.target.runs(&id)).sum();
+    assert_eq!(runs, 0);
+}
+
+/// Maximum memory that a process has used, in bytes.
+fn max_memory(node: &Node) -> u64 {
+    let page = std::fs::read_to_string(format!("/proc/{}/status", node.process.pid())).unwrap();
+    let line = page.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+    let kb: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kb << 10
+}
+
+/// Guards against a caller that waits for permission to send its body and never gets it, or gets it for a request that is
+/// rejected.
+#[test]
+fn callers_that_wait_for_permission_to_send_get_it() {
+    let site = UploadSite::start(2);
+    let id = fresh_id();
+    let mut stream = connect(site.entry());
+    let expecting = |id: &str, path: &str| {
+        head(id, path, 9000, LARGE).replace("\r\nhost", "\r\nexpect: 100-continue\r\nhost")
+    };
+    stream
+        .write_all(expecting(&id, "/up/x").as_bytes())
+        .unwrap();
+    let mut line = [0; 25];
+    stream.read_exact(&mut line).unwrap();
+    assert_eq!(&line, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(body(LARGE).as_bytes()).unwrap();
+    let (response, _) = read_response(&mut stream);
+    assert!(response.starts_with("http/1.1 200 "), "{response}");
+    assert!(site.received(&id) == [body(LARGE).into_bytes()]);
+    let id = fresh_id();
+    stream
+        .write_all(expecting(&id, "/none/x").as_bytes())
+        .unwrap();
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).unwrap();
+    assert_eq!(&start, b"HTTP/1.1 404");
+}
