Let connections rest after large bodies

A body of up to about 1 MB fits into the buffers of a connection, so a target that responds early may not have read it although it is written. The next request on that connection waited behind it: an upload got 504 after 4 s while the target of the test did not read on. Such connections are used again 1 s after the response.

--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -56,6 +56,9 @@
     pub service_time: Duration,
 }
 
+/// Time for which a connection that has carried a large body is not used again. Its target may have responded before it
+/// has read the body, which the buffers of the system may hold, and another request would wait until it has.
+const REST_AFTER_BODY: Duration = Duration::from_secs(1);
 /// Time after its response for which the target may read the body of a request. Until then its memory is in use.
 const SENDING_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -89,10 +92,15 @@
         in_time
     }
 
-    /// Whether the target has yet to read the body of the last request.
+    /// Whether the body of the last request has yet to be written.
     fn is_sending(&self) -> bool {
         self.conn.large_body && !self.conn.sender.is_ready()
     }
+
+    /// Whether the target may have yet to read the body of the last request.
+    fn is_resting(&self, now: Now) -> bool {
+        self.is_sending() || self.conn.large_body && now < self.since + REST_AFTER_BODY
+    }
 }
 
 /// A connection whose response has been read. Dropping it closes the connection.
@@ -136,7 +144,7 @@
     fn take(&self, non_idempotent: bool, now: Now) -> Option<Connection> {
         let mut idle = self.idle();
         idle.retain(|c| c.is_kept(now));
-        let last = idle.iter().rposition(|c| !c.is_sending())?;
+        let last = idle.iter().rposition(|c| !c.is_resting(now))?;
         let reusable = !non_idempotent || now < idle[last].since + MAX_IDLE_NON_IDEMPOTENT;
         reusable.then(|| idle.remove(last).conn)
     }
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -79,7 +79,7 @@
     let (name, rank) = (&state.route.name, state.route.rank);
     n.metrics
         .record_request(name, rank, result.as_ref().err(), elapsed);
-    let over_width = state.upload.is_some() && is_over_width(&result);
+    let over_width = state.upload.is_some() && !shed && is_over_width(&result);
     if let Some(served) = was_served(&result).filter(|_| !over_width) {
         n.fairness()
             .record(&state.request.service, rank, served, now);
--- a/tests/sidecar_early_response.rs
+++ b/tests/sidecar_early_response.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,18 +11,19 @@
 use dragonflyquay::sidecar::connection::pool::{Pool, TargetResponse};
 use http::Request;
 use http_body_util::Full;
+use tokio::runtime::Runtime;
 
 /// Size of the body; more than the buffers of a connection hold.
 const BODY_BYTES: usize = 12 << 20;
 /// Longest wait for a step of the target.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-fn body() -> Vec<u8> {
-    (0..BODY_BYTES).map(|i| (i / 251 % 256) as u8).collect()
+fn body(len: usize) -> Vec<u8> {
+    (0..len).map(|i| (i / 251 % 256) as u8).collect()
 }
 
-/// Reads the head of a request. Returns its first line; `None` at the end of the connection.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
+/// Reads the head of a request. Returns its first line and the length of its body; `None` at the end of the connection.
+fn read_head(stream: &mut TcpStream) -> Option<(String, usize)> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -31,8 +32,12 @@
             _ => return None,
         }
     }
-    let text = String::from_utf8(head).unwrap();
-    text.lines().next().map(str::to_owned)
+    let text = String::from_utf8(head).unwrap().to_ascii_lowercase();
+    let len = text
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    let line = text.lines().next()?.to_ascii_uppercase();
+    Some((line, len.map_or(0, |l| l.parse().unwrap())))
 }
 
 fn respond(stream: &mut TcpStream) {
@@ -52,25 +57,83 @@
 }
 
 /// Responds to each request on connection `i` at once. The body of an upload is read once `go_on` says so.
-fn serve(i: usize, mut stream: TcpStream, events: &Sender<Event>, go_on: &Receiver<()>) {
-    while let Some(line) = read_head(&mut stream) {
-        let is_upload = line.starts_with("POST");
+fn serve(i: usize, mut stream: TcpStream, events: &Sender<Event>, go_on: &Mutex<Receiver<()>>) {
+    while let Some((line, len)) = read_head(&mut stream) {
         let _ = events.send(Event::Request(i, line));
         respond(&mut stream);
-        if is_upload && go_on.recv_timeout(TIMEOUT).is_ok() {
-            let mut got = vec![0; BODY_BYTES];
-            let whole = stream.read_exact(&mut got).is_ok() && got == body();
+        if len > 0 && go_on.lock().unwrap().recv_timeout(TIMEOUT).is_ok() {
+            let mut got = vec![0; len];
+            let whole = stream.read_exact(&mut got).is_ok() && got == body(len);
             let _ = events.send(Event::Body(i, whole));
         }
     }
     let _ = events.send(Event::End(i));
 }
 
-async fn send(pool: &Pool, method: &str, body: Vec<u8>) -> Result<TargetResponse, SendError> {
+/// A target, and a pool of connections to it.
+struct Exchanges {
+    runtime: Runtime,
+    pool: Arc<Pool>,
+    events: Receiver<Event>,
+    go_on: Sender<()>,
+}
+
+impl Exchanges {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, events) = channel();
+        let (go_on, receiver) = channel();
+        std::thread::spawn(move || {
+            let receiver = Arc::new(Mutex::new(receiver));
+            for (i, stream) in listener.incoming().flatten().enumerate() {
+                let (sender, receiver) = (sender.clone(), receiver.clone());
+                std::thread::spawn(move || serve(i, stream, &sender, &receiver));
+            }
+        });
+        Self {
+            runtime: Runtime::new().unwrap(),
+            pool: Arc::new(Pool::new(address)),
+            events,
+            go_on,
+        }
+    }
+
+    /// Sends a request with a body of this length at a time of the pool's clock, and reads its response.
+    fn exchange(&self, method: &str, len: usize, now: u64) {
+        let now = Duration::from_millis(now);
+        let result = self.runtime.block_on(async {
+            tokio::time::timeout(TIMEOUT, send(&self.pool, method, body(len), now)).await
+        });
+        assert_eq!(result.unwrap().unwrap().body, "hello");
+    }
+
+    fn next(&self) -> Event {
+        self.events.recv_timeout(TIMEOUT).unwrap()
+    }
+
+    /// The next event of a connection.
+    fn next_of(&self, connection: usize) -> Event {
+        loop {
+            let event = self.next();
+            let (Event::Request(i, _) | Event::Body(i, _) | Event::End(i)) = event;
+            if i == connection {
+                return event;
+            }
+        }
+    }
+}
+
+async fn send(
+    pool: &Pool,
+    method: &str,
+    body: Vec<u8>,
+    now: Duration,
+) -> Result<TargetResponse, SendError> {
     let body = Full::new(Bytes::from(body));
     let req = Request::builder().method(method).uri("/x").body(body);
-    let (response, conn) = pool.send(req.unwrap(), true, Duration::ZERO).await?;
-    pool.put_back(conn, Duration::ZERO);
+    let (response, conn) = pool.send(req.unwrap(), true, now).await?;
+    pool.put_back(conn, now);
     Ok(response)
 }
 
@@ -78,52 +141,40 @@
 /// target that does not get the rest of the body, or gets something else.
 #[test]
 fn a_target_that_responds_early_gets_exactly_the_rest_of_the_body() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let (events, seen) = channel();
-    let (go_on, first) = channel();
-    std::thread::spawn(move || {
-        let (mut first, (_none, mut later)) = (Some(first), channel());
-        for (i, stream) in listener.incoming().flatten().enumerate() {
-            let events = events.clone();
-            let go_on = first.take().unwrap_or_else(|| {
-                let (_, unused) = channel();
-                std::mem::replace(&mut later, unused)
-            });
-            std::thread::spawn(move || serve(i, stream, &events, &go_on));
-        }
-    });
-    let next = || seen.recv_timeout(TIMEOUT).unwrap();
-    let runtime = tokio::runtime::Runtime::new().unwrap();
-    let pool = Arc::new(Pool::new(address));
-    let exchange = |method: &str, body: Vec<u8>| {
-        let result = runtime
-            .block_on(async { tokio::time::timeout(TIMEOUT, send(&pool, method, body)).await });
-        assert_eq!(result.unwrap().unwrap().body, "hello");
-    };
-    exchange("POST", body());
-    assert_eq!(next(), Event::Request(0, "POST /x HTTP/1.1".into()));
-    // The connection is busy with the body.
-    exchange("GET", Vec::new());
-    assert_eq!(next(), Event::Request(1, "GET /x HTTP/1.1".into()));
+    let e = Exchanges::start();
+    e.exchange("POST", BODY_BYTES, 0);
+    assert_eq!(e.next(), Event::Request(0, "POST /X HTTP/1.1".into()));
+    // The connection is busy with the body, whatever time passes.
+    e.exchange("GET", 0, 3000);
+    assert_eq!(e.next(), Event::Request(1, "GET /X HTTP/1.1".into()));
     // Nobody waits for the connection any more.
-    pool.clear();
+    e.pool.clear();
     std::thread::sleep(Duration::from_millis(300));
-    go_on.send(()).unwrap();
-    assert_eq!(next_of(&next, 0), Event::Body(0, true));
-    assert_eq!(next_of(&next, 0), Event::End(0));
+    e.go_on.send(()).unwrap();
+    assert_eq!(e.next_of(0), Event::Body(0, true));
+    assert_eq!(e.next_of(0), Event::End(0));
 }
 
-/// The next event of a connection.
-fn next_of<F>(next: &F, connection: usize) -> Event
-where
-    F: Fn() -> Event,
-{
-    loop {
-        let event = next();
-        let (Event::Request(i, _) | Event::Body(i, _) | Event::End(i)) = event;
-        if i == connection {
-            return event;
-        }
-    }
+/// Guards against a request that waits behind a body that is in the buffers of the system, and against connections that
+/// are never used again after a large body.
+#[test]
+fn a_connection_rests_after_a_large_body() {
+    let e = Exchanges::start();
+    e.exchange("POST", 60_000, 0);
+    assert_eq!(e.next(), Event::Request(0, "POST /X HTTP/1.1".into()));
+    e.exchange("GET", 0, 500);
+    assert_eq!(e.next(), Event::Request(1, "GET /X HTTP/1.1".into()));
+    e.go_on.send(()).unwrap();
+    assert_eq!(e.next(), Event::Body(0, true));
+    // The connection is used again after a while, unless its task has yet to notice that the body is written.
+    let used_again = (0..50).any(|_| {
+        let e = Exchanges::start();
+        e.exchange("POST", 60_000, 0);
+        e.go_on.send(()).unwrap();
+        assert_eq!(e.next(), Event::Request(0, "POST /X HTTP/1.1".into()));
+        assert_eq!(e.next(), Event::Body(0, true));
+        e.exchange("GET", 0, 1200);
+        e.next() == Event::Request(0, "GET /X HTTP/1.1".into())
+    });
+    assert!(used_again);
 }
--- a/tests/sidecar_uploads.rs
+++ b/tests/sidecar_uploads.rs
@@ -285,6 +285,44 @@
     target.state.lock().unwrap().held = false;
 }
 
+/// Guards against a target that responds before it has read the body, reads on later, and gets something else than the rest
+/// of that body.
+#[test]
+fn a_target_that_responds_early_gets_the_rest_of_the_body() {
+    let site = UploadSite::start(2);
+    let state = site.0.nodes[1].target.state.clone();
+    state.lock().unwrap().held = true;
+    let ids = [fresh_id(), fresh_id()];
+    for (i, id) in ids.iter().enumerate() {
+        // Both through another node and without one.
+        let caller = site.0.nodes[i].caller;
+        let res = send(caller, id, "/up/early", "4000", &body(1 << 20)).unwrap();
+        assert_eq!((res.status, res.body.as_str()), (200, "hello"));
+    }
+    assert!(ids.iter().all(|id| site.received(id).is_empty()));
+    let reads_on = std::thread::spawn(move || {
+        std::thread::sleep(ms(1500));
+        state.lock().unwrap().held = false;
+    });
+    // They begin before the target reads on, and on other connections unless the machine is very slow.
+    for _ in 0..20 {
+        let res = site.entry().send("GET", "/safe/x");
+        assert_eq!(res.unwrap().status, 200);
+    }
+    reads_on.join().unwrap();
+    wait_until("the target reads on", || {
+        ids.iter()
+            .all(|id| site.received(id) == [body(1 << 20).into_bytes()])
+    });
+    let id = fresh_id();
+    let res = send(site.entry().caller, &id, "/up/x", "9000", &body(LARGE)).unwrap();
+    assert_eq!(res.status, 200);
+    assert!(site.received(&id) == [body(LARGE).into_bytes()]);
+    wait_until("the memory of the bodies is free", || {
+        metric(&site.0.nodes[1], "dq_sidecar_upload_bytes") == 0
+    });
+}
+
 /// Guards against a cancelled upload that keeps the link busy, at the node that sends it and at the one that receives it.
 #[test]
 fn cancelled_uploads_free_the_link_at_once() {
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -218,11 +218,20 @@
             let found = found.find(|(k, _)| k.eq_ignore_ascii_case(name));
             found.map_or(String::new(), |(_, v)| v.trim().to_owned())
         };
+        let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
+        let early = path.contains("early");
+        if early {
+            let headers = state.lock().unwrap().headers.clone();
+            let response = valid_response(&header("dragonflyquay-request-id"), &headers);
+            let _ = out.write_all(response.as_bytes());
+        }
+        while early && state.lock().unwrap().held {
+            std::thread::sleep(HOLD_POLL_INTERVAL);
+        }
         let mut body = vec![0; header("content-length").parse().unwrap_or(0)];
         if input.read_exact(&mut body).is_err() {
             return;
         }
-        let path = head[0].split(' ').nth(1).unwrap_or_default().to_owned();
         let s = state.lock().unwrap().clone();
         if path.contains("again") && out.write_all(copy.as_bytes()).is_err() {
             return;
@@ -246,6 +255,10 @@
         if path.contains("copied") {
             copy = valid_response(&request.id, &s.headers);
         }
+        if early {
+            received.lock().unwrap().push(request);
+            continue;
+        }
         if !respond(&mut out, &path, &request, state, received) {
             return;
         }
