Expect slots only for uploads whose senders deliver

Stalled uploads counted as requests that are about to arrive, so callers that stop half-way kept others out as queue-full. Parts that arrive after a body is whole are dropped. The tests of uploads are split by subject.

--- a/src/sidecar/connection/upload_receiver.rs
+++ b/src/sidecar/connection/upload_receiver.rs
@@ -59,7 +59,10 @@
             Ok(transfer) => transfer,
             Err(f) => return AttemptResult::undelivered(f),
         };
-        match self.receive(n, &transfer, request.deadline).await {
+        let received = self.receive(n, &transfer, request.deadline).await;
+        // Nothing more is accepted.
+        self.parts.close();
+        match received {
             Ok(body) => admit_upload::run(n, request, body, transfer).await,
             Err(f) => AttemptResult::undelivered(f),
         }
--- a/src/sidecar/process/inbound.rs
+++ b/src/sidecar/process/inbound.rs
@@ -326,10 +326,10 @@
         self.uploads.retain(|u| u.id != id);
     }
 
-    /// Number of admitted bodies that have not arrived as a whole.
-    pub fn arriving(&self) -> usize {
-        let all = self.uploads.iter();
-        all.filter(|u| u.left + u.in_flight > 0).count()
+    /// Number of admitted bodies that are about to arrive as a whole.
+    pub fn arriving(&self, now: Now) -> usize {
+        let flowing = self.uploads.iter().filter(|u| !u.is_stalled(now));
+        flowing.filter(|u| u.arrived() < u.bytes).count()
     }
 
     /// Bytes of all admitted bodies.
--- a/src/sidecar/request/admit_upload.rs
+++ b/src/sidecar/request/admit_upload.rs
@@ -36,7 +36,7 @@
 ) -> Result<InboundTransfer, Failure> {
     let admitted = admit::check_target(n, request).and_then(|()| {
         // Those that were admitted before take slots too.
-        let arriving = n.inbound.policy().arriving();
+        let arriving = n.inbound.policy().arriving(n.clock.now());
         let transfer = admit_body(n, request, len, source)?;
         check_slot(n, request, source, arriving)?;
         Ok(transfer)
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod store;
 pub mod target;
+pub mod upload;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
