--- a/src/sidecar/process/quota/borrower.rs
+++ b/src/sidecar/process/quota/borrower.rs
@@ -14,7 +14,7 @@
 /// Part of the demand below which a greater rate is asked for.
 const GROW_BELOW: f64 = 0.5;
 /// Time for whose demand units are asked for when there are none, in seconds.
-const UNITS_S: f64 = 0.3;
+const UNITS_S: f64 = 0.6;
 /// Interval at which a greater rate is asked for.
 const GROW_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without requests after which the loans are ended, so that the units can follow the demand to other nodes.
--- a/src/sidecar/process/quota/bucket.rs
+++ b/src/sidecar/process/quota/bucket.rs
@@ -45,18 +45,14 @@
         self.level = self.level.min(allotment.depth);
     }
 
-    /// Adds the units that have accrued. If `unknown_loans`, an earlier process may have lent as much as it could.
-    pub fn refill(&mut self, lent: Lent, unknown_loans: bool, now: Now) {
+    /// Adds the units that have accrued. `unknown` is the part of what may be lent that an earlier process may have lent.
+    pub fn refill(&mut self, lent: Lent, unknown: f64, now: Now) {
         let elapsed = now.saturating_sub(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
         let a = &self.allotment;
-        let (rate, depth) = match unknown_loans {
-            true => (
-                a.rate * (1.0 - LENT_RATE),
-                (a.depth * (1.0 - LENT_DEPTH)).max(a.start).max(1.0),
-            ),
-            false => (a.rate, a.depth),
-        };
+        let rate = a.rate * (1.0 - LENT_RATE * unknown);
+        let depth = a.depth * (1.0 - LENT_DEPTH * unknown);
+        let depth = depth.max(a.start).max(1.0);
         let room = (depth.min(a.depth) - f64::from(lent.depth)).max(0.0);
         let accrued = (rate - lent.rate).max(0.0) * elapsed;
         self.level = (self.level + accrued).min(room);
@@ -72,18 +68,20 @@
     }
 
     /// Greatest rate that borrowers may have in sum.
-    pub fn max_lent_rate(&self, unknown_loans: bool) -> f64 {
-        match unknown_loans {
-            true => 0.0,
-            false => self.allotment.rate * LENT_RATE,
-        }
+    pub fn max_lent_rate(&self, unknown: f64) -> f64 {
+        self.allotment.rate * LENT_RATE * (1.0 - unknown)
     }
 
-    /// Greatest number of units that borrowers may have in sum.
+    /// Greatest number of units that borrowers with long loans may have in sum.
     pub fn max_lent_depth(&self) -> u32 {
         (self.allotment.depth * LENT_DEPTH).max(1.0) as u32
     }
 
+    /// Greatest number of units that all borrowers may have in sum.
+    pub fn max_depth(&self) -> u32 {
+        self.allotment.depth.max(1.0) as u32
+    }
+
     /// Takes up to `want` units for a borrower. Half of what is left stays for others.
     pub fn lend(&mut self, want: u32) -> u32 {
         if self.level < 1.0 {
--- a/src/sidecar/process/quota/holder.rs
+++ b/src/sidecar/process/quota/holder.rs
@@ -11,7 +11,7 @@
 /// Longest time that a holder tells a borrower to wait.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// Time for whose requests a borrower may have units, in seconds; evens out the times between them.
-const DEPTH_S: f64 = 0.5;
+const DEPTH_S: f64 = 1.0;
 
 /// A process that borrows: its node, and a number that is greater than those of the node's earlier processes.
 pub type BorrowerId = (NodeId, u64);
@@ -23,8 +23,8 @@
     pub bounds: QuotaBounds,
     /// The known nodes.
     pub roster: &'a Roster,
-    /// Whether nodes that could not be reached since the start may have loans of an earlier process of this node.
-    pub unknown_loans: bool,
+    /// Part of what may be lent that an earlier process of this node may have lent, to nodes not reached since the start.
+    pub unknown: f64,
     /// Time of the event.
     pub now: Now,
 }
@@ -94,7 +94,7 @@
     }
 
     fn refresh(&mut self, c: &Context<'_>) {
-        self.bucket.refill(self.lent(), c.unknown_loans, c.now);
+        self.bucket.refill(self.lent(), c.unknown, c.now);
         self.loans.retain(|_, l| c.now < l.ends);
     }
 
@@ -116,7 +116,7 @@
 
     /// Rate for a borrower that has `has` and asks for `want`, with its loan among the others.
     fn rate_for(&self, has: f64, want: f64, c: &Context<'_>) -> f64 {
-        let total = self.bucket.max_lent_rate(c.unknown_loans);
+        let total = self.bucket.max_lent_rate(c.unknown);
         let free = (total - self.lent().rate).max(0.0);
         want.min(self.fair_rate(total)).min(has + free)
     }
@@ -153,10 +153,10 @@
         }
         let others = self.lent().depth - ask.depth;
         let room = self.bucket.max_lent_depth().saturating_sub(others);
-        // Without a unit that the borrower may have, a rate would be lost.
-        let rate = match room {
-            0 => 0.0,
-            _ => self.rate_for(has, want_rate, c),
+        // Without a unit that the borrower may have, a rate would be lost; units that are used at once are not.
+        let (rate, room) = match room {
+            0 => (0.0, self.bucket.max_depth().saturating_sub(others)),
+            _ => (self.rate_for(has, want_rate, c), room),
         };
         let units = self
             .bucket
--- a/src/sidecar/process/quota/limits.rs
+++ b/src/sidecar/process/quota/limits.rs
@@ -16,8 +16,11 @@
 const START_PART: f64 = 0.3;
 // The rest is for requests that run later than they took their unit.
 
-/// Depth of the bucket of one holder below which a tenant gets fewer holders: units for some borrowers at a time.
-const MIN_HOLDER_DEPTH: f64 = 4.0;
+/// Depth of the bucket of one holder below which a tenant gets fewer holders: units that several nodes may have at a time.
+/// With half of it, the simulated fleet refused 0.38% of the requests within the quotas instead of 0.14%.
+const HOLDER_DEPTH: f64 = 8.0;
+/// The same for the second holder, which a small tenant needs in case that the first one fails.
+const SECOND_HOLDER_DEPTH: f64 = 4.0;
 /// Greatest rate and burst with an effect; greater ones would not be exact as numbers of units.
 const MAX_UNITS: f64 = 1e9;
 
@@ -105,7 +108,8 @@
 impl Allotment {
     /// Greatest number of holders among which the units may be divided.
     pub fn max_holders(&self) -> usize {
-        let by_depth = self.depth / MIN_HOLDER_DEPTH;
+        let second = (self.depth / SECOND_HOLDER_DEPTH).min(2.0);
+        let by_depth = (self.depth / HOLDER_DEPTH).max(second);
         by_depth.min(self.start).max(1.0) as usize
     }
 
--- a/src/sidecar/process/quota/policy.rs
+++ b/src/sidecar/process/quota/policy.rs
@@ -16,6 +16,10 @@
 /// Time for which the known nodes are not read again.
 const ROSTER_MAX_AGE: Duration = Duration::from_millis(250);
 
+/// Loans that a node may have of the predecessor of a process, relative to an equal share. Most nodes that are not seen
+/// after a start have ended; the bound allows for some that have not.
+const UNSEEN_WEIGHT: f64 = 3.0;
+
 /// Quotas at one node.
 #[derive(Debug)]
 pub struct Quotas {
@@ -28,7 +32,8 @@
     started: Now,
     /// Nodes that were linked since the start; they know that loans of an earlier process have ended.
     seen: HashSet<NodeId>,
-    unknown_loans: bool,
+    /// Part of the loans of an earlier process that may not have ended.
+    unknown: f64,
     borrowers: BTreeMap<TenantId, Borrower>,
     lender: Lender,
     polled_at: Now,
@@ -45,7 +50,7 @@
             roster_at: None,
             started: now,
             seen: HashSet::default(),
-            unknown_loans: true,
+            unknown: 1.0,
             borrowers: BTreeMap::new(),
             lender: Lender::default(),
             polled_at: now,
@@ -72,14 +77,16 @@
         F: Fn(&NodeId) -> bool,
     {
         self.roster_at = Some(now);
-        if self.unknown_loans {
+        if self.unknown > 0.0 {
             let seen = nodes.iter().map(|n| &n.0).filter(|n| reachable(n));
             self.seen.extend(seen.cloned());
-            let all_seen = nodes
-                .iter()
-                .all(|(n, _)| *n == self.node || self.seen.contains(n));
-            let ended = now >= self.started + MAX_LOAN_TIME;
-            self.unknown_loans = !(ended || listed && all_seen);
+            let is_unseen = |n: &&(NodeId, Az)| n.0 != self.node && !self.seen.contains(&n.0);
+            let unseen = nodes.iter().filter(is_unseen).count() as f64;
+            self.unknown = match listed {
+                _ if now >= self.started + MAX_LOAN_TIME => 0.0,
+                true => (unseen / nodes.len().max(1) as f64 * UNSEEN_WEIGHT).min(1.0),
+                false => 1.0,
+            };
         }
         self.roster.set(nodes, listed, now);
     }
@@ -108,7 +115,7 @@
         let context = Context {
             bounds: self.bounds,
             roster: &self.roster,
-            unknown_loans: self.unknown_loans,
+            unknown: self.unknown,
             now,
         };
         let new = || Borrower::new(quota, now);
@@ -178,7 +185,7 @@
         let context = Context {
             bounds: self.bounds,
             roster: &self.roster,
-            unknown_loans: self.unknown_loans,
+            unknown: self.unknown,
             now,
         };
         let lender = &mut self.lender;
