Keep the slot of a request that was given up until its target ends it

Cause: the slot of a request whose caller left, or whose deadline passed, was free as soon as its future was dropped. The target ran it on until it noticed that the connection had closed, and some targets never do, so that the next request was one more than the target takes. Under heavy load many deadlines pass, and each one made the target reject further requests.

Change: a request that was sent holds its slot until the target closes the connection or writes a response, for at least 0.5 s and at most 2 s if it does neither (abandoned.rs). The node closes its direction of the connection, which tells the target the same as before, and waits for the other one (ending.rs). Occupied slots count in wait estimates and in the load that other nodes see.

--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for one connection: links between nodes with their frames, and connections to the target.
 
 mod dial;
+pub mod ending;
 pub mod frame;
 mod link;
 mod link_task;
--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::upstream::SendError;
 use crate::prelude::*;
+use crate::sidecar::connection::ending::{self, Occupancy, Occupied};
 use crate::sidecar::connection::metered::{Allowance, MeteredStream};
 
 /// Time to open a connection within this VM.
@@ -56,6 +57,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
+    occupied: Occupied,
     /// Whether it has carried an earlier request.
     reused: bool,
     /// Zero if the connection must not be used again.
@@ -118,7 +120,11 @@
 
     /// Makes a connection available again after its response proved valid.
     pub fn put_back(&self, mut used: UsedConnection, now: Now) {
-        if let Some(mut conn) = used.0.take().filter(|c| !c.idle_timeout.is_zero()) {
+        let Some(mut conn) = used.0.take() else {
+            return;
+        };
+        conn.occupied.set(None);
+        if !conn.idle_timeout.is_zero() {
             conn.reused = true;
             self.idle().push(IdleConnection { conn, since: now });
         }
@@ -142,14 +148,13 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| SendError::NotSent(e.to_string()))?;
-        tokio::spawn(async move {
-            // An error is reported to the request on the connection; an idle connection is closed by it.
-            let _ = connection.await;
-        });
+        let occupied = Occupied::default();
+        tokio::spawn(ending::run(connection, occupied.clone()));
         let idle_timeout = MAX_IDLE;
         Ok(Connection {
             sender,
             allowance,
+            occupied,
             reused: false,
             idle_timeout,
         })
@@ -176,6 +181,22 @@
         req: Request<Full<Bytes>>,
         non_idempotent: bool,
         now: Now,
+    ) -> Result<(TargetResponse, UsedConnection), SendError> {
+        self.send_occupying(req, non_idempotent, now, None).await
+    }
+
+    /// Sends a request as [`Pool::send`] does. `occupancy` is kept until the response proved valid or the target has
+    /// closed the connection, also if the future is dropped before.
+    ///
+    /// # Errors
+    ///
+    /// See [`SendError`].
+    pub async fn send_occupying(
+        &self,
+        req: Request<Full<Bytes>>,
+        non_idempotent: bool,
+        now: Now,
+        occupancy: Option<Occupancy>,
     ) -> Result<(TargetResponse, UsedConnection), SendError> {
         let mut req = req;
         while let Some(mut conn) = self.take(non_idempotent, now) {
@@ -184,6 +205,7 @@
                 continue;
             }
             conn.allowance.set(MAX_HEAD_BYTES);
+            conn.occupied.set(occupancy.clone());
             match conn.sender.try_send_request(req).await {
                 Ok(res) => return self.read_response(conn, res).await,
                 Err(mut e) => match e.take_message() {
@@ -194,6 +216,7 @@
         }
         let mut conn = self.open().await?;
         conn.allowance.set(MAX_HEAD_BYTES);
+        conn.occupied.set(occupancy);
         match conn.sender.try_send_request(req).await {
             Ok(res) => self.read_response(conn, res).await,
             Err(mut e) => match e.take_message() {
--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -1,9 +1,11 @@
 //! The target of this node: its state, its calls, its slots with their queue, and its rate limit.
 
+pub mod abandoned;
 mod change;
 pub mod control;
 pub mod crash;
 pub mod departure;
+mod occupancy;
 pub mod queue;
 pub mod rate_limit;
 pub mod slots;
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -8,6 +8,7 @@
 
 use crate::prelude::*;
 use crate::request::reason::Reason;
+use crate::sidecar::process::target::abandoned::Abandoned;
 use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
 use crate::sidecar::version::routes::RANKS;
 
@@ -103,13 +104,15 @@
 }
 
 #[derive(Debug)]
-struct Running {
-    ticket: Ticket,
-    route: SmolStr,
+pub(super) struct Running {
+    pub(super) ticket: Ticket,
+    pub(super) route: SmolStr,
     rank: usize,
-    since: Now,
+    pub(super) since: Now,
     baseline: Duration,
     retry: bool,
+    /// Whether the target may still run it when it ends here.
+    pub(super) held: bool,
 }
 
 impl Running {
@@ -127,7 +130,8 @@
     slots: usize,
     /// Waiting requests in order of arrival.
     waiting: Vec<Waiting>,
-    running: Vec<Running>,
+    pub(super) running: Vec<Running>,
+    pub(super) abandoned: Abandoned,
     /// Mean service time over all routes, in seconds.
     mean_time: Option<f64>,
     /// Mean service time of each route, in seconds.
@@ -151,6 +155,7 @@
             slots: 0,
             waiting: Vec::new(),
             running: Vec::new(),
+            abandoned: Abandoned::default(),
             mean_time: None,
             route_times: HashMap::default(),
             slowdown_ln: None,
@@ -211,7 +216,7 @@
         if a.deadline < now + service_time.mul_f64(MIN_TIME_FRACTION) {
             return Some((Reason::Deadline, Duration::ZERO));
         }
-        let slot_wait = self.expected_wait(a.rank);
+        let slot_wait = self.expected_wait(now, a.rank);
         let limit_wait = self.limit_wait(now, a.rank);
         let queue_wait = slot_wait.max(limit_wait);
         // The link sends other responses while the request waits and runs.
@@ -242,7 +247,7 @@
     }
 
     /// Mean service time of a route at this target.
-    fn route_time(&self, route: &str) -> Duration {
+    pub(super) fn route_time(&self, route: &str) -> Duration {
         let known = self.route_times.get(route).copied().or(self.mean_time);
         known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
     }
@@ -259,12 +264,13 @@
     }
 
     /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
-    fn expected_wait(&self, rank: usize) -> Duration {
+    fn expected_wait(&self, now: Now, rank: usize) -> Duration {
         let ahead = self.ahead(rank);
-        if self.running.len() + ahead < self.slots {
+        let occupied = self.occupied(now);
+        if occupied + ahead < self.slots {
             return Duration::ZERO;
         }
-        let excess = (self.running.len() + ahead + 1).saturating_sub(self.slots);
+        let excess = (occupied + ahead + 1).saturating_sub(self.slots);
         let slots = self.slots as f64;
         let urgent_slots: f64 = self.slot_usage[..rank].iter().sum();
         let available = (1.0 - urgent_slots / slots).max(MIN_SLOT_FRACTION);
@@ -303,6 +309,7 @@
         self.update_usage(now);
         if let Some(i) = self.running.iter().position(|r| r.ticket == ticket) {
             let r = self.running.swap_remove(i);
+            self.abandon(now, &r);
             // Failures are often fast, so their times would make a broken target look fast.
             if !failed {
                 if let Some(slowdown) = r.slowdown(now) {
@@ -321,7 +328,10 @@
 
     /// Removes a waiting or dispatched request that was given up. Its service time is not recorded.
     pub fn cancel(&mut self, now: Now, ticket: Ticket) -> Vec<Action> {
-        self.running.retain(|r| r.ticket != ticket);
+        if let Some(i) = self.running.iter().position(|r| r.ticket == ticket) {
+            let r = self.running.swap_remove(i);
+            self.abandon(now, &r);
+        }
         self.waiting.retain(|w| w.arrival.ticket != ticket);
         self.advance(now)
     }
@@ -331,6 +341,7 @@
         self.mean_time = None;
         self.slowdown_ln = None;
         self.route_times.clear();
+        self.abandoned.clear();
         self.failure_rate = 0.0;
         self.limit = RateLimit::default();
         self.limit_known = false;
@@ -362,7 +373,7 @@
             *n = self.ahead(rank) as u32;
         }
         Load {
-            running: self.running.len() as u32,
+            running: self.occupied(now) as u32,
             waiting,
             service_us: (self.mean_service_time().max(age) * 1e6) as u32,
             slowdown_pct: self.slowdown_pct(now),
@@ -394,7 +405,8 @@
     pub fn advance(&mut self, now: Now) -> Vec<Action> {
         let mut out = Vec::new();
         self.expire(now, &mut out);
-        while self.running.len() < self.slots && !self.waiting.is_empty() && self.limit.take(now) {
+        self.abandoned.expire(now);
+        while self.occupied(now) < self.slots && !self.waiting.is_empty() && self.limit.take(now) {
             let key = |w: &Waiting| (w.late_since.is_some(), w.arrival.rank);
             let best = self.waiting.iter().enumerate();
             // `min_by_key` returns the first of equal elements, which arrived first.
@@ -409,6 +421,7 @@
                 since: now,
                 baseline: a.baseline,
                 retry: a.retry,
+                held: false,
             });
             out.push(Action::Dispatch(a.ticket));
         }
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::process::clock::Clock;
 use crate::request::reason::{Failure, Reason};
+use crate::sidecar::connection::ending::Occupancy;
 use crate::sidecar::process::target::queue::{Action, Arrival, Load, Queue, Ticket};
 
 /// Interval at which waiting requests are checked while no slot becomes free.
@@ -34,6 +35,32 @@
     pub failed: Option<bool>,
 }
 
+/// The use of a slot at the target; dropping it records that the target no longer runs the request.
+struct InUse {
+    slots: Arc<Slots>,
+    ticket: Ticket,
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        self.slots.update(|q, now| q.release(now, self.ticket));
+    }
+}
+
+impl Slot {
+    /// Keeps the slot occupied until the result is dropped, also if the slot itself is dropped before.
+    pub fn hold(&self) -> Occupancy {
+        self.slots.update(|q, _| {
+            q.hold(self.ticket);
+            Vec::new()
+        });
+        Arc::new(InUse {
+            slots: self.slots.clone(),
+            ticket: self.ticket,
+        })
+    }
+}
+
 impl Slots {
     /// Creates an empty queue; it has no slots until the target is known.
     pub fn new(clock: Arc<dyn Clock>) -> Self {
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -209,7 +209,9 @@
     let Some(req) = http_request(n, &request, &target, remaining) else {
         return AttemptResult::undelivered(Failure::not_run(Reason::BadRequest));
     };
-    let send = n.pool.send(req, !request.idempotent, now);
+    let send = n
+        .pool
+        .send_occupying(req, !request.idempotent, now, Some(slot.hold()));
     let result = tokio::time::timeout(remaining + DEADLINE_GRACE, send).await;
     let start = now;
     let now = n.clock.now();
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -1,6 +1,7 @@
 //! A small site for tests of the sidecar: stand-ins for the platform's store and for targets, and real node processes.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod capacity;
 pub mod store;
 pub mod target;
 
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::super::workdir::http_json;
+use super::capacity::Capacity;
 use super::SERVICE;
 
 /// Time for which a target that has crashed accepts no connections.
@@ -49,6 +50,8 @@
     pub down: bool,
     /// `slots` in heartbeats.
     pub slots: u32,
+    /// Slots that the target really has; without, it runs all requests at once.
+    pub capacity: Option<Arc<Capacity>>,
 }
 
 /// A running stand-in.
@@ -71,6 +74,7 @@
             held: false,
             down: false,
             slots: 4,
+            capacity: None,
         }));
         let received = Arc::new(Mutex::new(Vec::new()));
         let (s, r) = (state.clone(), received.clone());
@@ -281,6 +285,12 @@
             .write_all(refusal(path, id, &s.headers).as_bytes())
             .is_ok();
     }
+    if let Some(c) = &s.capacity {
+        match c.run(out, path, &refusal("shed", id, &s.headers)) {
+            Ok(()) => {}
+            Err(open) => return open,
+        }
+    }
     received.lock().unwrap().push(request.clone());
     while path.contains("hold") && state.lock().unwrap().held {
         std::thread::sleep(HOLD_POLL_INTERVAL);
