Send fewer requests to a target that resets connections or goes silent

Cause: a target whose slots something else occupies resets or closes the connection of a request that it cannot take, or never responds to it. The node learned nothing from that: it sent the next request at once, and a request without a response took its caller to the deadline.

Change: a connection that is lost right after a request was sent is the sign of a full target (full.rs). The node then sends no more than the target had at that moment, not below half for one event, and tries one more after rounds of responses that double with each failed trial. Both are logged as target_full.

--- /dev/null
+++ b/src/sidecar/process/target/full.rs
@@ -0,0 +1,84 @@
+//! Limit on the requests at a target that turned out to be full. No I/O.
+//!
+//! It handles targets that reset a connection or never respond when they have no free slot: something that this node
+//! does not know of occupies their slots. The node then sends no more than the target had before, and tries one more
+//! after some rounds of responses. Each trial that fails doubles the number of rounds until the next one.
+
+use crate::prelude::*;
+
+/// Shortest and longest time for which the limit does not grow, and in which several signs count as one event; within it
+/// a target frees a slot.
+const HOLD: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Fraction of the limit that remains at least after one event. All connections of a target may be reset together for
+/// another reason.
+const MIN_REMAINING: f64 = 0.5;
+/// Greatest number of rounds, of one response for each slot, between trials of one more request. With 64, a target that
+/// is full for long loses one request in several hundred.
+const MAX_ROUNDS: u32 = 64;
+/// Age, as a fraction of the service time, up to which a lost request counts as refused: a full target resets a
+/// connection at once, and a request that breaks later had a slot.
+const REFUSAL_FRACTION: f64 = 0.25;
+/// Minimum of this age, for routes whose requests take a few milliseconds.
+const MIN_REFUSAL_AGE: Duration = Duration::from_millis(10);
+
+/// Limit after the target was full; none by default.
+#[derive(Debug, Default)]
+pub struct FullLimit {
+    limit: Option<usize>,
+    /// Limit below which the event that goes on does not lower it.
+    least: usize,
+    /// End of the event.
+    until: Now,
+    /// Responses since the limit last changed.
+    responses: u32,
+    /// Rounds of responses after which one more request is tried.
+    rounds: u32,
+}
+
+/// Whether a request whose connection was lost at this age was refused by a full target.
+pub fn is_refusal(age: Duration, service_time: Duration) -> bool {
+    age <= service_time.mul_f64(REFUSAL_FRACTION).max(MIN_REFUSAL_AGE)
+}
+
+impl FullLimit {
+    /// Records that the target had no room for a request while `others` occupied slots. `slots` is the number of slots.
+    /// Returns whether the limit fell.
+    pub fn on_full(&mut self, now: Now, others: usize, slots: usize, service: Duration) -> bool {
+        let current = self.limit.unwrap_or(slots);
+        if self.limit.is_none() || now >= self.until {
+            self.rounds = (self.rounds * 2).clamp(1, MAX_ROUNDS);
+            self.least = ((current as f64 * MIN_REMAINING).ceil() as usize).max(1);
+            self.until = now + service.clamp(HOLD.0, HOLD.1);
+        }
+        let limit = others.clamp(self.least, current);
+        self.limit = Some(limit);
+        self.responses = 0;
+        limit < current
+    }
+
+    /// Records a response of the target.
+    pub fn on_response(&mut self, now: Now, slots: usize) {
+        let Some(limit) = self.limit.filter(|_| now >= self.until) else {
+            return;
+        };
+        self.responses += 1;
+        if u64::from(self.responses) < limit as u64 * u64::from(self.rounds) {
+            return;
+        }
+        self.responses = 0;
+        match limit + 1 < slots {
+            true => self.limit = Some(limit + 1),
+            false => self.clear(),
+        }
+    }
+
+    /// Number of slots that may be used, of this many.
+    pub fn apply(&self, slots: usize) -> usize {
+        self.limit.map_or(slots, |l| l.min(slots))
+    }
+
+    /// Forgets the limit, because another target has taken over the slots.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -1,6 +1,8 @@
-//! Slots of the target that are in use, also by requests that the node has given up and by probes. No I/O.
+//! Slots of the target that are in use, also by requests that the node has given up and by probes, and what the target
+//! shows when it is full. No I/O.
 
 use crate::prelude::*;
+use crate::sidecar::process::target::full;
 use crate::sidecar::process::target::queue::{Action, Queue, Running, Ticket};
 
 impl Queue {
@@ -9,13 +11,18 @@
         self.running.len() + self.abandoned.count(now)
     }
 
+    /// Number of slots that may be used.
+    pub(super) fn usable_slots(&self) -> usize {
+        self.full_limit.apply(self.slots)
+    }
+
     /// Records that a dispatched request is about to be sent. Its slot is occupied until [`Queue::release`], also if it
-    /// is cancelled or finished before.
-    pub fn hold(&mut self, ticket: Ticket) {
+    /// is cancelled or finished before. Returns the age from which on it may be unanswered; `None` if that is unknown.
+    pub fn hold(&mut self, ticket: Ticket) -> Option<Duration> {
         let mut running = self.running.iter_mut();
-        if let Some(r) = running.find(|r| r.ticket == ticket) {
-            r.held = true;
-        }
+        let r = running.find(|r| r.ticket == ticket)?;
+        r.held = true;
+        self.response_times.bound(&r.route)
     }
 
     /// Records that the target no longer runs a request that was sent.
@@ -47,4 +54,46 @@
             self.abandoned.add(now, r.ticket, age, service_time);
         }
     }
+
+    /// Records a response of the target to a request that has left the queue.
+    pub(super) fn on_response(&mut self, now: Now, r: &Running) {
+        self.response_times
+            .record(&r.route, now.saturating_sub(r.since));
+        self.full_limit.on_response(now, self.slots);
+        for earlier in self.running.iter_mut().filter(|e| e.since < r.since) {
+            earlier.overtaken = earlier.overtaken.saturating_add(1);
+        }
+    }
+
+    /// Whether the target will not respond to a request: it is older than its bound, and later ones were answered, or much
+    /// older.
+    pub fn is_unanswered(&self, now: Now, ticket: Ticket) -> bool {
+        let mut running = self.running.iter();
+        let found = running.find(|r| r.ticket == ticket);
+        found.is_some_and(|r| {
+            let age = now.saturating_sub(r.since);
+            self.response_times
+                .is_unanswered(&r.route, age, r.overtaken)
+        })
+    }
+
+    /// Records that the connection of a request was lost before any byte of a response. Returns whether the target is
+    /// taken to be full, which it was not before.
+    pub fn on_lost(&mut self, now: Now, ticket: Ticket) -> bool {
+        let mut running = self.running.iter();
+        let Some(r) = running.find(|r| r.ticket == ticket) else {
+            return false;
+        };
+        let age = now.saturating_sub(r.since);
+        full::is_refusal(age, self.route_time(&r.route)) && self.on_full(now)
+    }
+
+    /// Records that the target had no room for one of the requests that occupy its slots. Returns whether it is to get
+    /// fewer from now on.
+    pub fn on_full(&mut self, now: Now) -> bool {
+        let others = self.occupied(now).saturating_sub(1);
+        let service_time = Duration::from_secs_f64(self.mean_service_time());
+        self.full_limit
+            .on_full(now, others, self.slots, service_time)
+    }
 }
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -9,7 +9,9 @@
 use crate::prelude::*;
 use crate::request::reason::Reason;
 use crate::sidecar::process::target::abandoned::Abandoned;
+use crate::sidecar::process::target::full::FullLimit;
 use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
+use crate::sidecar::process::target::silence::ResponseTimes;
 use crate::sidecar::version::routes::RANKS;
 
 /// Maximum number of waiting requests; wait estimates are meaningless for longer queues.
@@ -113,6 +115,8 @@
     retry: bool,
     /// Whether the target may still run it when it ends here.
     pub(super) held: bool,
+    /// Number of requests that were dispatched later and have a response.
+    pub(super) overtaken: u32,
 }
 
 impl Running {
@@ -127,11 +131,13 @@
 /// Slots of the target and the requests that wait for them.
 #[derive(Debug)]
 pub struct Queue {
-    slots: usize,
+    pub(super) slots: usize,
     /// Waiting requests in order of arrival.
     waiting: Vec<Waiting>,
     pub(super) running: Vec<Running>,
     pub(super) abandoned: Abandoned,
+    pub(super) full_limit: FullLimit,
+    pub(super) response_times: ResponseTimes,
     /// Mean service time over all routes, in seconds.
     mean_time: Option<f64>,
     /// Mean service time of each route, in seconds.
@@ -156,6 +162,8 @@
             waiting: Vec::new(),
             running: Vec::new(),
             abandoned: Abandoned::default(),
+            full_limit: FullLimit::default(),
+            response_times: ResponseTimes::default(),
             mean_time: None,
             route_times: HashMap::default(),
             slowdown_ln: None,
@@ -252,7 +260,7 @@
         known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
     }
 
-    fn mean_service_time(&self) -> f64 {
+    pub(super) fn mean_service_time(&self) -> f64 {
         self.mean_time.unwrap_or(INITIAL_SERVICE_TIME.as_secs_f64())
     }
 
@@ -266,12 +274,12 @@
     /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
     fn expected_wait(&self, now: Now, rank: usize) -> Duration {
         let ahead = self.ahead(rank);
-        let occupied = self.occupied(now);
-        if occupied + ahead < self.slots {
+        let (occupied, usable) = (self.occupied(now), self.usable_slots());
+        if occupied + ahead < usable {
             return Duration::ZERO;
         }
-        let excess = (occupied + ahead + 1).saturating_sub(self.slots);
-        let slots = self.slots as f64;
+        let excess = (occupied + ahead + 1).saturating_sub(usable);
+        let slots = usable as f64;
         let urgent_slots: f64 = self.slot_usage[..rank].iter().sum();
         let available = (1.0 - urgent_slots / slots).max(MIN_SLOT_FRACTION);
         Duration::from_secs_f64(excess as f64 * self.mean_service_time() / (slots * available))
@@ -312,6 +320,7 @@
             self.abandon(now, &r);
             // Failures are often fast, so their times would make a broken target look fast.
             if !failed {
+                self.on_response(now, &r);
                 if let Some(slowdown) = r.slowdown(now) {
                     let old = self.slowdown_ln.unwrap_or_default();
                     self.slowdown_ln = Some(old + SLOWDOWN_WEIGHT * (slowdown.ln() - old));
@@ -342,6 +351,8 @@
         self.slowdown_ln = None;
         self.route_times.clear();
         self.abandoned.clear();
+        self.full_limit.clear();
+        self.response_times.clear();
         self.failure_rate = 0.0;
         self.limit = RateLimit::default();
         self.limit_known = false;
@@ -406,7 +417,10 @@
         let mut out = Vec::new();
         self.expire(now, &mut out);
         self.abandoned.expire(now);
-        while self.occupied(now) < self.slots && !self.waiting.is_empty() && self.limit.take(now) {
+        while self.occupied(now) < self.usable_slots()
+            && !self.waiting.is_empty()
+            && self.limit.take(now)
+        {
             let key = |w: &Waiting| (w.late_since.is_some(), w.arrival.rank);
             let best = self.waiting.iter().enumerate();
             // `min_by_key` returns the first of equal elements, which arrived first.
@@ -422,6 +436,7 @@
                 baseline: a.baseline,
                 retry: a.retry,
                 held: false,
+                overtaken: 0,
             });
             out.push(Action::Dispatch(a.ticket));
         }
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -13,6 +13,8 @@
 
 /// Interval at which waiting requests are checked while no slot becomes free.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which an old request is checked for whether later ones were answered.
+const UNANSWERED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 #[derive(Default)]
 struct State {
@@ -48,16 +50,40 @@
 }
 
 impl Slot {
-    /// Keeps the slot occupied until the result is dropped, also if the slot itself is dropped before.
-    pub fn hold(&self) -> Occupancy {
-        self.slots.update(|q, _| {
-            q.hold(self.ticket);
-            Vec::new()
-        });
-        Arc::new(InUse {
+    /// Keeps the slot occupied until the result is dropped, also if the slot itself is dropped before. Also returns the
+    /// time after which [`Slot::wait_unanswered`] is of use; `None` if that is unknown.
+    pub fn hold(&self) -> (Occupancy, Option<Duration>) {
+        let bound = self.slots.state().queue.hold(self.ticket);
+        let in_use = InUse {
             slots: self.slots.clone(),
             ticket: self.ticket,
-        })
+        };
+        (Arc::new(in_use), bound)
+    }
+
+    /// Waits until the target is found not to respond to the request. Returns whether it is to get fewer requests.
+    pub async fn wait_unanswered(&self, bound: Option<Duration>) -> bool {
+        let Some(bound) = bound else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(bound).await;
+        loop {
+            let now = self.slots.clock.now();
+            {
+                let queue = &mut self.slots.state().queue;
+                if queue.is_unanswered(now, self.ticket) {
+                    return queue.on_full(now);
+                }
+            }
+            tokio::time::sleep(UNANSWERED_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Records that the connection of the request was lost before any byte of a response. Returns whether the target is
+    /// to get fewer requests.
+    pub fn on_lost(&self) -> bool {
+        let now = self.slots.clock.now();
+        self.slots.state().queue.on_lost(now, self.ticket)
     }
 }
 
@@ -107,6 +133,17 @@
         self.state().queue.retry_fraction()
     }
 
+    /// Occupies a slot for something that is not a request of the queue, until the result is dropped, at most for `time`.
+    pub fn occupy(self: &Arc<Self>, time: Duration) -> Occupancy {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let until = self.clock.now() + time;
+        self.state().queue.occupy(ticket, until);
+        Arc::new(InUse {
+            slots: self.clone(),
+            ticket,
+        })
+    }
+
     /// Number of running and waiting requests.
     pub fn len(&self) -> usize {
         self.state().queue.len()
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -209,10 +209,22 @@
     let Some(req) = http_request(n, &request, &target, remaining) else {
         return AttemptResult::undelivered(Failure::not_run(Reason::BadRequest));
     };
+    let (occupancy, bound) = slot.hold();
     let send = n
         .pool
-        .send_occupying(req, !request.idempotent, now, Some(slot.hold()));
-    let result = tokio::time::timeout(remaining + DEADLINE_GRACE, send).await;
+        .send_occupying(req, !request.idempotent, now, Some(occupancy));
+    let send = tokio::time::timeout(remaining + DEADLINE_GRACE, send);
+    // Giving a request up early helps only if it may be sent elsewhere.
+    let bound = bound.filter(|_| request.idempotent);
+    let result = tokio::select! {
+        biased;
+        result = send => result,
+        fewer = slot.wait_unanswered(bound) => {
+            log_full(n, fewer, "silent");
+            slot.failed = Some(true);
+            return AttemptResult::failed_at_target(Failure::unknown(Reason::Lost));
+        }
+    };
     let start = now;
     let now = n.clock.now();
     let (mut response, conn) = match result {
@@ -277,6 +289,7 @@
         }
         _ => {
             if matches!(e, SendError::Lost(_)) {
+                log_full(n, slot.on_lost(), "reset");
                 n.on_request_lost(request);
             }
             slot.failed = Some(true);
@@ -285,6 +298,13 @@
     }
 }
 
+/// Logs that the target is full, if it is to get fewer requests from now on.
+fn log_full(n: &Node, fewer: bool, sign: &str) {
+    if fewer {
+        n.log.event("target_full", &[("sign", sign)]);
+    }
+}
+
 fn http_request(
     n: &Node,
     request: &TargetRequest,
--- a/tests/site_kit/capacity.rs
+++ b/tests/site_kit/capacity.rs
@@ -30,6 +30,8 @@
     pub running: AtomicUsize,
     /// Requests that arrived while all slots were occupied.
     pub refused: AtomicUsize,
+    /// Bytes that arrived on connections on which the target went silent.
+    pub after_silence: AtomicUsize,
 }
 
 impl Capacity {
@@ -39,6 +41,7 @@
             when_full,
             running: AtomicUsize::new(0),
             refused: AtomicUsize::new(0),
+            after_silence: AtomicUsize::new(0),
         }
     }
 
@@ -88,8 +91,8 @@
             WhenFull::Close => false,
             WhenFull::Silent => {
                 let mut rest = [0; 1024];
-                while matches!(out.read(&mut rest), Ok(n) if n > 0) {
-                    self.refused.fetch_add(1, Ordering::SeqCst);
+                while let Some(n) = out.read(&mut rest).ok().filter(|n| *n > 0) {
+                    self.after_silence.fetch_add(n, Ordering::SeqCst);
                 }
                 false
             }
