Count the slots that probes and checks of the target occupy

Cause: the health probe after the start waits for a slot of the target like any request, and the check whether a target has ended opens a connection, which may hold a slot until the target notices its close. Neither counted, so the node gave the same slot to a request.

Change: both occupy a slot of the queue until they end, the probe for at most its timeout, the check for 0.1 s more.

--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -166,7 +166,9 @@
     };
     n.adapter.set_target_headers(req.headers_mut(), &values);
     let now = n.clock.now();
-    let sent = tokio::time::timeout(PROBE_TIMEOUT, n.pool.send(req, false, now)).await;
+    let occupancy = n.slots.occupy(PROBE_TIMEOUT);
+    let send = n.pool.send_occupying(req, false, now, Some(occupancy));
+    let sent = tokio::time::timeout(PROBE_TIMEOUT, send).await;
     let Ok(Ok((response, conn))) = sent else {
         n.log.event("target_probed", &[("target", "none")]);
         return;
--- a/src/sidecar/process/target/crash.rs
+++ b/src/sidecar/process/target/crash.rs
@@ -12,6 +12,8 @@
 
 /// Time from the loss of a request to the check whether the target has ended: its process needs a moment to end.
 const CHECK_DELAY: Duration = Duration::from_millis(30);
+/// Time for which the connection of a check occupies a slot of the target.
+const CHECK_OCCUPIED: Duration = Duration::from_millis(100);
 /// Time for which a lost request is remembered; a target that has ended is back after some seconds.
 const LOST_FOR: Duration = Duration::from_secs(10);
 /// Shortest time between two checks. A target that is full may reset many connections.
@@ -79,12 +81,16 @@
         let n = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(CHECK_DELAY).await;
+            // The new connection may hold a slot until the target has noticed that it is closed.
+            let occupancy = n.slots.occupy(CHECK_OCCUPIED);
             match n.pool.is_refused().await {
                 Some(true) => n.on_target_ended(),
                 Some(false) => lock(&n.lost_requests).clear(),
                 // It does not respond; a refused connection or another incarnation may still show that it has ended.
                 None => {}
             }
+            tokio::time::sleep(CHECK_OCCUPIED).await;
+            drop(occupancy);
         });
     }
 
