--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::connection::upstream::SendError;
 use crate::prelude::*;
+use crate::sidecar::connection::ending::{self, Occupancy, Occupied};
 use crate::sidecar::connection::metered::{Allowance, MeteredStream};
 use crate::sidecar::connection::pacing::is_large;
 
@@ -66,6 +67,7 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
     task: AbortHandle,
+    occupied: Occupied,
     /// Whether it has carried an earlier request.
     reused: bool,
     /// Whether the body of the last request is large, so that the target may respond before it has read it.
@@ -151,7 +153,11 @@
 
     /// Makes a connection available again after its response proved valid.
     pub fn put_back(&self, mut used: UsedConnection, now: Now) {
-        if let Some(mut conn) = used.0.take().filter(|c| !c.idle_timeout.is_zero()) {
+        let Some(mut conn) = used.0.take() else {
+            return;
+        };
+        conn.occupied.set(None);
+        if !conn.idle_timeout.is_zero() {
             conn.reused = true;
             self.idle().push(IdleConnection { conn, since: now });
         }
@@ -175,15 +181,14 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| SendError::NotSent(e.to_string()))?;
-        let task = tokio::spawn(async move {
-            // An error is reported to the request on the connection; an idle connection is closed by it.
-            let _ = connection.await;
-        });
+        let occupied = Occupied::default();
+        let task = tokio::spawn(ending::run(connection, occupied.clone()));
         let idle_timeout = MAX_IDLE;
         Ok(Connection {
             sender,
             allowance,
             task: task.abort_handle(),
+            occupied,
             reused: false,
             large_body: false,
             idle_timeout,
@@ -211,6 +216,22 @@
         req: Request<Full<Bytes>>,
         non_idempotent: bool,
         now: Now,
+    ) -> Result<(TargetResponse, UsedConnection), SendError> {
+        self.send_occupying(req, non_idempotent, now, None).await
+    }
+
+    /// Sends a request as [`Pool::send`] does. `occupancy` is kept until the response proved valid or the target has
+    /// closed the connection, also if the future is dropped before.
+    ///
+    /// # Errors
+    ///
+    /// See [`SendError`].
+    pub async fn send_occupying(
+        &self,
+        req: Request<Full<Bytes>>,
+        non_idempotent: bool,
+        now: Now,
+        occupancy: Option<Occupancy>,
     ) -> Result<(TargetResponse, UsedConnection), SendError> {
         let mut req = req;
         let large_body = is_large(req.body().size_hint().lower() as usize);
@@ -221,6 +242,7 @@
             }
             conn.allowance.set(MAX_HEAD_BYTES);
             conn.large_body = large_body;
+            conn.occupied.set(occupancy.clone());
             match conn.sender.try_send_request(req).await {
                 Ok(res) => return self.read_response(conn, res).await,
                 Err(mut e) => match e.take_message() {
@@ -232,6 +254,7 @@
         let mut conn = self.open().await?;
         conn.allowance.set(MAX_HEAD_BYTES);
         conn.large_body = large_body;
+        conn.occupied.set(occupancy);
         match conn.sender.try_send_request(req).await {
             Ok(res) => self.read_response(conn, res).await,
             Err(mut e) => match e.take_message() {
--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -1,11 +1,15 @@
 //! The target of this node: its state, its calls, its slots with their queue, and its rate limit.
 
+pub mod abandoned;
 mod change;
 pub mod control;
 pub mod crash;
 pub mod departure;
+pub mod full;
+mod occupancy;
 pub mod queue;
 pub mod rate_limit;
+pub mod silence;
 pub mod slots;
 pub mod state;
 pub mod tenant_shares;
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -8,7 +8,10 @@
 
 use crate::prelude::*;
 use crate::request::reason::Reason;
+use crate::sidecar::process::target::abandoned::Abandoned;
+use crate::sidecar::process::target::full::FullLimit;
 use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
+use crate::sidecar::process::target::silence::ResponseTimes;
 use crate::sidecar::process::target::tenant_shares::TenantShares;
 use crate::sidecar::version::routes::RANKS;
 
@@ -113,13 +116,17 @@
 }
 
 #[derive(Debug)]
-struct Running {
-    ticket: Ticket,
-    route: SmolStr,
+pub(super) struct Running {
+    pub(super) ticket: Ticket,
+    pub(super) route: SmolStr,
     rank: usize,
-    since: Now,
+    pub(super) since: Now,
     baseline: Duration,
     retry: bool,
+    /// Whether the target may still run it when it ends here.
+    pub(super) held: bool,
+    /// Number of requests that were dispatched later and have a response.
+    pub(super) overtaken: u32,
 }
 
 impl Running {
@@ -134,10 +141,13 @@
 /// Slots of the target and the requests that wait for them.
 #[derive(Debug)]
 pub struct Queue {
-    slots: usize,
+    pub(super) slots: usize,
     /// Waiting requests in order of arrival.
     waiting: Vec<Waiting>,
-    running: Vec<Running>,
+    pub(super) running: Vec<Running>,
+    pub(super) abandoned: Abandoned,
+    pub(super) full_limit: FullLimit,
+    pub(super) response_times: ResponseTimes,
     /// Mean service time over all routes, in seconds.
     mean_time: Option<f64>,
     /// Mean service time of each route, in seconds.
@@ -162,6 +172,9 @@
             slots: 0,
             waiting: Vec::new(),
             running: Vec::new(),
+            abandoned: Abandoned::default(),
+            full_limit: FullLimit::default(),
+            response_times: ResponseTimes::default(),
             mean_time: None,
             route_times: HashMap::default(),
             slowdown_ln: None,
@@ -224,7 +237,7 @@
             return Some((Reason::Deadline, Duration::ZERO));
         }
         let ahead = self.ahead(a.rank, &a.tenant);
-        let slot_wait = self.expected_wait(a.rank, ahead);
+        let slot_wait = self.expected_wait(now, a.rank, ahead);
         let limit_wait = self.limit_wait(now, a.rank, ahead);
         let queue_wait = slot_wait.max(limit_wait);
         // The link sends other responses while the request waits and runs.
@@ -272,7 +285,7 @@
             return Some((Reason::Deadline, Duration::ZERO));
         }
         let ahead = self.ahead(a.rank, &a.tenant) + arriving;
-        let queue_wait = self.expected_wait(a.rank, ahead);
+        let queue_wait = self.expected_wait(now, a.rank, ahead);
         let wait = queue_wait
             .max(self.limit_wait(now, a.rank, ahead))
             .saturating_sub(delay);
@@ -294,7 +307,7 @@
         known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
     }
 
-    fn mean_service_time(&self) -> f64 {
+    pub(super) fn mean_service_time(&self) -> f64 {
         self.mean_time.unwrap_or(INITIAL_SERVICE_TIME.as_secs_f64())
     }
 
@@ -317,12 +330,13 @@
     }
 
     /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
-    fn expected_wait(&self, rank: usize, ahead: usize) -> Duration {
-        if self.running.len() + ahead < self.slots {
+    fn expected_wait(&self, now: Now, rank: usize, ahead: usize) -> Duration {
+        let (occupied, usable) = (self.occupied(now), self.usable_slots());
+        if occupied + ahead < usable {
             return Duration::ZERO;
         }
-        let excess = (self.running.len() + ahead + 1).saturating_sub(self.slots);
-        let slots = self.slots as f64;
+        let excess = (occupied + ahead + 1).saturating_sub(usable);
+        let slots = usable as f64;
         let urgent_slots: f64 = self.slot_usage[..rank].iter().sum();
         let available = (1.0 - urgent_slots / slots).max(MIN_SLOT_FRACTION);
         Duration::from_secs_f64(excess as f64 * self.mean_service_time() / (slots * available))
@@ -360,8 +374,10 @@
         self.update_usage(now);
         if let Some(i) = self.running.iter().position(|r| r.ticket == ticket) {
             let r = self.running.swap_remove(i);
+            self.abandon(now, &r);
             // Failures are often fast, so their times would make a broken target look fast.
             if !failed {
+                self.on_response(now, &r);
                 if let Some(slowdown) = r.slowdown(now) {
                     let old = self.slowdown_ln.unwrap_or_default();
                     self.slowdown_ln = Some(old + SLOWDOWN_WEIGHT * (slowdown.ln() - old));
@@ -378,7 +394,10 @@
 
     /// Removes a waiting or dispatched request that was given up. Its service time is not recorded.
     pub fn cancel(&mut self, now: Now, ticket: Ticket) -> Vec<Action> {
-        self.running.retain(|r| r.ticket != ticket);
+        if let Some(i) = self.running.iter().position(|r| r.ticket == ticket) {
+            let r = self.running.swap_remove(i);
+            self.abandon(now, &r);
+        }
         self.waiting.retain(|w| w.arrival.ticket != ticket);
         self.advance(now)
     }
@@ -388,6 +407,9 @@
         self.mean_time = None;
         self.slowdown_ln = None;
         self.route_times.clear();
+        self.abandoned.clear();
+        self.full_limit.clear();
+        self.response_times.clear();
         self.failure_rate = 0.0;
         self.limit = RateLimit::default();
         self.limit_known = false;
@@ -419,7 +441,7 @@
             *n = self.ahead_of_rank(rank) as u32;
         }
         Load {
-            running: self.running.len() as u32,
+            running: self.occupied(now) as u32,
             waiting,
             service_us: (self.mean_service_time().max(age) * 1e6) as u32,
             slowdown_pct: self.slowdown_pct(now),
@@ -452,7 +474,11 @@
     pub fn advance(&mut self, now: Now) -> Vec<Action> {
         let mut out = Vec::new();
         self.expire(now, &mut out);
-        while self.running.len() < self.slots && !self.waiting.is_empty() && self.limit.take(now) {
+        self.abandoned.expire(now);
+        while self.occupied(now) < self.usable_slots()
+            && !self.waiting.is_empty()
+            && self.limit.take(now)
+        {
             let Some(i) = self.next_waiting() else {
                 break;
             };
@@ -466,6 +492,8 @@
                 since: now,
                 baseline: a.baseline,
                 retry: a.retry,
+                held: false,
+                overtaken: 0,
             });
             out.push(Action::Dispatch(a.ticket));
         }
