Test crowds of clients that respect no limit

Nothing bounds what all clients of a sidecar together make it hold: each body is limited, their sum is not; the readers of responses, the ports of the admin API and between nodes have no limit at all.

tests/client_limits.rs plays ten kinds of crowds at seven doors against a process with low limits, and checks that the process lives, that its memory stays within twice the budget of the test (8 MB) above the idle process and its descriptors within 100, and that an ordinary request is answered while the crowd is still connected. The bounds follow from constants of the test.

--- /dev/null
+++ b/tests/client_limits.rs
@@ -0,0 +1,128 @@
+//! Clients that respect no limit: crowds at every port of a node, whose memory and descriptors must stay bounded while it
+//! serves ordinary callers. Each test guards against one kind of crowd at one door, as its name says.
+
+mod client_kit;
+mod site_kit;
+mod workdir;
+
+use client_kit::shape::{Door, Shape};
+use client_kit::{one_at_a_time, LimitedNode, BODY_BYTES};
+
+/// Plays the crowd of a shape at a door; see [`LimitedNode::play`] for what is checked.
+fn check(shape: Shape, door: Door) {
+    let _alone = one_at_a_time();
+    let mut node = LimitedNode::start();
+    node.play(door, shape.crowd(), &shape.script(door));
+}
+
+macro_rules! crowds {
+    ($($shape:ident: $($name:ident $door:ident),+;)+) => {
+        $($(
+            #[test]
+            fn $name() {
+                check(Shape::$shape, Door::$door);
+            }
+        )+)+
+    };
+}
+
+/// Guards against a limit that rejects a single request of the largest legal size when there is no overload.
+#[test]
+fn the_largest_body_is_served() {
+    let _alone = one_at_a_time();
+    let node = LimitedNode::start();
+    assert_eq!(node.post(BODY_BYTES), Some(200));
+}
+
+crowds! {
+    // Guards against bodies of legal size that are held open before their end.
+    WholeBody:
+        whole_bodies_at_a_route Route,
+        whole_bodies_at_a_path_without_route NoRoute,
+        whole_bodies_at_the_readiness_path ReadyPath,
+        whole_bodies_at_the_readiness_port Ready,
+        whole_bodies_at_the_control_port Control,
+        whole_bodies_at_the_admin_port Admin,
+        whole_bodies_at_the_port_between_nodes Relay;
+    // Guards against bodies whose small pieces cost far more memory than their bytes.
+    SmallPieces:
+        bodies_in_small_pieces_at_a_route Route,
+        bodies_in_small_pieces_at_a_path_without_route NoRoute,
+        bodies_in_small_pieces_at_the_readiness_path ReadyPath,
+        bodies_in_small_pieces_at_the_readiness_port Ready,
+        bodies_in_small_pieces_at_the_control_port Control,
+        bodies_in_small_pieces_at_the_admin_port Admin,
+        bodies_in_small_pieces_at_the_port_between_nodes Relay;
+    // Guards against chunked bodies that are held open before their end.
+    Chunks:
+        bodies_in_chunks_at_a_route Route,
+        bodies_in_chunks_at_a_path_without_route NoRoute,
+        bodies_in_chunks_at_the_readiness_path ReadyPath,
+        bodies_in_chunks_at_the_readiness_port Ready,
+        bodies_in_chunks_at_the_control_port Control,
+        bodies_in_chunks_at_the_admin_port Admin,
+        bodies_in_chunks_at_the_port_between_nodes Relay;
+    // Guards against bodies that announce more than the limit.
+    OverAnnounced:
+        too_long_bodies_at_a_route Route,
+        too_long_bodies_at_a_path_without_route NoRoute,
+        too_long_bodies_at_the_readiness_path ReadyPath,
+        too_long_bodies_at_the_readiness_port Ready,
+        too_long_bodies_at_the_control_port Control,
+        too_long_bodies_at_the_admin_port Admin,
+        too_long_bodies_at_the_port_between_nodes Relay;
+    // Guards against chunked bodies without end.
+    OverChunked:
+        endless_chunks_at_a_route Route,
+        endless_chunks_at_a_path_without_route NoRoute,
+        endless_chunks_at_the_readiness_path ReadyPath,
+        endless_chunks_at_the_readiness_port Ready,
+        endless_chunks_at_the_control_port Control,
+        endless_chunks_at_the_admin_port Admin,
+        endless_chunks_at_the_port_between_nodes Relay;
+    // Guards against heads whose fields cost far more memory than their bytes.
+    ShortFields:
+        short_header_fields_at_a_route Route,
+        short_header_fields_at_a_path_without_route NoRoute,
+        short_header_fields_at_the_readiness_path ReadyPath,
+        short_header_fields_at_the_readiness_port Ready,
+        short_header_fields_at_the_control_port Control,
+        short_header_fields_at_the_admin_port Admin,
+        short_header_fields_at_the_port_between_nodes Relay;
+    // Guards against pipelined requests whose responses are not read.
+    Pipelined:
+        pipelined_requests_at_a_route Route,
+        pipelined_requests_at_a_path_without_route NoRoute,
+        pipelined_requests_at_the_readiness_path ReadyPath,
+        pipelined_requests_at_the_readiness_port Ready,
+        pipelined_requests_at_the_control_port Control,
+        pipelined_requests_at_the_admin_port Admin,
+        pipelined_requests_at_the_port_between_nodes Relay;
+    // Guards against heads that arrive a byte at a time on all connections.
+    SlowSend:
+        slow_senders_at_a_route Route,
+        slow_senders_at_a_path_without_route NoRoute,
+        slow_senders_at_the_readiness_path ReadyPath,
+        slow_senders_at_the_readiness_port Ready,
+        slow_senders_at_the_control_port Control,
+        slow_senders_at_the_admin_port Admin,
+        slow_senders_at_the_port_between_nodes Relay;
+    // Guards against responses that nobody reads on all connections.
+    SlowRead:
+        slow_readers_at_a_route Route,
+        slow_readers_at_a_path_without_route NoRoute,
+        slow_readers_at_the_readiness_path ReadyPath,
+        slow_readers_at_the_readiness_port Ready,
+        slow_readers_at_the_control_port Control,
+        slow_readers_at_the_admin_port Admin,
+        slow_readers_at_the_port_between_nodes Relay;
+    // Guards against heads that stop half-way on all connections.
+    HalfHead:
+        half_heads_at_a_route Route,
+        half_heads_at_a_path_without_route NoRoute,
+        half_heads_at_the_readiness_path ReadyPath,
+        half_heads_at_the_readiness_port Ready,
+        half_heads_at_the_control_port Control,
+        half_heads_at_the_admin_port Admin,
+        half_heads_at_the_port_between_nodes Relay;
+}
