Bound what all clients of a sidecar make it hold

Each request was bounded and nothing bounded their sum, nor the unread responses of pipelined requests, nor the connections of all ports together. When it is spent, stalled and idle connections and then the least complete and least urgent bodies give way; requests that are complete never do. Heads, bodies and readers have limits in time that do not start again at each byte; the header timeout of the configuration applies to heads of callers, and the time between two requests is still the idle timeout. Without these settings nothing changes.

--- a/src/connection/body_buffer.rs
+++ b/src/connection/body_buffer.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
 
+use super::meter::ActiveRequest;
 use crate::request::reason::{Failure, Reason};
 
 /// Size of a block, in bytes.
@@ -58,12 +59,17 @@
     }
 }
 
-/// Reads a body of at most `max` bytes.
+/// Reads a body of at most `max` bytes. What it holds is charged to the budget of the process if there is one; the request
+/// counts as running once it is complete.
 ///
 /// # Errors
 ///
-/// The body is too large, or it was broken off. The request was not run.
-pub async fn collect<B>(body: B, max: usize) -> Result<Bytes, Failure>
+/// The body is too large, the budget is spent, or the body was broken off. The request was not run.
+pub async fn collect<B>(
+    body: B,
+    max: usize,
+    request: Option<&ActiveRequest>,
+) -> Result<Bytes, Failure>
 where
     B: http_body::Body,
 {
@@ -86,11 +92,17 @@
         if blocks.len + data.len() > max {
             return failed(Reason::TooLarge);
         }
+        if request.is_some_and(|r| r.hold(data.len()).is_err()) {
+            return failed(Reason::MemoryFull);
+        }
         if blocks.len == 0 && body.is_end_stream() {
             only = Some(data);
             break;
         }
         blocks.append(&data);
     }
+    if let Some(request) = request {
+        request.set_running();
+    }
     Ok(only.unwrap_or_else(|| blocks.join()))
 }
--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -9,9 +9,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 
-use super::pipeline::{EarlyResponse, EarlyStart, Pipeline, PipelineLimits};
+use super::gate::Door;
+use super::meter::{Account, ActiveRequest, Meter};
+use super::pipeline::{response_bytes, EarlyResponse, EarlyStart, Pipeline, PipelineLimits};
 use super::read_ahead::ReadAhead;
 use crate::prelude::*;
 use crate::request::body::Body;
@@ -28,26 +30,40 @@
 }
 
 /// Serves HTTP/1.1 connections forever. Connections above the limit wait in the listen backlog.
-pub async fn serve<H, F>(listener: TcpListener, limits: LimitSettings, handler: H)
-where
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: LimitSettings,
+    handler: H,
+    door: Option<Door>,
+) where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let (_sender, closing) = watch::channel(false);
-    serve_until(listener, move || limits.clone(), closing, handler, None).await;
+    serve_until(
+        listener,
+        move || limits.clone(),
+        closing,
+        handler,
+        None,
+        door,
+    )
+    .await;
 }
 
 /// Serves HTTP/1.1 connections until `closing` is set and all requests in progress have finished.
 ///
 /// Connections above the limit wait in the listen backlog. Each new connection gets the limits in force when it is
 /// accepted, except for the number of connections, which is read once at the start. `early` starts requests while
-/// earlier ones of their connection run; without it, they run one after the other.
+/// earlier ones of their connection run; without it, they run one after the other. With a `door`, connections count
+/// against the budget of the process, and above the limit others give way to them.
 pub async fn serve_until<L, H, F>(
     listener: TcpListener,
     limits: L,
     closing: watch::Receiver<bool>,
     handler: H,
     early: Option<Arc<dyn EarlyStart>>,
+    door: Option<Door>,
 ) where
     L: Fn() -> LimitSettings,
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
@@ -58,8 +74,9 @@
     let room = Arc::new(Semaphore::new(max));
     let mut stop = closing.clone();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
+        let waiting = match door {
+            None => permits.clone().acquire_owned().await.ok(),
+            Some(_) => None,
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -71,17 +88,37 @@
         };
         let _ = stream.set_nodelay(true);
         let limits = limits();
+        let permit = match (waiting, &door) {
+            (None, Some(door)) => find_room(&permits, door).await,
+            (waiting, _) => waiting,
+        };
+        let Some(permit) = permit else {
+            return;
+        };
+        let account = door.as_ref().map(Door::open);
+        let Some(account) = account.map_or(Some(None), |a| a.map(Some)) else {
+            continue;
+        };
+        let meter = account.as_ref().map(Account::meter);
         let pipeline = PipelineLimits {
             requests: limits.pipelined,
             room: room.clone(),
             headers: limits.headers,
             header_bytes: limits.header_bytes,
+            meter: meter.clone(),
         };
-        let stream = ReadAhead::new(stream, Pipeline::new(early.clone(), pipeline));
+        let stream = ReadAhead::new(
+            stream,
+            Pipeline::new(early.clone(), pipeline),
+            meter.clone(),
+        );
         let serve = serve_connection(stream, from.ip(), limits, closing.clone(), handler.clone());
         tokio::spawn(async move {
-            serve.await;
-            drop(permit);
+            tokio::select! {
+                () = serve => {}
+                () = evicted(meter) => {}
+            }
+            drop((account, permit));
         });
     }
     drop(listener);
@@ -89,6 +126,23 @@
     let _ = permits.acquire_many(all).await;
 }
 
+/// Waits until the connection has to be closed for others. Never returns without a budget.
+async fn evicted(meter: Option<Meter>) {
+    match meter {
+        Some(meter) => meter.evicted().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Permit for a connection that was accepted. At a listener that has as many connections as it may have, another one
+/// gives way; if none can, the wait is for the end of one.
+async fn find_room(permits: &Arc<Semaphore>, door: &Door) -> Option<OwnedSemaphorePermit> {
+    if permits.available_permits() == 0 {
+        door.make_room();
+    }
+    permits.clone().acquire_owned().await.ok()
+}
+
 async fn serve_connection<H, F>(
     stream: ReadAhead,
     from: IpAddr,
@@ -103,9 +157,18 @@
     let service = service_fn(move |req: Request<Incoming>| {
         let (parts, body) = req.into_parts();
         // At once, because the library may read on before it polls the future.
-        let early = watched.begin(&parts, !body.is_end_stream());
-        let req = Request::from_parts(parts, body);
-        let response = respond(watched.clone(), early, req, from, handler.clone());
+        let has_body = !body.is_end_stream();
+        let early = watched.begin(&parts, has_body);
+        let active = match early {
+            Some(_) => None,
+            None => watched.charge(&parts, has_body, body.size_hint().exact()),
+        };
+        let mut req = Request::from_parts(parts, body);
+        if let Some(active) = &active {
+            req.extensions_mut().insert(active.clone());
+        }
+        let begun = Begun { early, active };
+        let response = respond(watched.clone(), begun, req, from, handler.clone());
         async move { Ok::<_, Infallible>(response.await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -135,10 +198,17 @@
     }
 }
 
+/// What was recorded when a request began.
+struct Begun {
+    early: Option<EarlyResponse>,
+    /// Charges the connection, unless the request was started early.
+    active: Option<ActiveRequest>,
+}
+
 /// Handles a request, or waits for its response if it was started early.
 async fn respond<H, F>(
     stream: ReadAhead,
-    early: Option<EarlyResponse>,
+    begun: Begun,
     req: Request<Incoming>,
     from: IpAddr,
     handler: H,
@@ -147,7 +217,8 @@
     H: Fn(Request<Incoming>, IpAddr) -> F,
     F: Future<Output = Response<Body>>,
 {
-    let early = match early {
+    let method = req.method().clone();
+    let early = match begun.early {
         Some(mut started) => started.wait().await,
         None => None,
     };
@@ -155,6 +226,9 @@
         Some(response) => response,
         None => handler(req, from).await,
     };
+    if let Some(active) = begun.active {
+        active.respond(response_bytes(&method, &response));
+    }
     // The connection stays open until the requests that were started early have their responses.
     if stream.end() {
         response.headers_mut().remove(header::CONNECTION);
--- a/src/connection/pipeline.rs
+++ b/src/connection/pipeline.rs
@@ -14,10 +14,12 @@
 use http::{
     header, request, HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version,
 };
+use http_body::Body as _;
 use http_body_util::Empty;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 
+use super::meter::Meter;
 use crate::prelude::*;
 use crate::request::body::Body;
 
@@ -33,7 +35,7 @@
 }
 
 /// Limits on requests that are started early.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub(super) struct PipelineLimits {
     /// Maximum number of requests of a connection that wait to be handed to the library.
     pub(super) requests: usize,
@@ -43,6 +45,8 @@
     pub(super) headers: usize,
     /// Maximum size of the headers of a request, in bytes.
     pub(super) header_bytes: usize,
+    /// Measures what the connection holds, if the process has a budget.
+    pub(super) meter: Option<Meter>,
 }
 
 /// Response of a request that was started early. Dropping it cancels the request.
@@ -202,6 +206,11 @@
             && !self.stopped
             && self.started.len() < self.limits.requests
             && self.started_bytes < self.bytes.len()
+            && self
+                .limits
+                .meter
+                .as_ref()
+                .is_none_or(Meter::may_start_early)
         {
             let Ok(room) = self.limits.room.clone().try_acquire_owned() else {
                 return;
@@ -209,8 +218,12 @@
             match parse_head(&self.bytes[self.started_bytes..], &self.limits) {
                 Parsed::Head(head, len) if starter.may_overlap(&head) => {
                     self.started_bytes += len;
-                    self.started
-                        .push_back(start_request(&*starter, *head, room));
+                    self.started.push_back(start_request(
+                        &*starter,
+                        *head,
+                        room,
+                        self.limits.meter.as_ref(),
+                    ));
                 }
                 Parsed::Head(..) | Parsed::Other => self.next = Next::Unknown,
                 Parsed::Partial => return,
@@ -223,9 +236,19 @@
     starter: &dyn EarlyStart,
     head: request::Parts,
     room: OwnedSemaphorePermit,
+    meter: Option<&Meter>,
 ) -> StartedRequest {
     let (method, uri, headers) = (head.method.clone(), head.uri.clone(), head.headers.clone());
-    let response = starter.start(Request::from_parts(head, Empty::new()));
+    let method_of = method.clone();
+    let active = meter.map(|m| m.begin(&headers, None));
+    let starting = starter.start(Request::from_parts(head, Empty::new()));
+    let response = async move {
+        let response = starting.await;
+        if let Some(active) = active {
+            active.respond(response_bytes(&method_of, &response));
+        }
+        response
+    };
     StartedRequest {
         method,
         uri,
@@ -235,6 +258,14 @@
     }
 }
 
+/// Bytes of the body of a response that its client has to read.
+pub(super) fn response_bytes(method: &Method, response: &Response<Body>) -> usize {
+    match *method {
+        Method::HEAD => 0,
+        _ => usize::try_from(response.body().size_hint().lower()).unwrap_or(usize::MAX),
+    }
+}
+
 /// Whether the connection stays an HTTP/1.1 connection after a request.
 fn keeps_connection(request: &request::Parts) -> bool {
     let keep_alive = |v: &HeaderValue| v.as_bytes().eq_ignore_ascii_case(b"keep-alive");
--- a/src/connection/read_ahead.rs
+++ b/src/connection/read_ahead.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::meter::{ActiveRequest, Meter};
 use super::pipeline::{EarlyResponse, Pipeline};
 
 /// Maximum number of bytes to read ahead. A close behind more of them is noticed once they have been consumed.
@@ -24,6 +25,8 @@
     closed: bool,
     /// Reader that waits for bytes.
     reader: Option<Waker>,
+    /// Measures what the connection holds, if the process has a budget.
+    meter: Option<Meter>,
 }
 
 /// A stream whose bytes can be read ahead.
@@ -37,13 +40,14 @@
 }
 
 impl ReadAhead {
-    pub(super) fn new(stream: TcpStream, pipeline: Pipeline) -> Self {
+    pub(super) fn new(stream: TcpStream, pipeline: Pipeline, meter: Option<Meter>) -> Self {
         Self {
             stream: Arc::new(stream),
             ahead: Arc::new(Mutex::new(Ahead {
                 pipeline,
                 closed: false,
                 reader: None,
+                meter,
             })),
             started: Arc::default(),
             handed_over: Arc::default(),
@@ -62,6 +66,17 @@
         started
     }
 
+    /// Charges the connection for a request that it begins, if the process has a budget.
+    pub(super) fn charge(
+        &self,
+        request: &request::Parts,
+        has_body: bool,
+        length: Option<u64>,
+    ) -> Option<ActiveRequest> {
+        let meter = self.ahead().meter.clone()?;
+        Some(meter.begin(&request.headers, has_body.then_some(length)))
+    }
+
     /// Records that the request is finished. Returns whether the next one was started early.
     pub(super) fn end(&self) -> bool {
         let mut ahead = self.ahead();
@@ -81,7 +96,7 @@
     pub(super) async fn wait_closed(&self) {
         loop {
             self.started.notified().await;
-            while self.ahead().pipeline.len() < MAX_AHEAD_BYTES {
+            while self.ahead().may_read() {
                 if self.stream.readable().await.is_err() || self.read_available() {
                     return;
                 }
@@ -100,6 +115,12 @@
 }
 
 impl Ahead {
+    /// Whether more may be read before the library asks for it.
+    fn may_read(&self) -> bool {
+        let room = self.meter.as_ref().is_none_or(Meter::may_read_ahead);
+        room && self.pipeline.len() < MAX_AHEAD_BYTES
+    }
+
     /// Reads what has arrived on the stream.
     ///
     /// # Errors
@@ -109,7 +130,12 @@
         let mut buffer = [0; READ_BYTES];
         match stream.try_read(&mut buffer) {
             Ok(0) => self.closed = true,
-            Ok(n) => self.pipeline.add(&buffer[..n]),
+            Ok(n) => {
+                self.pipeline.add(&buffer[..n]);
+                if let Some(meter) = &self.meter {
+                    meter.record_received(&buffer[..n], self.pipeline.len());
+                }
+            }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Err(e),
             Err(_) => self.closed = true,
         }
@@ -126,6 +152,9 @@
         loop {
             let mut ahead = self.ahead();
             let taken = ahead.pipeline.take(out.remaining());
+            if let Some(meter) = ahead.meter.as_ref().filter(|_| !taken.is_empty()) {
+                meter.record_received(&taken, ahead.pipeline.len());
+            }
             if !taken.is_empty() || ahead.closed {
                 out.put_slice(&taken);
                 return Poll::Ready(Ok(()));
@@ -147,10 +176,20 @@
         F: Fn(&TcpStream) -> io::Result<usize>,
     {
         loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+            let is_ready = self.stream.poll_write_ready(cx);
+            if let (Poll::Pending, Some(meter)) = (&is_ready, &self.ahead().meter) {
+                meter.record_blocked();
+            }
+            ready!(is_ready)?;
             match write(&self.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    let ahead = self.ahead();
+                    if let (Some(meter), Ok(bytes)) = (&ahead.meter, &result) {
+                        meter.record_written(*bytes);
+                    }
+                    return Poll::Ready(result);
+                }
             }
         }
     }
--- a/src/process/lifecycle/start.rs
+++ b/src/process/lifecycle/start.rs
@@ -260,9 +260,10 @@
         closing.clone(),
         serve,
         None,
+        None,
     );
     let process = p.clone();
     let serve = move |req, from| entry::serve(process.clone(), req, from);
-    let caller = listen::serve_until(caller, move || limits.clone(), closing, serve, None);
+    let caller = listen::serve_until(caller, move || limits.clone(), closing, serve, None, None);
     vec![tokio::spawn(caller), tokio::spawn(relay)]
 }
--- a/src/request/reason.rs
+++ b/src/request/reason.rs
@@ -94,6 +94,8 @@
     Draining,
     /// The request body is larger than the limit.
     TooLarge,
+    /// The memory for the requests of all callers is spent.
+    MemoryFull,
     /// The caller sent the request too slowly.
     SlowCaller,
     /// The caller already has as many requests in flight as a `caller-limit` of the route allows.
@@ -116,7 +118,7 @@
 
 impl Reason {
     /// Every reason, for the parsing of headers.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::NoVersion,
         Self::NoRoute,
         Self::NoTarget,
@@ -130,6 +132,7 @@
         Self::Lost,
         Self::BadRequest,
         Self::TooLarge,
+        Self::MemoryFull,
         Self::SlowCaller,
         Self::CallerLimit,
         Self::CallerShare,
@@ -196,6 +199,7 @@
             Self::BudgetSpent => "budget-spent",
             Self::Draining => "draining",
             Self::TooLarge => "too-large",
+            Self::MemoryFull => "memory-full",
             Self::SlowCaller => "slow-caller",
             Self::CallerLimit => "caller-limit",
             Self::CallerShare => "caller-share",
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -178,6 +178,18 @@
     pub body_timeout_ms: u64,
     /// Maximum number of requests that a connection starts while an earlier one runs; 0 runs them one after the other.
     pub pipelined: usize,
+    /// Memory of the VM, in MB; 0 if it is not known. With it, `memory_bytes` has a default.
+    pub vm_memory_mb: u64,
+    /// Memory for everything that clients make the process hold, in bytes; 0 stands for half of `vm_memory_mb`. Without
+    /// both, it is not limited.
+    pub memory_bytes: u64,
+    /// Maximum number of descriptors of the process; 0 if it is not known. A quarter is kept for the store, links and the
+    /// target.
+    pub descriptors: u64,
+    /// Rate at which a client has to send a request body and to read a response, in bytes per second, over a window.
+    pub min_bytes_per_s: u64,
+    /// Length of the window of `min_bytes_per_s`, in milliseconds.
+    pub rate_window_ms: u64,
 }
 
 impl Default for LimitSettings {
@@ -190,6 +202,11 @@
             body_bytes: 1 << 20,
             body_timeout_ms: 5000,
             pipelined: 16,
+            vm_memory_mb: 0,
+            memory_bytes: 0,
+            descriptors: 0,
+            min_bytes_per_s: 64,
+            rate_window_ms: 15_000,
         }
     }
 }
@@ -383,7 +400,7 @@
     let limits = &s.limits;
     let sidecar = &s.sidecar;
     // The ranges reject values in a wrong unit, such as seconds instead of milliseconds.
-    let ranges: [(&str, u64, RangeInclusive<u64>); 13] = [
+    let ranges: [(&str, u64, RangeInclusive<u64>); 18] = [
         ("sidecar.heartbeat_ms", sidecar.heartbeat_ms, 10..=600_000),
         ("sidecar.drain_ms", sidecar.drain_ms, 0..=600_000),
         ("sidecar.apply_ms", sidecar.apply_ms, 500..=600_000),
@@ -409,6 +426,19 @@
             limits.body_timeout_ms,
             10..=600_000,
         ),
+        ("limits.vm_memory_mb", limits.vm_memory_mb, 0..=1 << 20),
+        ("limits.memory_bytes", limits.memory_bytes, 0..=1 << 40),
+        ("limits.descriptors", limits.descriptors, 0..=1 << 20),
+        (
+            "limits.min_bytes_per_s",
+            limits.min_bytes_per_s,
+            0..=1 << 20,
+        ),
+        (
+            "limits.rate_window_ms",
+            limits.rate_window_ms,
+            500..=600_000,
+        ),
     ];
     for (location, value, range) in ranges {
         if !range.contains(&value) {
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -52,6 +52,8 @@
     pub rejected_inputs: IntCounterVec,
     /// Bytes sent on links, by kind of message and hop.
     pub link_bytes: IntCounterVec,
+    /// Connections that a limit closed, by port and limit.
+    pub limited_clients: IntCounterVec,
     /// Calls to the store, by kind and result.
     pub store_calls: IntCounterVec,
     /// Watches that are waiting at the store.
@@ -107,6 +109,11 @@
                 "Bytes sent on links",
                 &["kind", "hop"],
             ),
+            limited_clients: counter(
+                "dq_sidecar_limited_clients_total",
+                "Connections that a limit closed",
+                &["port", "limit"],
+            ),
             store_calls: counter("dq_store_calls_total", "Store calls", &["kind", "result"]),
             store_waiting: gauge(
                 r,
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod bandwidth;
 pub mod fleet;
+pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod routing;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, watch, Notify};
 
+use crate::connection::gate::Gate;
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
@@ -76,6 +77,8 @@
     pub slots: Arc<Slots>,
     /// Idle connections to the target.
     pub pool: Pool,
+    /// Budget of the process for its clients, if the settings name one.
+    pub gate: Option<Arc<Gate>>,
     /// Link of the VM, which all connections share.
     pub shared_link: Arc<SharedLink>,
     /// Links that this node opened to other nodes.
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 
+use crate::connection::gate::Gate;
 use crate::connection::listen;
 use crate::logging::EventLog;
 use crate::prelude::*;
@@ -25,6 +26,7 @@
 use crate::sidecar::process::admin;
 use crate::sidecar::process::fleet::discovery;
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
+use crate::sidecar::process::limits::{self, LimitLog, Port};
 use crate::sidecar::process::metrics::Metrics;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
 use crate::sidecar::process::routing::placement::Placement;
@@ -90,6 +92,10 @@
         Duration::from_millis(s.drain_ms) / 2,
     );
     let metrics = Metrics::default();
+    let gate = limits::budget_limits(&settings.limits).map(|limits| {
+        let observer = LimitLog::new(metrics.limited_clients.clone());
+        Arc::new(Gate::new(limits, Box::new(observer)))
+    });
     let store = CountedStore::new(store, &metrics.store_calls, &metrics.store_waiting);
     let node = Node {
         id: settings.node.id.clone(),
@@ -102,6 +108,7 @@
         routes: ArcSwapOption::empty(),
         slots: Arc::new(Slots::new(clock.clone())),
         pool: Pool::new(s.target),
+        gate,
         shared_link: Arc::new(shared_link),
         links: Links::default(),
         state_changed: watch::channel(0).0,
@@ -192,6 +199,9 @@
         ],
     );
     let (close, close_rx) = watch::channel(false);
+    if let Some(gate) = n.gate.clone() {
+        tokio::spawn(async move { gate.watch().await });
+    }
     tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::watch_store(n.clone()));
     tokio::spawn(confirm::run(n.clone()));
@@ -204,10 +214,12 @@
     let p = n.clone();
     let serve = move |req, _| control::serve(p.clone(), req);
     let control_limits = limits.clone();
-    tokio::spawn(listen::serve(control_listener, control_limits, serve));
+    let door = limits::door(&n, Port::Control);
+    tokio::spawn(listen::serve(control_listener, control_limits, serve, door));
     let p = n.clone();
     let serve = move |req, _| control::serve_readiness(p.clone(), req);
-    tokio::spawn(listen::serve(readiness_listener, limits, serve));
+    let door = limits::door(&n, Port::Ready);
+    tokio::spawn(listen::serve(readiness_listener, limits, serve, door));
     let p = n.clone();
     let serve = move |req, _| entry::serve(p.clone(), req);
     let p = n.clone();
@@ -218,6 +230,7 @@
         close_rx,
         serve,
         Some(Arc::new(EarlyRequests(n.clone()))),
+        limits::door(&n, Port::Caller),
     ));
     tokio::spawn(watch_settings_file(n.clone(), source.clone()));
     wait_for_stop_signal(&n, source).await?;
@@ -247,6 +260,9 @@
         Ok(settings) if settings == **n.settings() => {}
         Ok(settings) => {
             n.shared_link.set_rate(settings.sidecar.link_mbps);
+            if let (Some(gate), Some(limits)) = (&n.gate, limits::budget_limits(&settings.limits)) {
+                gate.set_limits(limits);
+            }
             n.settings.store(Arc::new(settings));
             n.log.event("settings_reloaded", &[]);
         }
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::connection::body_buffer;
+use crate::connection::meter::ActiveRequest;
 use crate::prelude::*;
 use crate::request::body::{full, Body};
 use crate::sidecar::adapter::{TargetCall, TargetHeaders};
@@ -47,7 +48,8 @@
 /// Serves a call of the target: a heartbeat or the announcement of its stop.
 pub async fn serve(n: Arc<Node>, req: Request<Incoming>) -> Response<Body> {
     let (parts, body) = req.into_parts();
-    let Ok(body) = body_buffer::collect(body, MAX_CALL_BYTES).await else {
+    let active = parts.extensions.get::<ActiveRequest>();
+    let Ok(body) = body_buffer::collect(body, MAX_CALL_BYTES, active).await else {
         return json_response(StatusCode::BAD_REQUEST, "{}");
     };
     let call = n
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -5,6 +5,7 @@
 use http_body_util::BodyExt;
 
 use crate::connection::body_buffer;
+use crate::connection::meter::ActiveRequest;
 use crate::prelude::*;
 use crate::request::body::{full, Body, BodyError};
 use crate::request::context;
@@ -196,7 +197,9 @@
     let (host, path) = (host(&parts.headers, &parts.uri), parts.uri.path());
     let (table, route, tenant) = authenticate(n, table, host, path, info.key.as_ref()).await?;
     let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
-    let body = read_body(body, table.limits.body_bytes, remaining).await?;
+    let active = parts.extensions.get::<ActiveRequest>();
+    active.into_iter().for_each(|a| a.set_rank(route.rank));
+    let body = read_body(body, table.limits.body_bytes, remaining, active).await?;
     let service = n
         .traffic_split()
         .next(&route.name, &route.services)
@@ -267,15 +270,21 @@
     route.objective.saturating_sub(spent)
 }
 
-async fn read_body<B>(body: B, max: usize, remaining: Duration) -> Result<Bytes, Failure>
+/// Reads a whole body, which is charged to the budget of the process until the request has its response.
+async fn read_body<B>(
+    body: B,
+    max: usize,
+    remaining: Duration,
+    active: Option<&ActiveRequest>,
+) -> Result<Bytes, Failure>
 where
     B: http_body::Body,
-    B::Error: Into<BodyError>,
 {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match tokio::time::timeout(remaining, body_buffer::collect(body, max)).await {
+    let read = body_buffer::collect(body, max, active);
+    match tokio::time::timeout(remaining, read).await {
         Ok(result) => result,
         Err(_) => Err(Failure::not_run(Reason::SlowCaller)),
     }
--- a/tests/client_kit/mod.rs
+++ b/tests/client_kit/mod.rs
@@ -41,14 +41,14 @@
 }
 
 /// A configuration with the routes `/safe/` (idempotent) and `/once/`, and short time limits.
-fn config() -> String {
+fn config(body_bytes: usize, timeout_ms: u64) -> String {
     let route = |name: &str, route_type: &str| {
         format!(
-            r#"{{"name":"{name}","prefix":"/{name}/","route_type":"{route_type}","timeout_ms":4000,"aim_ms":3000,"priority":1,"service":"{SERVICE}","retry_attempts":1}}"#
+            r#"{{"name":"{name}","prefix":"/{name}/","route_type":"{route_type}","timeout_ms":{timeout_ms},"aim_ms":3000,"priority":1,"service":"{SERVICE}","retry_attempts":1}}"#
         )
     };
     format!(
-        r#"{{"version":1,"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{HEADER_BYTES},"max_body_bytes":{BODY_BYTES},"header_timeout_ms":1000,"idle_timeout_ms":2000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{},{}]}}]}}"#,
+        r#"{{"version":1,"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{HEADER_BYTES},"max_body_bytes":{body_bytes},"header_timeout_ms":1000,"idle_timeout_ms":2000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{},{}]}}]}}"#,
         route("safe", "safe"),
         route("once", "unsafe")
     )
@@ -62,9 +62,20 @@
 
 impl LimitedNode {
     pub fn start() -> Self {
+        let budget = format!("memory_bytes = {MEMORY_BYTES}\ndescriptors = {DESCRIPTORS}\n");
+        Self::start_with(&config(BODY_BYTES, 4000), &(settings() + &budget))
+    }
+
+    /// Starts a node with the default budget of a VM, and a configuration with large bodies.
+    pub fn start_on_vm(memory_mb: usize, body_bytes: usize) -> Self {
+        let vm = format!("vm_memory_mb = {memory_mb}\n");
+        Self::start_with(&config(body_bytes, 60_000), &(settings() + &vm))
+    }
+
+    fn start_with(config: &str, settings: &str) -> Self {
         let mut site = Site::empty();
-        site.store.put_config(&config());
-        site.add_node_with(0, &settings());
+        site.store.put_config(config);
+        site.add_node_with(0, settings);
         site.nodes[0].wait_ready();
         site.wait_linked();
         assert_eq!(site.nodes[0].send("GET", "/safe/x").unwrap().status, 200);
@@ -88,7 +99,7 @@
         let id = fresh_id();
         let headers = [
             ("dragonflyquay-request-id", id.as_str()),
-            ("dragonflyquay-deadline-ms", "4000"),
+            ("dragonflyquay-deadline-ms", "60000"),
             ("host", HOST),
         ];
         let body = "x".repeat(body_bytes);
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -6,7 +6,7 @@
 mod workdir;
 
 use client_kit::shape::{Door, Shape};
-use client_kit::{one_at_a_time, LimitedNode, BODY_BYTES};
+use client_kit::{one_at_a_time, peak_memory, LimitedNode, BODY_BYTES};
 
 /// Plays the crowd of a shape at a door; see [`LimitedNode::play`] for what is checked.
 fn check(shape: Shape, door: Door) {
@@ -34,6 +34,20 @@
     assert_eq!(node.post(BODY_BYTES), Some(200));
 }
 
+/// Guards against a default budget that has no room for the largest body that a configuration may allow on the smallest
+/// VM, and against a body that takes twice its size.
+#[test]
+fn the_largest_body_fits_on_a_small_vm() {
+    const VM_MEMORY_MB: usize = 160;
+    const LARGE_BODY_BYTES: usize = 67_108_864;
+    let _alone = one_at_a_time();
+    let node = LimitedNode::start_on_vm(VM_MEMORY_MB, LARGE_BODY_BYTES);
+    assert_eq!(node.post(LARGE_BODY_BYTES), Some(200));
+    let peak = peak_memory(node.site.nodes[0].process.pid());
+    assert!(peak <= VM_MEMORY_MB << 20, "{peak} bytes");
+    println!("peak {peak} bytes");
+}
+
 crowds! {
     // Guards against bodies of legal size that are held open before their end.
     WholeBody:
