Limit peers that have not shown that they are nodes

The port between nodes had no limit on connections, and each could make the process hold a message of the largest size. The task that writes to a link ends with it, also if its peer does not read. Listeners accept no further connection before those that gave way are closed.

--- a/src/connection/gate.rs
+++ b/src/connection/gate.rs
@@ -1,5 +1,6 @@
 //! Applies the [`Budget`] of a process to its connections: measures what each holds, and closes those that give way.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -9,6 +10,9 @@
 
 /// Interval at which limits in time are checked, for all connections together.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Times that a listener lets other tasks run before it accepts although connections are still being closed. Each needs to
+/// run once.
+const MAX_YIELDS: usize = 64;
 /// Connections that callers leave to the other ports, so that they cannot shut out the target, readiness checks and other
 /// nodes.
 const RESERVED_CONNECTIONS: usize = 16;
@@ -23,6 +27,8 @@
 pub(super) struct GateState {
     pub(super) budget: Budget,
     pub(super) accounts: HashMap<ClientId, Arc<Shared>>,
+    /// Connections that have given way and are still open.
+    pub(super) closing: usize,
 }
 
 /// The budget of a process, shared by its listeners.
@@ -78,8 +84,12 @@
     /// Closes connections that the budget has removed.
     pub(super) fn evict(&self, evicted: Vec<(ClientId, Limit)>) {
         for (id, limit) in evicted {
-            let account = self.state().accounts.remove(&id);
+            let mut state = self.state();
+            let account = state.accounts.remove(&id);
             if let Some(account) = account {
+                state.closing += 1;
+                account.closing.store(true, Ordering::Relaxed);
+                drop(state);
                 account.evicted.notify_one();
                 self.observer.limit_reached(account.port, limit);
             }
@@ -154,6 +164,16 @@
         Some(Account::new(shared))
     }
 
+    /// Waits until the connections that have given way are closed, so that accepting others is not ahead of it.
+    pub async fn settle(&self) {
+        for _ in 0..MAX_YIELDS {
+            if self.gate.state().closing == 0 {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Closes the connection of this port that gives way first, because the port has as many as it may have.
     pub fn make_room(&self) {
         let now = self.gate.now();
--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -96,6 +96,9 @@
             return;
         };
         let account = door.as_ref().map(Door::open);
+        if let Some(door) = &door {
+            door.settle().await;
+        }
         let Some(account) = account.map_or(Some(None), |a| a.map(Some)) else {
             continue;
         };
--- a/src/connection/meter.rs
+++ b/src/connection/meter.rs
@@ -1,6 +1,7 @@
 //! Measures what each connection does and holds, for the [`Gate`].
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 use http::HeaderMap;
@@ -73,6 +74,8 @@
     id: ClientId,
     pub(super) port: &'static str,
     pub(super) evicted: Notify,
+    /// Whether the connection has given way; it counts as open until its account ends.
+    pub(super) closing: AtomicBool,
     uses: Mutex<Uses>,
 }
 
@@ -83,6 +86,7 @@
             id,
             port,
             evicted: Notify::new(),
+            closing: AtomicBool::new(false),
             uses: Mutex::default(),
         }
     }
@@ -116,6 +120,7 @@
         let mut state = self.0.gate.state();
         state.budget.close(self.0.id);
         state.accounts.remove(&self.0.id);
+        state.closing -= usize::from(self.0.closing.load(Ordering::Relaxed));
     }
 }
 
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod dial;
 pub mod frame;
+mod greeting;
 mod link;
 mod link_task;
 pub mod links;
--- a/src/sidecar/connection/relay.rs
+++ b/src/sidecar/connection/relay.rs
@@ -5,21 +5,25 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio_tungstenite::tungstenite::Message as Ws;
 
+use crate::connection::gate::Door;
+use crate::connection::meter::Account;
 use crate::prelude::*;
 use crate::request::reason::{Failure, Outcome, Reason};
 use crate::sidecar::connection::dial::{websocket_config, OPEN_TIMEOUT};
 use crate::sidecar::connection::frame::{
     join_payload, parse_method, FailureHead, Head, Message, RequestHead, ResponseHead, Seq,
 };
+use crate::sidecar::connection::greeting::Greeting;
 use crate::sidecar::connection::link::{lock, MAX_OUTGOING};
 use crate::sidecar::connection::link_task::hello_message;
 use crate::sidecar::connection::liveness::CLOSE_AFTER;
 use crate::sidecar::connection::pacing::is_large;
 use crate::sidecar::connection::transit::TransitDelay;
 use crate::sidecar::process::bandwidth::Urgency;
+use crate::sidecar::process::limits::{self, Port};
 use crate::sidecar::process::metrics::Hop;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::request::admit::{self, strip_response, AttemptResult, TargetRequest};
@@ -33,10 +37,17 @@
 
 /// Accepts links of other nodes. Never returns.
 pub async fn accept(n: Arc<Node>, listener: TcpListener) {
+    let door = limits::door(&n, Port::Relay);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(n.clone(), stream));
+                let account = door.as_ref().map(Door::open);
+                if let Some(door) = &door {
+                    door.settle().await;
+                }
+                if let Some(account) = account.map_or(Some(None), |a| a.map(Some)) {
+                    tokio::spawn(serve_guarded(n.clone(), stream, account));
+                }
             }
             Err(e) => {
                 spdlog::warn!("event=accept_failed", kv: { error = e.to_string() });
@@ -46,6 +57,15 @@
     }
 }
 
+/// A task that ends with its owner, also while it waits for a peer that does not read.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Running requests of an accepted link. Dropping it cancels them as described at [`admit::run`].
 #[derive(Default)]
 struct RunningRequests {
@@ -60,8 +80,18 @@
     }
 }
 
-async fn serve(n: Arc<Node>, stream: TcpStream) {
+/// Serves a link until it is closed, or until it gives way to others before its peer has shown that it is a node.
+async fn serve_guarded(n: Arc<Node>, stream: TcpStream, account: Option<Account>) {
+    let greeting = Greeting::new(account);
+    tokio::select! {
+        () = serve(n, stream, &greeting) => {}
+        () = greeting.given_up() => {}
+    }
+}
+
+async fn serve(n: Arc<Node>, stream: TcpStream, greeting: &Greeting) {
     let _ = stream.set_nodelay(true);
+    let stream = greeting.limit(stream);
     let opened = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()));
     let Ok(Ok(stream)) = tokio::time::timeout(OPEN_TIMEOUT, opened).await else {
         return;
@@ -70,7 +100,7 @@
     let (tx, mut rx) = mpsc::channel::<Message>(MAX_OUTGOING);
     let peer: Arc<OnceLock<NodeId>> = Arc::default();
     let (writer_node, writer_peer) = (n.clone(), peer.clone());
-    let writer = tokio::spawn(async move {
+    let _writer = AbortOnDrop(tokio::spawn(async move {
         while let Some(m) = rx.recv().await {
             let hop = writer_peer
                 .get()
@@ -80,7 +110,7 @@
                 return;
             }
         }
-    });
+    }));
     let mut changed = n.state_changed.subscribe();
     let mut sent_state = SentState::new(&n);
     let _ = tx.send(hello_message(&n)).await;
@@ -117,6 +147,7 @@
                 }
             }
             Head::Hello(record, version, _) => {
+                greeting.finish();
                 transit.reset();
                 if let Some(known) = n.known_targets_message(&record.node) {
                     let _ = tx.try_send(known);
@@ -157,7 +188,6 @@
             _ => break,
         }
     }
-    writer.abort();
 }
 
 /// Records for how long a request was delayed on its link.
--- a/src/sidecar/process/limits.rs
+++ b/src/sidecar/process/limits.rs
@@ -47,6 +47,8 @@
     Control,
     /// Readiness checks.
     Ready,
+    /// Links of other nodes.
+    Relay,
 }
 
 impl Port {
@@ -56,6 +58,7 @@
             Self::Caller => "caller",
             Self::Control => "control",
             Self::Ready => "ready",
+            Self::Relay => "relay",
         }
     }
 }
