--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -3,6 +3,7 @@
 mod dial;
 pub mod ending;
 pub mod frame;
+mod greeting;
 pub mod inbound_link;
 mod link;
 mod link_task;
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -56,6 +56,8 @@
     pub link_bytes: IntCounterVec,
     /// Bytes received on links, by kind of message.
     pub link_received_bytes: IntCounterVec,
+    /// Connections that a limit closed, by port and limit.
+    pub limited_clients: IntCounterVec,
     /// Calls to the store, by kind and result.
     pub store_calls: IntCounterVec,
     /// Watches that are waiting at the store.
@@ -122,6 +124,11 @@
                 "Bytes received on links",
                 &["kind"],
             ),
+            limited_clients: counter(
+                "dq_sidecar_limited_clients_total",
+                "Connections that a limit closed",
+                &["port", "limit"],
+            ),
             store_calls: counter("dq_store_calls_total", "Store calls", &["kind", "result"]),
             store_waiting: gauge(
                 r,
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod bandwidth;
 pub mod fleet;
 pub mod inbound;
+pub mod limits;
 pub mod metrics;
 pub mod node;
 pub mod quota;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -9,6 +9,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{mpsc, watch, Notify, Semaphore};
 
+use crate::connection::gate::Gate;
 use crate::logging::EventLog;
 use crate::prelude::*;
 use crate::process::clock::Clock;
@@ -80,6 +81,8 @@
     pub slots: Arc<Slots>,
     /// Idle connections to the target.
     pub pool: Pool,
+    /// Budget of the process for its clients, if the settings name one.
+    pub gate: Option<Arc<Gate>>,
     /// Link of the VM, which all connections share.
     pub shared_link: Arc<SharedLink>,
     /// The same link for what the node receives.
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -2,12 +2,14 @@
 
 use std::net::IpAddr;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::request::Parts;
 use http::{header, HeaderMap, HeaderValue, Request, Response, Uri};
 use http_body::Body as _;
 use http_body_util::BodyExt;
 
+use crate::connection::body_buffer;
+use crate::connection::meter::ActiveRequest;
 use crate::prelude::*;
 use crate::request::body::{full, Body, BodyError};
 use crate::request::context;
@@ -233,7 +235,13 @@
         Some(t) => driver::take(n, t, remaining).await?,
         None => None,
     };
-    let (body, upload) = body.take(n, table.limits.body_bytes, remaining).await?;
+    let active = parts.extensions.get::<ActiveRequest>();
+    active
+        .into_iter()
+        .for_each(|a| a.set_rank(table.rank(&route, tenant.as_deref())));
+    let (body, upload) = body
+        .take(n, table.limits.body_bytes, remaining, active)
+        .await?;
     let service = n
         .traffic_split()
         .next(&route.name, &route.services)
@@ -326,6 +334,7 @@
         n: &Node,
         max: usize,
         remaining: Duration,
+        active: Option<&ActiveRequest>,
     ) -> Result<(Bytes, Option<Arc<Upload>>), Failure> {
         let fits = |b: &mut Body| b.size_hint().lower() <= max as u64;
         if self.body.is_none() {
@@ -335,10 +344,12 @@
         let body = body.ok_or(Failure::not_run(Reason::TooLarge))?;
         match upload_len(&body) {
             Some(len) => {
+                // It arrives no faster than a target takes it, so no least rate applies to its caller.
+                active.into_iter().for_each(ActiveRequest::set_running);
                 let upload = Upload::new(body, len, &n.upload_room, self.over_link);
                 Ok((Bytes::new(), Some(Arc::new(upload))))
             }
-            None => Ok((read_body(body, max, remaining).await?, None)),
+            None => Ok((read_body(body, max, remaining, active).await?, None)),
         }
     }
 
@@ -351,24 +362,13 @@
     }
 }
 
-async fn read_body(body: Body, max: usize, remaining: Duration) -> Result<Bytes, Failure> {
-    let read = tokio::time::timeout(remaining, read_frames(body, max)).await;
+/// Reads a whole body, which is charged to the budget of the process until the request has its response.
+async fn read_body(
+    body: Body,
+    max: usize,
+    remaining: Duration,
+    active: Option<&ActiveRequest>,
+) -> Result<Bytes, Failure> {
+    let read = tokio::time::timeout(remaining, body_buffer::collect(body, max, active)).await;
     read.unwrap_or(Err(Failure::not_run(Reason::SlowCaller)))
 }
-
-async fn read_frames(mut body: Body, max: usize) -> Result<Bytes, Failure> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Failure::not_run(Reason::BadRequest))?;
-        let data = frame.into_data().unwrap_or_default();
-        if whole.len() + data.len() > max {
-            return Err(Failure::not_run(Reason::TooLarge));
-        }
-        match whole.is_empty() {
-            // Most bodies have one frame, which is not copied.
-            true => whole = data.into(),
-            false => whole.extend_from_slice(&data),
-        }
-    }
-    Ok(whole.freeze())
-}
