Share the start of a call between requests and uploads

The function that sends an upload was longer than 50 lines and repeated that of other requests. Discarding a body also frees the room in which it was kept. No behaviour of other requests changes.

--- a/src/sidecar/connection/links.rs
+++ b/src/sidecar/connection/links.rs
@@ -11,7 +11,7 @@
 use crate::request::reason::{Failure, Reason};
 use crate::sidecar::connection::dial;
 use crate::sidecar::connection::frame::{join_payload, Head, Message, RequestHead, Seq};
-use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, PendingRequest};
+use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, OutgoingBody, PendingRequest};
 use crate::sidecar::process::fleet::watchers::WatcherCandidate;
 use crate::sidecar::process::metrics::Hop;
 use crate::sidecar::process::node::Node;
@@ -29,12 +29,23 @@
 /// A request whose result has not arrived. Dropping it cancels the request.
 pub(crate) struct PendingCall {
     rx: oneshot::Receiver<AttemptResult>,
-    guard: CancelOnDrop,
+    pub(super) guard: CancelOnDrop,
+}
+
+/// Result of a request that was not sent.
+pub(super) fn not_sent() -> AttemptResult {
+    AttemptResult::undelivered(Failure::not_run(Reason::NotSent))
 }
 
 impl PendingCall {
-    pub(super) fn new(rx: oneshot::Receiver<AttemptResult>, guard: CancelOnDrop) -> Self {
-        Self { rx, guard }
+    /// Queues the first message of the request. Returns false if the queue is full, which ends the request.
+    pub(super) fn queue(&self, message: Message) -> bool {
+        let (link, seq) = (&self.guard.link, self.guard.seq);
+        let queued = link.outgoing.try_send((seq, message)).is_ok();
+        if !queued {
+            lock(&link.pending).remove(&seq);
+        }
+        queued
     }
 
     /// Waits for the result.
@@ -92,41 +103,49 @@
         node: &NodeId,
         request: &TargetRequest,
     ) -> CallResult {
-        let link = lock(&self.open).get(node).cloned();
-        let not_sent = AttemptResult::undelivered(Failure::not_run(Reason::NotSent));
-        let Some(link) = link else {
-            return CallResult::Done(not_sent);
+        let Some(mut call) = self.begin(n, node, request, None) else {
+            return CallResult::Done(not_sent());
+        };
+        let mut suspected = call.guard.link.suspected.subscribe();
+        let (head, payload) = request_head(n, request, call.guard.seq);
+        let message = Message {
+            head: Head::Request(Box::new(head)),
+            payload,
         };
+        if !call.queue(message) {
+            return CallResult::Done(not_sent());
+        }
+        tokio::select! {
+            biased;
+            result = call.wait() => CallResult::Done(result),
+            _ = suspected.changed(), if request.idempotent => CallResult::Suspected(call),
+        }
+    }
+
+    /// Adds a request to those that wait for their results on the link to a node; `None` without a link.
+    pub(super) fn begin(
+        &self,
+        n: &Node,
+        node: &NodeId,
+        request: &TargetRequest,
+        body: Option<OutgoingBody>,
+    ) -> Option<PendingCall> {
+        let link = lock(&self.open).get(node).cloned()?;
         let seq = link.last_seq.fetch_add(1, Ordering::SeqCst) + 1;
         let (tx, rx) = oneshot::channel();
         let pending = PendingRequest {
             result: tx,
             deadline: request.deadline,
             parts: BytesMut::new(),
-            body: None,
+            body,
         };
         link.add(n, seq, pending);
-        let mut suspected = link.suspected.subscribe();
         let guard = CancelOnDrop {
-            link: link.clone(),
+            link,
             seq,
             finished: false,
         };
-        let (head, payload) = request_head(n, request, seq);
-        let message = Message {
-            head: Head::Request(Box::new(head)),
-            payload,
-        };
-        if link.outgoing.try_send((seq, message)).is_err() {
-            lock(&link.pending).remove(&seq);
-            return CallResult::Done(not_sent);
-        }
-        let mut call = PendingCall::new(rx, guard);
-        tokio::select! {
-            biased;
-            result = call.wait() => CallResult::Done(result),
-            _ = suspected.changed(), if request.idempotent => CallResult::Suspected(call),
-        }
+        Some(PendingCall { rx, guard })
     }
 
     /// Requests the version in force from a node, as a patch of the version `held`. Returns whether the request was
--- a/src/sidecar/connection/upload_sender.rs
+++ b/src/sidecar/connection/upload_sender.rs
@@ -1,15 +1,12 @@
 //! Sends large request bodies to the nodes of their targets, as these grant them.
 
-use std::sync::atomic::Ordering;
-
-use bytes::BytesMut;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::prelude::*;
-use crate::request::reason::{Failure, Outcome, Reason};
+use crate::request::reason::{Failure, Outcome};
 use crate::sidecar::connection::frame::{Head, Message, Seq};
-use crate::sidecar::connection::link::{lock, CancelOnDrop, Link, OutgoingBody, PendingRequest};
-use crate::sidecar::connection::links::{request_head, Links, PendingCall};
+use crate::sidecar::connection::link::{Link, OutgoingBody};
+use crate::sidecar::connection::links::{not_sent, request_head, Links};
 use crate::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
 use crate::sidecar::process::node::Node;
 use crate::sidecar::request::admit::{AttemptResult, TargetRequest};
@@ -25,39 +22,23 @@
         request: &TargetRequest,
         upload: &Upload,
     ) -> AttemptResult {
-        let link = lock(&self.open).get(node).cloned();
-        let not_sent = AttemptResult::undelivered(Failure::not_run(Reason::NotSent));
-        let Some(link) = link else {
-            return not_sent;
-        };
-        let seq = link.last_seq.fetch_add(1, Ordering::SeqCst) + 1;
-        let (tx, rx) = oneshot::channel();
         let (grants, granted) = mpsc::unbounded_channel();
-        let pending = PendingRequest {
-            result: tx,
-            deadline: request.deadline,
-            parts: BytesMut::new(),
-            body: Some(OutgoingBody {
-                grants,
-                passed_on: false,
-            }),
+        let body = OutgoingBody {
+            grants,
+            passed_on: false,
         };
-        link.add(n, seq, pending);
-        let guard = CancelOnDrop {
-            link: link.clone(),
-            seq,
-            finished: false,
+        let Some(mut call) = self.begin(n, node, request, Some(body)) else {
+            return not_sent();
         };
+        let (link, seq) = (call.guard.link.clone(), call.guard.seq);
         let (head, payload) = request_head(n, request, seq);
         let offer = Message {
             head: Head::Offer(Box::new(head), upload.len()),
             payload,
         };
-        if link.outgoing.try_send((seq, offer)).is_err() {
-            lock(&link.pending).remove(&seq);
-            return not_sent;
+        if !call.queue(offer) {
+            return not_sent();
         }
-        let mut call = PendingCall::new(rx, guard);
         let sender = BodySender {
             n: n.clone(),
             link: &link,
--- a/src/sidecar/request/upload.rs
+++ b/src/sidecar/request/upload.rs
@@ -214,6 +214,7 @@
         tokio::spawn(async move {
             let mut r = self.reading.lock().await;
             r.pieces.clear();
+            r.kept.permits = None;
             discard_frames(&n, &mut r.body, self.len, timeout).await;
         });
     }
