--- a/src/sidecar/process/quota/driver.rs
+++ b/src/sidecar/process/quota/driver.rs
@@ -22,6 +22,9 @@
 const WAIT_FRACTION: f64 = 0.25;
 /// Interval at which a waiting request looks again, in case that a link has opened or a holder does not answer.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which a request that has not been sent on needs another unit. Requests whose bodies arrive slowly, or whose
+/// callers complete many at once, could otherwise run in one window with units of several.
+const MAX_AGE: Duration = Duration::from_secs(1);
 /// Interval of the log lines about refused requests of a tenant.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Greatest number of tenants with metrics of their own; bounds the memory that many versions may cost.
@@ -51,6 +54,7 @@
 pub struct QuotaToken {
     node: Arc<Node>,
     tenant: TenantId,
+    taken_at: Now,
     may_have_run: bool,
 }
 
@@ -134,10 +138,31 @@
     Ok(Some(QuotaToken {
         node: n.clone(),
         tenant: name.clone(),
+        taken_at: n.clock.boot_time(),
         may_have_run: false,
     }))
 }
 
+/// Replaces the unit of a request whose body took so long to arrive that the unit belongs to an earlier time.
+///
+/// # Errors
+///
+/// As for [`take`].
+pub(crate) async fn renew(
+    n: &Arc<Node>,
+    tenant: &Tenant,
+    token: QuotaToken,
+    remaining: Duration,
+) -> Result<Option<QuotaToken>, Failure> {
+    let mut token = token;
+    if n.clock.boot_time() < token.taken_at + MAX_AGE {
+        return Ok(Some(token));
+    }
+    // Its time has passed, so it is not returned.
+    token.may_have_run = true;
+    take(n, tenant, remaining).await
+}
+
 /// Counts and logs a refused request.
 fn refused(n: &Node, tenant: &TenantId, after: Duration) -> Failure {
     n.count_units(tenant, "refused", 1);
@@ -182,6 +207,7 @@
             let table = n.routes.load_full();
             let quota = |t: &TenantId| table.as_ref().and_then(|r| r.quota(t));
             n.quotas().retain(|t| quota(t).is_some());
+            lock(&n.quota.refusals).retain(|t, _| quota(t).is_some());
         }
         let now = n.clock.boot_time();
         let asks = n.quotas().poll(|h| n.links.is_responsive(h), now);
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -209,6 +209,10 @@
         None => None,
     };
     let body = read_body(body, table.limits.body_bytes, remaining).await?;
+    let quota = match (&tenant, quota) {
+        (Some(t), Some(token)) => driver::renew(n, t, token, remaining).await?,
+        _ => None,
+    };
     let service = n
         .traffic_split()
         .next(&route.name, &route.services)
