--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -242,6 +242,10 @@
     let (body, upload) = body
         .take(n, table.limits.body_bytes, remaining, active)
         .await?;
+    let quota = match (&tenant, quota) {
+        (Some(t), Some(token)) => driver::renew(n, t, token, remaining).await?,
+        _ => None,
+    };
     let service = n
         .traffic_split()
         .next(&route.name, &route.services)
