Serve the admin API of a sidecar with the limits of its other ports

Its server had no limit on connections and no time limit for a head: 120 clients that stopped half-way, sent a byte at a time or did not read stayed for ever, with 139 to 140 descriptors (bound 100). The two paths, metrics and status, are served by the listener of the other ports now, so that the budget of clients, limits.connections and limits.header_timeout_ms apply. Responses stay the same, apart from the body of errors.

--- a/src/sidecar/process/admin.rs
+++ b/src/sidecar/process/admin.rs
@@ -1,23 +1,15 @@
 //! Admin API of a sidecar node: metrics and status.
 
-use std::net::SocketAddr;
-
-use dropshot::{
-    endpoint, ApiDescription, ConfigDropshot, HttpError, HttpResponseOk, HttpServer,
-    RequestContext, ServerBuilder,
-};
-use http::Response;
-use schemars::JsonSchema;
+use http::{header, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use serde::Serialize;
 
-use crate::logging;
 use crate::prelude::*;
+use crate::request::body::{full, Body};
 use crate::sidecar::process::node::Node;
 
-type Ctx = RequestContext<Arc<Node>>;
-
 /// State of a node.
-#[derive(Debug, Serialize, JsonSchema)]
+#[derive(Debug, Serialize)]
 struct Status {
     /// Id of this node.
     node: String,
@@ -37,50 +29,38 @@
     in_flight: usize,
 }
 
-/// Metrics in the Prometheus text format.
-#[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(ctx: Ctx) -> Result<Response<dropshot::Body>, HttpError> {
-    let n = ctx.context();
-    let text = n.metrics.render(n);
-    Response::builder()
-        .header(http::header::CONTENT_TYPE, "text/plain; version=0.0.4")
-        .body(text.into())
-        .map_err(|e| HttpError::for_internal_error(e.to_string()))
+/// Serves a request of the admin API; its body is not read.
+pub async fn serve(n: Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    let (kind, body) = match (req.method(), req.uri().path()) {
+        (&Method::GET, "/metrics") => ("text/plain; version=0.0.4", n.metrics.render(&n)),
+        (&Method::GET, "/status") => ("application/json", status(&n)),
+        (_, "/metrics" | "/status") => return failure(StatusCode::METHOD_NOT_ALLOWED),
+        _ => return failure(StatusCode::NOT_FOUND),
+    };
+    let mut res = Response::new(full(body));
+    let kind = HeaderValue::from_static(kind);
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
 }
 
-/// State of the node.
-#[endpoint { method = GET, path = "/status" }]
-async fn status(ctx: Ctx) -> Result<HttpResponseOk<Status>, HttpError> {
-    let n = ctx.context();
-    let record = n.record();
-    let nodes = n.members().count();
-    Ok(HttpResponseOk(Status {
+fn failure(status: StatusCode) -> Response<Body> {
+    let mut res = Response::new(full("{}"));
+    *res.status_mut() = status;
+    res
+}
+
+/// State of the node, as JSON.
+fn status(n: &Node) -> String {
+    let status = Status {
         node: n.id.to_string(),
         version: n.version(),
         ready: n.ready(),
-        nodes,
+        nodes: n.members().count(),
         links: n.links.len(),
-        target: record.target.map(|t| t.id.to_string()),
+        target: n.record().target.map(|t| t.id.to_string()),
         queued: n.slots.len(),
         in_flight: n.in_flight(),
-    }))
-}
-
-/// Starts the server of the admin API on `address`.
-///
-/// # Errors
-///
-/// Description of why the server cannot start.
-pub fn start(address: SocketAddr, n: Arc<Node>) -> Result<HttpServer<Arc<Node>>, String> {
-    let mut api = ApiDescription::new();
-    api.register(metrics).map_err(|e| e.to_string())?;
-    api.register(status).map_err(|e| e.to_string())?;
-    let config = ConfigDropshot {
-        bind_address: address,
-        ..ConfigDropshot::default()
     };
-    ServerBuilder::new(api, n, logging::dropshot_log())
-        .config(config)
-        .start()
-        .map_err(|e| e.to_string())
+    // A struct of strings and numbers is always valid JSON.
+    serde_json::to_string(&status).unwrap_or_default()
 }
--- a/src/sidecar/process/limits.rs
+++ b/src/sidecar/process/limits.rs
@@ -47,6 +47,8 @@
     Control,
     /// Readiness checks.
     Ready,
+    /// Metrics and status.
+    Admin,
     /// Links of other nodes.
     Relay,
 }
@@ -58,6 +60,7 @@
             Self::Caller => "caller",
             Self::Control => "control",
             Self::Ready => "ready",
+            Self::Admin => "admin",
             Self::Relay => "relay",
         }
     }
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -179,13 +179,11 @@
     let caller_listener = bind(settings.listen.caller).await?;
     let control_listener = bind(settings.sidecar.control).await?;
     let readiness_listener = bind(settings.sidecar.ready).await?;
+    let admin_listener = bind(settings.listen.admin).await?;
     let mut settings = settings;
     // Port 0 stands for any free port; other nodes must learn the actual one.
     settings.listen.relay = relay_listener.local_addr().change_context(NodeError)?;
     let (n, queues) = build(settings, adapter, store, clock);
-    let admin_address = n.settings().listen.admin;
-    let admin =
-        admin::start(admin_address, n.clone()).map_err(|e| Report::new(NodeError).attach(e))?;
     let address = |l: &TcpListener| l.local_addr().map(|a| a.to_string()).unwrap_or_default();
     n.log.event(
         "started",
@@ -195,7 +193,7 @@
             ("relay", &address(&relay_listener)),
             ("control", &address(&control_listener)),
             ("ready", &address(&readiness_listener)),
-            ("admin", &admin.local_addr().to_string()),
+            ("admin", &address(&admin_listener)),
         ],
     );
     let (close, close_rx) = watch::channel(false);
@@ -217,6 +215,10 @@
     let door = limits::door(&n, Port::Control);
     tokio::spawn(listen::serve(control_listener, control_limits, serve, door));
     let p = n.clone();
+    let serve = move |req, _| admin::serve(p.clone(), req);
+    let door = limits::door(&n, Port::Admin);
+    tokio::spawn(listen::serve(admin_listener, limits.clone(), serve, door));
+    let p = n.clone();
     let serve = move |req, _| control::serve_readiness(p.clone(), req);
     let door = limits::door(&n, Port::Ready);
     tokio::spawn(listen::serve(readiness_listener, limits, serve, door));
