Let requests that have no room for their heads wait for their turn

A request that could not be charged for its head when it was to start early closed its connection, also while other requests of the connection ran at targets. It is not started early now, and waits for its turn.

A test keeps a connection idle for three times the header timeout and sends on it again; the listener is divided into functions.

--- a/src/connection/listen.rs
+++ b/src/connection/listen.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 
 use super::gate::Door;
@@ -92,29 +92,15 @@
             (None, Some(door)) => find_room(&permits, door).await,
             (waiting, _) => waiting,
         };
-        let Some(permit) = permit else {
-            return;
+        let account = match &door {
+            Some(door) => open(door).await,
+            None => None,
         };
-        let account = door.as_ref().map(Door::open);
-        if let Some(door) = &door {
-            door.settle().await;
-        }
-        let Some(account) = account.map_or(Some(None), |a| a.map(Some)) else {
+        if permit.is_none() || account.is_none() && door.is_some() {
             continue;
-        };
+        }
         let meter = account.as_ref().map(Account::meter);
-        let pipeline = PipelineLimits {
-            requests: limits.pipelined,
-            room: room.clone(),
-            headers: limits.headers,
-            header_bytes: limits.header_bytes,
-            meter: meter.clone(),
-        };
-        let stream = ReadAhead::new(
-            stream,
-            Pipeline::new(early.clone(), pipeline),
-            meter.clone(),
-        );
+        let stream = read_ahead(stream, &limits, &room, early.clone(), meter.clone());
         let serve = serve_connection(stream, from.ip(), limits, closing.clone(), handler.clone());
         tokio::spawn(async move {
             tokio::select! {
@@ -129,6 +115,30 @@
     let _ = permits.acquire_many(all).await;
 }
 
+/// Admits a connection to the budget of the process; `None` if there is no room for it.
+async fn open(door: &Door) -> Option<Account> {
+    let account = door.open();
+    door.settle().await;
+    account
+}
+
+fn read_ahead(
+    stream: TcpStream,
+    limits: &LimitSettings,
+    room: &Arc<Semaphore>,
+    early: Option<Arc<dyn EarlyStart>>,
+    meter: Option<Meter>,
+) -> ReadAhead {
+    let pipeline = PipelineLimits {
+        requests: limits.pipelined,
+        room: room.clone(),
+        headers: limits.headers,
+        header_bytes: limits.header_bytes,
+        meter: meter.clone(),
+    };
+    ReadAhead::new(stream, Pipeline::new(early, pipeline), meter)
+}
+
 /// Waits until the connection has to be closed for others. Never returns without a budget.
 async fn evicted(meter: Option<Meter>) {
     match meter {
@@ -158,19 +168,8 @@
 {
     let watched = stream.clone();
     let service = service_fn(move |req: Request<Incoming>| {
-        let (parts, body) = req.into_parts();
         // At once, because the library may read on before it polls the future.
-        let has_body = !body.is_end_stream();
-        let early = watched.begin(&parts, has_body);
-        let active = match early {
-            Some(_) => None,
-            None => watched.charge(&parts, has_body, body.size_hint().exact()),
-        };
-        let mut req = Request::from_parts(parts, body);
-        if let Some(active) = &active {
-            req.extensions_mut().insert(active.clone());
-        }
-        let begun = Begun { early, active };
+        let (req, begun) = begin(&watched, req);
         let response = respond(watched.clone(), begun, req, from, handler.clone());
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -208,6 +207,22 @@
     active: Option<ActiveRequest>,
 }
 
+/// Records that a request begins.
+fn begin(stream: &ReadAhead, req: Request<Incoming>) -> (Request<Incoming>, Begun) {
+    let (parts, body) = req.into_parts();
+    let has_body = !body.is_end_stream();
+    let early = stream.begin(&parts, has_body);
+    let active = match early {
+        Some(_) => None,
+        None => stream.charge(&parts, has_body, body.size_hint().exact()),
+    };
+    let mut req = Request::from_parts(parts, body);
+    if let Some(active) = &active {
+        req.extensions_mut().insert(active.clone());
+    }
+    (req, Begun { early, active })
+}
+
 /// Handles a request, or waits for its response if it was started early.
 async fn respond<H, F>(
     stream: ReadAhead,
--- a/src/connection/meter.rs
+++ b/src/connection/meter.rs
@@ -189,22 +189,34 @@
 
     /// Whether a request may be started before the responses to earlier ones have been read.
     pub(super) fn may_start_early(&self) -> bool {
-        self.0
-            .update(|uses| uses.unread.iter().map(|r| r.held).sum::<usize>() < MAX_UNREAD_BYTES)
+        let unread = |uses: &mut Uses| uses.unread.iter().map(|r| r.held).sum::<usize>();
+        self.may_read_ahead() && self.0.update(unread) < MAX_UNREAD_BYTES
     }
 
-    /// Begins a request whose head has arrived. `body` is the announced length of its body, if it has one.
+    /// Begins a request whose head has arrived. `body` is the announced length of its body, if it has one. Without room for
+    /// its head the connection is closed.
     pub(super) fn begin(&self, headers: &HeaderMap, body: Option<Option<u64>>) -> ActiveRequest {
-        let size =
-            |h: &HeaderMap| -> usize { h.iter().map(|(k, v)| k.as_str().len() + v.len()).sum() };
-        let bytes = size(headers) + headers.len() * FIELD_BYTES;
-        let held = match self.0.gate.charge(self.0.id, bytes) {
-            Ok(()) => bytes,
-            Err(Spent) => {
-                self.0.close(Limit::Memory);
-                0
-            }
-        };
+        let held = self.charge_head(headers).unwrap_or_else(|Spent| {
+            self.0.close(Limit::Memory);
+            0
+        });
+        self.start(held, body)
+    }
+
+    /// Begins a request without a body before it is its turn; `None` without room for its head.
+    pub(super) fn begin_early(&self, headers: &HeaderMap) -> Option<ActiveRequest> {
+        let held = self.charge_head(headers).ok()?;
+        Some(self.start(held, None))
+    }
+
+    /// Charges the connection for a head. Returns the bytes.
+    fn charge_head(&self, headers: &HeaderMap) -> Result<usize, Spent> {
+        let fields = headers.iter().map(|(k, v)| k.as_str().len() + v.len());
+        let bytes = fields.sum::<usize>() + headers.len() * FIELD_BYTES;
+        self.0.gate.charge(self.0.id, bytes).map(|()| bytes)
+    }
+
+    fn start(&self, held: usize, body: Option<Option<u64>>) -> ActiveRequest {
         self.0.update(|uses| {
             uses.head = false;
             match body {
@@ -212,12 +224,11 @@
                 None => uses.running += 1,
             }
         });
-        let request = Request {
+        ActiveRequest(Arc::new(Request {
             client: self.0.clone(),
             held: Mutex::new(held),
             reading: Mutex::new(body.is_some()),
-        };
-        ActiveRequest(Arc::new(request))
+        }))
     }
 }
 
--- a/src/connection/pipeline.rs
+++ b/src/connection/pipeline.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 
-use super::meter::Meter;
+use super::meter::{ActiveRequest, Meter};
 use crate::prelude::*;
 use crate::request::body::Body;
 
@@ -217,13 +217,17 @@
             };
             match parse_head(&self.bytes[self.started_bytes..], &self.limits) {
                 Parsed::Head(head, len) if starter.may_overlap(&head) => {
+                    let active = match &self.limits.meter {
+                        None => None,
+                        // Without room the request waits for its turn.
+                        Some(meter) => match meter.begin_early(&head.headers) {
+                            None => return,
+                            active => active,
+                        },
+                    };
                     self.started_bytes += len;
-                    self.started.push_back(start_request(
-                        &*starter,
-                        *head,
-                        room,
-                        self.limits.meter.as_ref(),
-                    ));
+                    let request = start_request(&*starter, *head, room, active);
+                    self.started.push_back(request);
                 }
                 Parsed::Head(..) | Parsed::Other => self.next = Next::Unknown,
                 Parsed::Partial => return,
@@ -236,11 +240,10 @@
     starter: &dyn EarlyStart,
     head: request::Parts,
     room: OwnedSemaphorePermit,
-    meter: Option<&Meter>,
+    active: Option<ActiveRequest>,
 ) -> StartedRequest {
     let (method, uri, headers) = (head.method.clone(), head.uri.clone(), head.headers.clone());
     let method_of = method.clone();
-    let active = meter.map(|m| m.begin(&headers, None));
     let starting = starter.start(Request::from_parts(head, Empty::new()));
     let response = async move {
         let response = starting.await;
--- a/src/sidecar/version/routes.rs
+++ b/src/sidecar/version/routes.rs
@@ -87,9 +87,10 @@
     pub header_bytes: usize,
     /// Maximum size of the body of a request, in bytes.
     pub body_bytes: usize,
-    /// Time within which the headers of a request must arrive. Not enforced: `idle_timeout` applies.
+    /// Time within which the headers of a request must arrive after their first byte. Enforced where the settings limit the
+    /// memory or the descriptors of the process; elsewhere `idle_timeout` applies.
     pub header_timeout: Duration,
-    /// Time after which an idle connection of a caller is closed; applies to reading headers too.
+    /// Time after which an idle connection of a caller is closed.
     pub idle_timeout: Duration,
 }
 
--- a/tests/client_kit/mod.rs
+++ b/tests/client_kit/mod.rs
@@ -29,6 +29,10 @@
 pub const HEADER_BYTES: usize = 16 << 10;
 /// Largest number of header fields of a request, the highest that the settings accept.
 pub const FIELDS: usize = 1024;
+/// Idle timeout of the connections of callers, in ms.
+const IDLE_MS: u64 = 2000;
+/// The same where a connection has to stay open for long, in ms.
+const LONG_IDLE_MS: u64 = 60_000;
 /// Time for which a crowd writes; it then stays connected.
 const PLAY_TIME: Duration = Duration::from_millis(2500);
 /// Receive buffer of a client, in bytes, so that unread responses stay in the process rather than in the system.
@@ -41,14 +45,14 @@
 }
 
 /// A configuration with the routes `/safe/` (idempotent) and `/once/`, and short time limits.
-fn config(body_bytes: usize, timeout_ms: u64) -> String {
+fn config(body_bytes: usize, timeout_ms: u64, idle_ms: u64) -> String {
     let route = |name: &str, route_type: &str| {
         format!(
             r#"{{"name":"{name}","prefix":"/{name}/","route_type":"{route_type}","timeout_ms":{timeout_ms},"aim_ms":3000,"priority":1,"service":"{SERVICE}","retry_attempts":1}}"#
         )
     };
     format!(
-        r#"{{"version":1,"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{HEADER_BYTES},"max_body_bytes":{body_bytes},"header_timeout_ms":1000,"idle_timeout_ms":2000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{},{}]}}]}}"#,
+        r#"{{"version":1,"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":{HEADER_BYTES},"max_body_bytes":{body_bytes},"header_timeout_ms":1000,"idle_timeout_ms":{idle_ms}}},"virtual_hosts":[{{"host":"{HOST}","paths":[{},{}]}}]}}"#,
         route("safe", "safe"),
         route("once", "unsafe")
     )
@@ -63,13 +67,16 @@
 impl LimitedNode {
     pub fn start() -> Self {
         let budget = format!("memory_bytes = {MEMORY_BYTES}\ndescriptors = {DESCRIPTORS}\n");
-        Self::start_with(&config(BODY_BYTES, 4000), &(settings() + &budget))
+        Self::start_with(&config(BODY_BYTES, 4000, IDLE_MS), &(settings() + &budget))
     }
 
     /// Starts a node with the default budget of a VM, and a configuration with large bodies.
     pub fn start_on_vm(memory_mb: usize, body_bytes: usize) -> Self {
         let vm = format!("vm_memory_mb = {memory_mb}\n");
-        Self::start_with(&config(body_bytes, 60_000), &(settings() + &vm))
+        Self::start_with(
+            &config(body_bytes, 60_000, LONG_IDLE_MS),
+            &(settings() + &vm),
+        )
     }
 
     fn start_with(config: &str, settings: &str) -> Self {
--- a/tests/client_kit/shape.rs
+++ b/tests/client_kit/shape.rs
@@ -67,7 +67,7 @@
 }
 
 /// Stands for a request id in a head.
-const ID: &str = "@id@";
+pub const ID: &str = "@id@";
 /// Pieces of a body that arrives in small pieces, and their size in bytes.
 const SMALL_PIECES: (usize, usize) = (500, 64);
 /// Pause between these pieces, so that each arrives in a packet of its own.
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -5,7 +5,11 @@
 mod site_kit;
 mod workdir;
 
-use client_kit::shape::{Door, Shape};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use client_kit::shape::{request_head, Door, Shape, ID};
 use client_kit::{one_at_a_time, peak_memory, LimitedNode, BODY_BYTES};
 
 /// Plays the crowd of a shape at a door; see [`LimitedNode::play`] for what is checked.
@@ -48,6 +52,30 @@
     println!("peak {peak} bytes");
 }
 
+/// Guards against the header timeout closing a connection whose caller waits before its next request.
+#[test]
+fn a_connection_is_used_again_after_the_header_timeout() {
+    /// Three times the header timeout of the configuration.
+    const PAUSE: Duration = Duration::from_secs(3);
+    let _alone = one_at_a_time();
+    let node = LimitedNode::start_on_vm(160, BODY_BYTES);
+    let mut stream = TcpStream::connect(node.address(Door::Route)).unwrap();
+    stream
+        .set_read_timeout(Some(workdir::WAIT_TIMEOUT))
+        .unwrap();
+    for _ in 0..3 {
+        let head = request_head(Door::Route, false).replace("/safe/large", "/safe/x");
+        let head = head.replace(ID, &site_kit::fresh_id()) + "\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut status = [0; 12];
+        stream.read_exact(&mut status).unwrap();
+        assert_eq!(&status, b"HTTP/1.1 200");
+        std::thread::sleep(PAUSE);
+        // The rest of the response.
+        assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+    }
+}
+
 crowds! {
     // Guards against bodies of legal size that are held open before their end.
     WholeBody:
