Limit the requests at a target that starts or recovers by its responses

Cause: a target that replaced another one counted as twice as slow for 2 s, whether or not it was cold and for however long, and one that came back from an outage got its full share at once.

Change: the node of the target limits the requests that it gets at once (pace.rs). The limit begins at half of the slots, grows with responses as fast as those of comparable targets, falls when most responses are errors or the target becomes slower than others and than it was, and ends at the slots in each case. Other nodes get it in the load report (optional field c) and take the target as cold while a limit below the slots is reported. The first target of a process begins low only if it says that it is cold. The first samples of the slowdown weigh more, so that a cold target is known after a few responses.

A low limit for each first target of a process was ruled out: requests that waited at it timed out in endless_responses_on_all_connections_leave_memory.

--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -21,6 +21,8 @@
 const LATE_COST: f64 = 0.7;
 /// Slowdown of a target that has just started.
 const COLD_FACTOR: f64 = 2.0;
+/// Time for which the reported pace of a target is used; it grows to all slots within a few service times.
+const PACE_VALID: Duration = Duration::from_secs(1);
 /// Service time assumed before the first report.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(100);
 /// Time constant with which a load report decays to the mean load of its target.
@@ -95,6 +97,8 @@
     sent_at: Now,
     back_offs: [BackOff; RANKS],
     cold_until: Now,
+    /// Whether its node has reported its pace since it started.
+    paced: bool,
     /// Whether a response of the target said that it is about to stop.
     leaving: bool,
 }
@@ -152,7 +156,7 @@
     fn requests(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let decay = |t: Now, tau: f64| (-now.saturating_sub(t).as_secs_f64() / tau).exp();
         let requests = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
-        let mean = mean * self.slots();
+        let mean = mean * self.slots(now);
         let mean_weight = decay(self.reported_at, TARGET_LOAD_DECAY.as_secs_f64());
         let expected = self
             .mean_requests
@@ -162,15 +166,30 @@
         expected + (requests - expected) * report_weight + sent
     }
 
-    /// Requests that the target runs at once: at most its slots, and no more than its rate limit lets in.
-    fn slots(&self) -> f64 {
-        let slots = f64::from(self.info.slots.max(1));
+    /// Requests that the target runs at once: at most its slots and its pace, and no more than its rate limit lets in.
+    fn slots(&self, now: Now) -> f64 {
+        let slots = self.paced_slots(now);
         let limited = |rate: f32| (f64::from(rate) * self.service_time()).max(MIN_SLOTS);
         self.load
             .limit
             .map_or(slots, |rate| slots.min(limited(rate)))
     }
 
+    /// Pace of the target, if it was reported a short time ago. A target with an old low pace would get few requests and
+    /// so report no new one.
+    fn pace(&self, now: Now) -> Option<u16> {
+        self.load
+            .pace
+            .filter(|_| now < self.reported_at + PACE_VALID)
+    }
+
+    /// Requests that the node of the target lets in at once.
+    fn paced_slots(&self, now: Now) -> f64 {
+        let slots = self.info.slots.max(1);
+        let pace = self.pace(now).map_or(slots, u32::from);
+        f64::from(slots.min(pace.max(1)))
+    }
+
     fn service_time(&self) -> f64 {
         match self.load.service_us {
             0 => INITIAL_SERVICE_TIME.as_secs_f64(),
@@ -186,9 +205,11 @@
         }
     }
 
-    /// Slowdown of a target that has just started.
+    /// Slowdown of a target that has just started, as far as its node has not measured it yet: by its pace if that is
+    /// known, or by time.
     fn cold_factor(&self, now: Now) -> f64 {
-        match now < self.cold_until {
+        let by_time = now < self.cold_until && !self.paced;
+        match self.pace(now).is_some() || by_time {
             true => COLD_FACTOR,
             false => 1.0,
         }
@@ -196,7 +217,11 @@
 
     /// Requests that the target can run per second.
     fn capacity(&self, now: Now) -> f64 {
-        self.slots() / (self.service_time() * self.cold_factor(now))
+        let cold = match self.pace(now) {
+            Some(_) => 1.0,
+            None => self.cold_factor(now),
+        };
+        self.slots(now) / (self.service_time() * cold)
     }
 
     /// Estimates what a request gets at the target.
@@ -209,7 +234,8 @@
     ) -> Evaluation {
         let cold = self.cold_factor(now);
         let requests = self.requests(req.rank, service.load, now);
-        let wait = (requests + 1.0 - self.slots()).max(0.0) * self.service_time() / self.slots();
+        let wait =
+            (requests + 1.0 - self.slots(now)).max(0.0) * self.service_time() / self.slots(now);
         let (dist, slowdown) = match times.get(req.route) {
             Some(dist) => (*dist, self.slowdown(service.slowdown()) * cold),
             None => (
@@ -223,7 +249,7 @@
         Evaluation {
             wait,
             cost: 1.0 - (1.0 - late_cost) * (1.0 - failed),
-            load: requests / self.slots(),
+            load: requests / self.slots(now),
         }
     }
 }
@@ -314,6 +340,7 @@
                         sent_at: now,
                         back_offs: [BackOff::default(); RANKS],
                         cold_until,
+                        paced: false,
                         leaving: false,
                     },
                 );
@@ -414,12 +441,13 @@
     pub fn record_load(&mut self, now: Now, node: &NodeId, load: Load) {
         if let Some(t) = self.targets.get_mut(node) {
             let old_slowdown = std::mem::replace(&mut t.load, load).slowdown_pct;
+            t.paced |= load.pace.is_some();
             t.reported_at = now;
             t.unreported = 0.0;
             let requests = f64::from(load.running + load.waiting[RANKS - 1]);
             let mean = t.mean_requests.unwrap_or(requests);
             t.mean_requests = Some(mean + TARGET_LOAD_WEIGHT * (requests - mean));
-            let per_slot = requests / t.slots();
+            let per_slot = requests / t.slots(now);
             if let Some(s) = self.services.get_mut(&t.info.service) {
                 s.load += SERVICE_LOAD_WEIGHT * (per_slot - s.load);
                 s.replace_slowdown(old_slowdown, load.slowdown_pct);
--- a/src/sidecar/process/sample.rs
+++ b/src/sidecar/process/sample.rs
@@ -13,6 +13,7 @@
 /// Gauges that are set to the state of the node when metrics are rendered.
 pub struct SampledGauges {
     queued: IntGaugeVec,
+    pace: IntGauge,
     in_flight: IntGauge,
     link_backlog: IntGauge,
     known_nodes: IntGaugeVec,
@@ -30,6 +31,11 @@
                 "Requests at the target of this node",
                 &["state"],
             ),
+            pace: gauge(
+                r,
+                "dq_sidecar_target_pace_requests",
+                "Requests that the target of this node gets at once",
+            ),
             in_flight: gauge(r, "dq_sidecar_in_flight_requests", "Requests in progress"),
             link_backlog: gauge(
                 r,
@@ -58,6 +64,7 @@
         let queued = |state: &str| self.queued.with_label_values(&[state]);
         queued("running").set(i64::from(load.running));
         queued("waiting").set(waiting);
+        self.pace.set(n.slots.pace().0 as i64);
         self.in_flight.set(n.in_flight() as i64);
         self.link_backlog
             .set(n.shared_link.backlog().as_millis() as i64);
--- a/src/sidecar/process/target/change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -36,6 +36,21 @@
                 Vec::new()
             });
         }
+        let was_ready = before.as_ref().is_none_or(|t| t.ready);
+        let is_ready = state.as_ref().is_some_and(|t| t.ready);
+        let (old, new) = (incarnation(&before), incarnation(&state));
+        let same_target = id(&before) == id(&state) && (old == new || old == 0 || new == 0);
+        // The first target of this process may have run for long; only it can tell.
+        let started = match before.is_some() {
+            true => !same_target,
+            false => self.target().is_cold(),
+        };
+        if started || is_ready && !was_ready {
+            self.slots.update(|q, _| {
+                q.restart_pace(!started);
+                Vec::new()
+            });
+        }
         self.slots.update(|q, now| q.set_slots(now, slots));
         self.log.event("target_changed", &log_fields(&state));
         self.update_placement(&record);
@@ -64,6 +79,17 @@
         }
     }
 
+    /// Logs that the target gets fewer requests at once; `falls` is the number of falls that are known.
+    pub(super) fn report_pace(&self, falls: &mut u64) {
+        let (limit, total) = self.slots.pace();
+        if total > *falls {
+            let slots = self.target().slots().to_string();
+            let fields = [("at_once", &*limit.to_string()), ("slots", &*slots)];
+            self.log.event("target_slowed", &fields);
+        }
+        *falls = total;
+    }
+
     fn set_target_limit(&self, rate: Option<RequestRate>) {
         let mut changed = false;
         self.slots.update(|q, now| {
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -126,6 +126,7 @@
 pub async fn monitor_target(n: Arc<Node>) {
     tokio::time::sleep(PROBE_DELAY).await;
     let mut probed = false;
+    let mut falls = 0;
     loop {
         let wanted = n.target().is_unknown() || n.target().is_unconfirmed();
         if !probed && wanted && n.can_probe() {
@@ -133,6 +134,7 @@
             probe_target(&n).await;
         }
         n.apply_target_state();
+        n.report_pace(&mut falls);
         let changes = n.members().expire(n.clock.now());
         changes.into_iter().for_each(|c| n.apply_change(c));
         let delay = match probed || !n.target().is_unknown() {
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -3,8 +3,24 @@
 
 use crate::prelude::*;
 use crate::sidecar::process::target::full;
+use crate::sidecar::process::target::pace::Sample;
 use crate::sidecar::process::target::queue::{Action, Queue, Running, Ticket};
 
+/// Multiple of the mean service time from which on a request whose deadline passed counts as an error of the target.
+const TIMEOUT_SERVICE_TIMES: u32 = 2;
+
+/// How a request ends at the target.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) enum Ending {
+    /// With a response that is no server error.
+    #[default]
+    Response,
+    /// With a server error, or without a response.
+    Error,
+    /// At its deadline, which says nothing about the target.
+    TimedOut,
+}
+
 impl Queue {
     /// Number of slots in use.
     pub(super) fn occupied(&self, now: Now) -> usize {
@@ -13,7 +29,11 @@
 
     /// Number of slots that may be used.
     pub(super) fn usable_slots(&self) -> usize {
-        self.full_limit.apply(self.slots)
+        let slots = self.full_limit.apply(self.slots);
+        match self.pace_off {
+            true => slots,
+            false => slots.min(self.pace.limit(self.slots)),
+        }
     }
 
     /// Records that a dispatched request is about to be sent. Its slot is occupied until [`Queue::release`], also if it
@@ -55,6 +75,56 @@
         }
     }
 
+    /// Begins with few requests at once, because the target has just started or recovers; `same_target` says that what is
+    /// known about it still holds.
+    pub fn restart_pace(&mut self, same_target: bool) {
+        self.pace.restart(same_target);
+    }
+
+    /// Gives out all slots from now on, for comparisons with a ramp by time.
+    pub fn disable_pace(&mut self) {
+        self.pace_off = true;
+    }
+
+    /// Number of requests to report to other nodes; `None` if all slots may be used.
+    pub(super) fn reported_pace(&self) -> Option<u16> {
+        let usable = self.usable_slots();
+        (usable < self.slots).then_some(usable.min(usize::from(u16::MAX)) as u16)
+    }
+
+    /// Number of requests that the target gets at once, and how often it has fallen.
+    pub fn pace(&self) -> (usize, u64) {
+        (self.usable_slots(), self.pace.falls())
+    }
+
+    /// Records that a dispatched request ends as an error of the target. `timed_out` says that its deadline passed,
+    /// which is no error if the time was short.
+    pub fn on_error(&mut self, now: Now, ticket: Ticket, timed_out: bool) {
+        let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else {
+            return;
+        };
+        let r = &self.running[i];
+        let age = now.saturating_sub(r.since);
+        let error = !timed_out || age >= self.route_time(&r.route) * TIMEOUT_SERVICE_TIMES;
+        self.running[i].outcome = match error {
+            true => Ending::Error,
+            false => Ending::TimedOut,
+        };
+    }
+
+    /// Records the end of a request that has left the queue.
+    pub(super) fn record_pace(&mut self, now: Now, r: &Running, failed: bool) {
+        let sample = match r.outcome {
+            Ending::TimedOut => return,
+            Ending::Error => Sample::Error,
+            // Failures are often fast.
+            Ending::Response if failed => Sample::Response(None),
+            Ending::Response => Sample::Response(r.slowdown(now)),
+        };
+        let running = self.occupied(now) + 1;
+        self.pace.record(now, r.since, self.slots, running, sample);
+    }
+
     /// Records a response of the target to a request that has left the queue.
     pub(super) fn on_response(&mut self, now: Now, r: &Running) {
         self.response_times
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -10,6 +10,8 @@
 use crate::request::reason::Reason;
 use crate::sidecar::process::target::abandoned::Abandoned;
 use crate::sidecar::process::target::full::FullLimit;
+use crate::sidecar::process::target::occupancy::Ending;
+use crate::sidecar::process::target::pace::Pace;
 use crate::sidecar::process::target::rate_limit::{RateLimit, RequestRate};
 use crate::sidecar::process::target::silence::ResponseTimes;
 use crate::sidecar::version::routes::RANKS;
@@ -25,6 +27,9 @@
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of a new sample in the slowdown of the target; times of single requests vary by half their mean.
 const SLOWDOWN_WEIGHT: f64 = 0.05;
+/// Number of samples that the assumption of no slowdown counts as. The first samples weigh more than later ones, so that
+/// a target that starts slow is known as slow after a few responses.
+const SLOWDOWN_PRIOR: f64 = 3.0;
 /// Range to which the slowdown of a sample is clamped.
 const SLOWDOWN_RANGE: (f64, f64) = (0.05, 20.0);
 /// Time constant of the moving average of the slots that each rank uses.
@@ -95,6 +100,9 @@
     /// Rate limit that the target names; `None` without one.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<f32>,
+    /// Requests that the target gets at once, if fewer than its slots.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<u16>,
 }
 
 #[derive(Debug)]
@@ -117,11 +125,12 @@
     pub(super) held: bool,
     /// Number of requests that were dispatched later and have a response.
     pub(super) overtaken: u32,
+    pub(super) outcome: Ending,
 }
 
 impl Running {
     /// Age of the request relative to the time that its route takes at an average target; `None` if that is unknown.
-    fn slowdown(&self, now: Now) -> Option<f64> {
+    pub(super) fn slowdown(&self, now: Now) -> Option<f64> {
         let baseline = self.baseline.as_secs_f64();
         let age = now.saturating_sub(self.since).as_secs_f64();
         (baseline > 0.0).then(|| (age / baseline).clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1))
@@ -137,6 +146,9 @@
     pub(super) running: Vec<Running>,
     pub(super) abandoned: Abandoned,
     pub(super) full_limit: FullLimit,
+    pub(super) pace: Pace,
+    /// Whether the pace is not applied.
+    pub(super) pace_off: bool,
     pub(super) response_times: ResponseTimes,
     /// Mean service time over all routes, in seconds.
     mean_time: Option<f64>,
@@ -144,6 +156,7 @@
     route_times: HashMap<SmolStr, f64>,
     /// Mean logarithm of the slowdown of finished requests.
     slowdown_ln: Option<f64>,
+    slowdown_samples: u32,
     /// Moving average of the slots that each rank occupies.
     slot_usage: [f64; RANKS],
     /// Time of the last update of `slot_usage`.
@@ -163,10 +176,13 @@
             running: Vec::new(),
             abandoned: Abandoned::default(),
             full_limit: FullLimit::default(),
+            pace: Pace::default(),
+            pace_off: false,
             response_times: ResponseTimes::default(),
             mean_time: None,
             route_times: HashMap::default(),
             slowdown_ln: None,
+            slowdown_samples: 0,
             slot_usage: [0.0; RANKS],
             usage_at: Now::ZERO,
             failure_rate: 0.0,
@@ -318,12 +334,16 @@
         if let Some(i) = self.running.iter().position(|r| r.ticket == ticket) {
             let r = self.running.swap_remove(i);
             self.abandon(now, &r);
+            self.record_pace(now, &r, failed);
             // Failures are often fast, so their times would make a broken target look fast.
             if !failed {
                 self.on_response(now, &r);
                 if let Some(slowdown) = r.slowdown(now) {
                     let old = self.slowdown_ln.unwrap_or_default();
-                    self.slowdown_ln = Some(old + SLOWDOWN_WEIGHT * (slowdown.ln() - old));
+                    self.slowdown_samples = self.slowdown_samples.saturating_add(1);
+                    let first = 1.0 / (SLOWDOWN_PRIOR + f64::from(self.slowdown_samples));
+                    let weight = first.max(SLOWDOWN_WEIGHT);
+                    self.slowdown_ln = Some(old + weight * (slowdown.ln() - old));
                 }
                 let sample = now.saturating_sub(r.since).as_secs_f64();
                 self.mean_time = Some(moving_average(self.mean_time, sample));
@@ -349,6 +369,7 @@
     pub fn reset(&mut self) {
         self.mean_time = None;
         self.slowdown_ln = None;
+        self.slowdown_samples = 0;
         self.route_times.clear();
         self.abandoned.clear();
         self.full_limit.clear();
@@ -390,6 +411,7 @@
             slowdown_pct: self.slowdown_pct(now),
             failed_pct: (self.failure_rate * 100.0) as u8,
             limit: self.limit.rate().map(|rate| rate as f32),
+            pace: self.reported_pace(),
         }
     }
 
@@ -437,6 +459,7 @@
                 retry: a.retry,
                 held: false,
                 overtaken: 0,
+                outcome: Ending::default(),
             });
             out.push(Action::Dispatch(a.ticket));
         }
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -35,6 +35,17 @@
     ticket: Ticket,
     /// Whether the request failed at the target; `None` if there is no result to record.
     pub failed: Option<bool>,
+    /// How the target failed; `None` if the failure, if any, is not its own.
+    pub error: Option<TargetError>,
+}
+
+/// Error of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetError {
+    /// A server error, or no valid response.
+    Failed,
+    /// No response until the deadline.
+    TimedOut,
 }
 
 /// The use of a slot at the target; dropping it records that the target no longer runs the request.
@@ -144,6 +155,11 @@
         })
     }
 
+    /// Number of requests that the target gets at once, and how often that number has fallen.
+    pub fn pace(&self) -> (usize, u64) {
+        self.state().queue.pace()
+    }
+
     /// Number of running and waiting requests.
     pub fn len(&self) -> usize {
         self.state().queue.len()
@@ -167,6 +183,7 @@
             slots: self.clone(),
             ticket,
             failed: None,
+            error: None,
         };
         self.update(|q, now| q.arrive(now, Arrival { ticket, ..arrival }));
         loop {
@@ -183,9 +200,14 @@
     fn drop(&mut self) {
         let ticket = self.ticket;
         self.slots.state().waiters.remove(&ticket);
-        self.slots.update(|q, now| match self.failed {
-            Some(failed) => q.finish(now, ticket, failed),
-            None => q.cancel(now, ticket),
+        self.slots.update(|q, now| {
+            if let Some(error) = self.error {
+                q.on_error(now, ticket, error == TargetError::TimedOut);
+            }
+            match self.failed {
+                Some(failed) => q.finish(now, ticket, failed),
+                None => q.cancel(now, ticket),
+            }
         });
     }
 }
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -96,6 +96,8 @@
     incarnation: u64,
     seq: u64,
     slots: u32,
+    /// Whether its last heartbeat says that it is slow after its start.
+    cold: bool,
     last_heard: Now,
     /// Time until which it accepts requests although it is leaving; `None` if it is not leaving.
     accepts_until: Option<Now>,
@@ -296,6 +298,7 @@
             incarnation: h.incarnation,
             seq: h.seq,
             slots: h.slots.max(1),
+            cold: !h.warm_up.is_zero(),
             last_heard: now,
             accepts_until: accepts_until.or(leaving.then_some(drain_end)),
             down_until: None,
@@ -374,6 +377,7 @@
             incarnation: 0,
             seq: 0,
             slots: *slots,
+            cold: false,
             last_heard: now,
             accepts_until: None,
             down_until: None,
@@ -439,6 +443,11 @@
         self.current.is_none()
     }
 
+    /// Whether the target says that it is slow after its start.
+    pub fn is_cold(&self) -> bool {
+        self.current.as_ref().is_some_and(|c| c.cold)
+    }
+
     /// Number of slots of the target; 0 if none is known.
     pub fn slots(&self) -> u32 {
         self.current.as_ref().map_or(0, |c| c.slots)
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -13,7 +13,7 @@
 use crate::sidecar::process::node::{Node, Phase};
 use crate::sidecar::process::routing::crash_suspects::CrashVerdict;
 use crate::sidecar::process::target::queue::Arrival;
-use crate::sidecar::process::target::slots::Slot;
+use crate::sidecar::process::target::slots::{Slot, TargetError};
 use crate::sidecar::process::target::state::TargetId;
 
 /// Time after the deadline for which the node waits, so that the target can still report that the deadline passed.
@@ -222,6 +222,7 @@
         fewer = slot.wait_unanswered(bound) => {
             log_full(n, fewer, "silent");
             slot.failed = Some(true);
+            slot.error = Some(TargetError::Failed);
             return AttemptResult::failed_at_target(Failure::unknown(Reason::Lost));
         }
     };
@@ -233,6 +234,7 @@
         Err(_) => {
             n.target().on_timeout(now);
             slot.failed = Some(true);
+            slot.error = Some(TargetError::TimedOut);
             return AttemptResult::failed_at_target(Failure::unknown(Reason::Deadline));
         }
     };
@@ -258,7 +260,11 @@
         return AttemptResult::failed_at_target(Failure::not_run(Reason::Declined));
     }
     slot.failed = Some(!response.status.is_success());
-    if !info.signed || info.encoded || info.id.is_none() {
+    let invalid = !info.signed || info.encoded || info.id.is_none();
+    if invalid || response.status.is_server_error() {
+        slot.error = Some(TargetError::Failed);
+    }
+    if invalid {
         return AttemptResult::failed_at_target(Failure::unknown(Reason::BadResponse));
     }
     n.pool.put_back(conn, now);
@@ -281,6 +287,10 @@
     spdlog::debug!("event=target_connection_failed", kv: { error = e.to_string() });
     match failure.outcome {
         Outcome::NotRun => {
+            n.slots.update(|q, _| {
+                q.restart_pace(true);
+                Vec::new()
+            });
             if n.target().on_connect_refused(now) {
                 n.log
                     .event("target_unreachable", &[("error", &e.to_string())]);
@@ -293,6 +303,7 @@
                 n.on_request_lost(request);
             }
             slot.failed = Some(true);
+            slot.error = Some(TargetError::Failed);
             AttemptResult::failed_at_target(failure)
         }
     }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -38,6 +38,7 @@
         slowdown_pct: 100,
         failed_pct: 0,
         limit: None,
+        pace: None,
     }
 }
 
