--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -40,6 +40,7 @@
         failed_pct: 0,
         limit: None,
         inbound_ms: 0,
+        pace: None,
     }
 }
 
