Let rare resets of a target take no slots, and bound uploads by the memory budget

Cause: one reset connection halved the slots of a target, and further ones kept them few, although targets also reset connections for other reasons. Bodies that are read as they are granted were not charged to the memory budget.

Change: the slots fall with the fraction of requests that are refused, beyond rare ones. Large bodies may take a quarter of the budget at the entry node and a quarter at the target's node.

--- a/src/sidecar/connection/inbound_link.rs
+++ b/src/sidecar/connection/inbound_link.rs
@@ -20,10 +20,10 @@
 }
 
 impl SharedInbound {
-    /// Creates an idle link with this bandwidth, in Mbit/s.
-    pub fn new(mbps: f64, clock: Arc<dyn Clock>) -> Self {
+    /// Creates an idle link with this bandwidth, in Mbit/s; at most `bytes` of bodies are held.
+    pub fn new(mbps: f64, bytes: usize, clock: Arc<dyn Clock>) -> Self {
         Self {
-            policy: Mutex::new(Inbound::new(USABLE_FRACTION * mbps)),
+            policy: Mutex::new(Inbound::new(USABLE_FRACTION * mbps).with_memory(bytes)),
             waiting: Mutex::default(),
             clock,
         }
--- a/src/sidecar/process/inbound.rs
+++ b/src/sidecar/process/inbound.rs
@@ -28,10 +28,10 @@
 const TRANSFER_MARGIN: f64 = 1.1;
 /// Fraction of its latency objective for which a body that can no longer meet it may wait, as for slots.
 const LATE_WAIT_FRACTION: f64 = 0.125;
-/// Bytes of all admitted bodies, which are buffered whole until their requests end. A larger body is admitted only if
+/// Default for the bytes of all admitted bodies, which are buffered whole until their requests end. A larger body is admitted only if
 /// there is no other. Of a stalled body only what has arrived counts, so that senders that announce much and deliver
 /// little do not keep out others.
-const MAX_HELD_BYTES: usize = 16 << 20;
+pub const MAX_HELD_BYTES: usize = 16 << 20;
 
 /// Longest body that is admitted, whatever a sender announces; more than the memory of a VM holds.
 const MAX_BODY_BYTES: usize = 256 << 20;
@@ -122,6 +122,8 @@
     clear_at: Now,
     uploads: Vec<Upload>,
     last_id: UploadId,
+    /// Bytes of all admitted bodies.
+    max_held: usize,
 }
 
 impl Inbound {
@@ -132,11 +134,18 @@
             clear_at: Now::ZERO,
             uploads: Vec::new(),
             last_id: 0,
+            max_held: MAX_HELD_BYTES,
         };
         inbound.set_rate(mbps);
         inbound
     }
 
+    /// Limits the bytes of all admitted bodies.
+    pub fn with_memory(mut self, bytes: usize) -> Self {
+        self.max_held = bytes;
+        self
+    }
+
     /// Changes the bandwidth of the link, in Mbit/s.
     pub fn set_rate(&mut self, mbps: f64) {
         self.bytes_per_s = (mbps * 1e6 / 8.0).max(1.0);
@@ -223,7 +232,7 @@
             false => u.bytes,
         });
         let held: usize = held.sum();
-        if held > 0 && held + bytes > MAX_HELD_BYTES {
+        if held > 0 && held + bytes > self.max_held {
             let back_off = self.duration(bytes);
             return Err(Full { back_off });
         }
@@ -310,7 +319,7 @@
             true => u.arrived(),
             false => u.arrived() + u.in_flight,
         });
-        self.uploads.len() > 1 && taken.sum::<usize>() + PIECE_BYTES > MAX_HELD_BYTES
+        self.uploads.len() > 1 && taken.sum::<usize>() + PIECE_BYTES > self.max_held
     }
 
     /// Records that granted bytes of a body have arrived.
--- a/src/sidecar/process/limits.rs
+++ b/src/sidecar/process/limits.rs
@@ -38,6 +38,12 @@
     })
 }
 
+/// Bytes of large request bodies that may be held at the entry node, and as many at the target's node: a quarter of the
+/// budget each. These bodies are not charged to the budget, because they arrive no faster than they are granted.
+pub fn upload_bytes(s: &LimitSettings) -> usize {
+    budget_limits(s).map_or(usize::MAX, |limits| limits.bytes / 4)
+}
+
 /// Port at which clients connect to a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Port {
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -27,6 +27,7 @@
 use crate::sidecar::process::admin;
 use crate::sidecar::process::fleet::discovery;
 use crate::sidecar::process::fleet::members::{Members, NodeRecord};
+use crate::sidecar::process::inbound::MAX_HELD_BYTES;
 use crate::sidecar::process::limits::{self, LimitLog, Port};
 use crate::sidecar::process::metrics::Metrics;
 use crate::sidecar::process::node::{ConfigUpdate, Node};
@@ -79,7 +80,9 @@
 ) -> (Arc<Node>, Queues) {
     let s = &settings.sidecar;
     let shared_link = SharedLink::new(s.link_mbps, clock.clone());
-    let inbound = SharedInbound::new(s.link_mbps, clock.clone());
+    let upload_bytes = limits::upload_bytes(&settings.limits);
+    let held = upload_bytes.min(MAX_HELD_BYTES);
+    let inbound = SharedInbound::new(s.link_mbps, held, clock.clone());
     let (updates, config_updates) = mpsc::unbounded_channel();
     let (requests, config_requests) = mpsc::unbounded_channel();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -126,7 +129,7 @@
         gate,
         shared_link: Arc::new(shared_link),
         inbound: Arc::new(inbound),
-        upload_room: Arc::new(Semaphore::new(MAX_KEPT_BYTES)),
+        upload_room: Arc::new(Semaphore::new(upload_bytes.min(MAX_KEPT_BYTES))),
         links: Links::default(),
         state_changed: watch::channel(0).0,
         reaches_store: AtomicBool::new(false),
--- a/src/sidecar/process/target/full.rs
+++ b/src/sidecar/process/target/full.rs
@@ -9,9 +9,13 @@
 /// Shortest and longest time for which the limit does not grow, and in which several signs count as one event; within it
 /// a target frees a slot.
 const HOLD: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-/// Fraction of the limit that remains at least after one event. All connections of a target may be reset together for
-/// another reason.
-const MIN_REMAINING: f64 = 0.5;
+/// Weight of a new request in the fraction of refused ones.
+const REFUSED_WEIGHT: f64 = 0.13;
+/// Fraction of refused requests up to which the target keeps its slots, and factor by which they fall beyond it.
+/// Connections may be reset for another reason although the target has room, and the slots that it is not given then are
+/// lost.
+const RARE_REFUSALS: f64 = 0.15;
+const REFUSAL_FACTOR: f64 = 2.0;
 /// Greatest number of rounds, of one response for each slot, between trials of one more request. With 64, a target that
 /// is full for long loses one request in several hundred.
 const MAX_ROUNDS: u32 = 64;
@@ -25,8 +29,8 @@
 #[derive(Debug, Default)]
 pub struct FullLimit {
     limit: Option<usize>,
-    /// Limit below which the event that goes on does not lower it.
-    least: usize,
+    /// Moving average of the fraction of refused requests.
+    refused: f64,
     /// End of the event.
     until: Now,
     /// Responses since the limit last changed.
@@ -44,13 +48,20 @@
     /// Records that the target had no room for a request while `others` occupied slots. `slots` is the number of slots.
     /// Returns whether the limit fell.
     pub fn on_full(&mut self, now: Now, others: usize, slots: usize, service: Duration) -> bool {
+        self.refused += REFUSED_WEIGHT * (1.0 - self.refused);
+        let excess = (self.refused - RARE_REFUSALS).max(0.0);
+        let kept = (1.0 - REFUSAL_FACTOR * excess).max(0.0);
+        let least = ((slots as f64 * kept).ceil() as usize).max(1);
         let current = self.limit.unwrap_or(slots);
-        if self.limit.is_none() || now >= self.until {
+        let limit = others.max(least).min(current);
+        let is_new = self.limit.is_none() || now >= self.until;
+        if limit == slots {
+            return false;
+        }
+        if is_new {
             self.rounds = (self.rounds * 2).clamp(1, MAX_ROUNDS);
-            self.least = ((current as f64 * MIN_REMAINING).ceil() as usize).max(1);
             self.until = now + service.clamp(HOLD.0, HOLD.1);
         }
-        let limit = others.clamp(self.least, current);
         self.limit = Some(limit);
         self.responses = 0;
         limit < current
@@ -58,6 +69,7 @@
 
     /// Records a response of the target.
     pub fn on_response(&mut self, now: Now, slots: usize) {
+        self.refused -= REFUSED_WEIGHT * self.refused;
         let Some(limit) = self.limit.filter(|_| now >= self.until) else {
             return;
         };
