Split the answer of a holder and the early rejection into functions

No change of behaviour, except that a report with impossible numbers cannot overflow a sum.

Tests: sidecar_quota_processes, tenants, policy, freshness, links, pipeline, stop and docs pass. In a run of the whole suite, responses_without_end_are_given_up failed (peak memory of 49,808 KB in one run), and the tests after it were not run.

--- a/src/sidecar/process/quota/holder.rs
+++ b/src/sidecar/process/quota/holder.rs
@@ -60,6 +60,14 @@
     parts: HashMap<TenantId, Part>,
 }
 
+/// A rate from a message; 0 if it is none.
+fn positive(rate: f32) -> f64 {
+    match rate.is_finite() && rate > 0.0 {
+        true => f64::from(rate),
+        false => 0.0,
+    }
+}
+
 impl Part {
     fn new(quota: Quota, all: &Allotment, r: &Roster, tenant: &TenantId, since: Now) -> Self {
         let holders = r.holders(tenant, all.max_holders());
@@ -87,9 +95,10 @@
     }
 
     fn lent(&self) -> Lent {
+        let depths = self.loans.values().map(|l| l.depth);
         Lent {
             rate: self.loans.values().map(|l| l.rate).sum(),
-            depth: self.loans.values().map(|l| l.depth).sum(),
+            depth: depths.fold(0, u32::saturating_add),
         }
     }
 
@@ -131,52 +140,36 @@
         if !self.is_new(from, ask) {
             return None;
         }
-        let is_rate = |r: f32| r.is_finite() && r > 0.0;
-        let number = |r: f32| if is_rate(r) { f64::from(r) } else { 0.0 };
-        let (has, want_rate) = (number(ask.rate), number(ask.want_rate));
-        let former = self.loans.get(&from.0).filter(|l| l.process == from.1);
-        // A loan that this process does not know was lent by an earlier one.
-        let unknown = c.now + counted_time(LOAN_TIME);
-        // The borrower ignores answers to earlier reports, so it has no more than this report says.
-        let mut loan = Loan {
-            process: from.1,
-            seq: ask.seq,
-            rate: has,
-            depth: ask.depth,
-            ends: former.map_or(unknown, |l| l.ends),
-            want_rate,
-            short: false,
-        };
+        let mut loan = self.reported(from, ask, c);
         self.loans.insert(from.0.clone(), loan.clone());
-        if ask.want == 0 && want_rate == 0.0 {
+        if ask.want == 0 && loan.want_rate == 0.0 {
             return None;
         }
-        let others = self.lent().depth - ask.depth;
+        let others = self.lent().depth.saturating_sub(ask.depth);
         let room = self.bucket.max_lent_depth().saturating_sub(others);
         // Without a unit that the borrower may have, a rate would be lost; units that are used at once are not.
         let (rate, room) = match room {
             0 => (0.0, self.bucket.max_depth().saturating_sub(others)),
-            _ => (self.rate_for(has, want_rate, c), room),
+            _ => (self.rate_for(loan.rate, loan.want_rate, c), room),
         };
-        let units = self
-            .bucket
-            .lend(ask.want.min(room.saturating_sub(ask.held)));
+        let units = ask.want.min(room.saturating_sub(ask.held));
+        let units = self.bucket.lend(units);
         let depth = ((rate * DEPTH_S).ceil() as u32)
-            .max(ask.held + units)
+            .max(ask.held.saturating_add(units))
             .min(room);
-        loan.short = units < ask.want;
         let life = match rate > 0.0 {
             true => LOAN_TIME,
             false => SHORT_LOAN_TIME,
         };
         // Until the next report it is unknown whether the answer has arrived.
-        loan.rate = has.max(rate);
-        loan.depth = ask.depth.max(depth);
         let ends = c.now + counted_time(life);
-        loan.ends = match has > 0.0 || ask.depth > 0 {
+        loan.ends = match loan.rate > 0.0 || loan.depth > 0 {
             true => loan.ends.max(ends),
             false => ends,
         };
+        loan.rate = loan.rate.max(rate);
+        loan.depth = loan.depth.max(depth);
+        loan.short = units < ask.want;
         let wait = self.wait(loan.short);
         self.loans.insert(from.0.clone(), loan);
         Some(UnitGrant {
@@ -190,6 +183,22 @@
         })
     }
 
+    /// What a borrower has, by its report. It ignores answers to earlier reports, so it has no more than that.
+    fn reported(&self, from: &BorrowerId, ask: &UnitAsk, c: &Context<'_>) -> Loan {
+        let former = self.loans.get(&from.0).filter(|l| l.process == from.1);
+        // A loan that this process does not know was lent by an earlier one.
+        let unknown = c.now + counted_time(LOAN_TIME);
+        Loan {
+            process: from.1,
+            seq: ask.seq,
+            rate: positive(ask.rate),
+            depth: ask.depth,
+            ends: former.map_or(unknown, |l| l.ends),
+            want_rate: positive(ask.want_rate),
+            short: false,
+        }
+    }
+
     /// Time after which a borrower that got too little may come again.
     fn wait(&self, short: bool) -> Duration {
         if !short {
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -42,14 +42,7 @@
     let mut state = match read_request(&n, req, info, start).await {
         Ok(state) => state,
         Err(f) => {
-            n.metrics
-                .record_request("none", 0, Some(&f), Duration::ZERO);
-            if f.reason == Reason::Quota {
-                // Logged by tenant; there may be very many.
-                return failure_response(&n, &f, &id, f.back_off);
-            }
-            log_rejected(&n, &id, &f);
-            return failure_response(&n, &f, &id, NOT_READY_BACK_OFF);
+            return reject_early(&n, &id, &f);
         }
     };
     let shed = n
@@ -82,6 +75,17 @@
     }
 }
 
+/// Counts, logs and answers a request that was rejected before a target was chosen.
+fn reject_early(n: &Node, id: &str, f: &Failure) -> Response<Body> {
+    n.metrics.record_request("none", 0, Some(f), Duration::ZERO);
+    if f.reason == Reason::Quota {
+        // Logged by tenant; there may be very many.
+        return failure_response(n, f, id, f.back_off);
+    }
+    log_rejected(n, id, f);
+    failure_response(n, f, id, NOT_READY_BACK_OFF)
+}
+
 /// Logs a request that was rejected before its route was known.
 fn log_rejected(n: &Node, id: &str, f: &Failure) {
     n.log.event(
