--- a/src/sidecar/process/rollout/decider.rs
+++ b/src/sidecar/process/rollout/decider.rs
@@ -194,7 +194,7 @@
         match report.version.as_ref() == Some(&self.news.order.to) {
             true => {
                 self.delivered.1 += new.delivered;
-                self.judge.add_new(&new.routes);
+                self.judge.add_new(node, &new.routes);
             }
             false => {
                 self.delivered.0 += new.delivered;
--- a/src/sidecar/process/rollout/mod.rs
+++ b/src/sidecar/process/rollout/mod.rs
@@ -10,6 +10,7 @@
 mod hooks;
 pub mod new_versions;
 pub mod order;
+mod pace;
 pub mod plan;
 pub mod samples;
 pub mod table;
--- a/src/sidecar/process/rollout/samples.rs
+++ b/src/sidecar/process/rollout/samples.rs
@@ -39,6 +39,15 @@
 }
 
 impl RouteSamples {
+    /// Adds other samples of the route.
+    pub(super) fn add(&mut self, other: &Self) {
+        self.total += other.total;
+        self.failed += other.failed;
+        for (class, n) in &other.times {
+            *self.times.entry(*class).or_default() += n;
+        }
+    }
+
     /// Samples since an earlier report of the same counts.
     fn since(&self, old: &Self) -> Self {
         let count = |class: &u8| old.times.get(class).copied().unwrap_or(0);
--- a/src/sidecar/process/rollout/verdict.rs
+++ b/src/sidecar/process/rollout/verdict.rs
@@ -5,12 +5,15 @@
 //! a burst or a fault that meets both does not count against the new one.
 
 use crate::prelude::*;
-use crate::sidecar::process::rollout::samples::{RouteSamples, TIME_CLASSES};
+use crate::sidecar::process::rollout::pace::RelativeTimes;
+use crate::sidecar::process::rollout::samples::{time_class, RouteSamples, TIME_CLASSES};
 
 /// Evidence from which on a version is bad, as the logarithm of a likelihood ratio; about 1 in 1,000 that it is not.
 const THRESHOLD: f64 = 7.0;
 /// Responses of the old version on a route that are needed to judge slowness.
 const MIN_REFERENCE: f64 = 20.0;
+/// Times below this one are never slow: a busy VM delays responses of a few milliseconds by several times their own time.
+const MIN_SLOW_TIME: Duration = Duration::from_millis(30);
 /// Time constant with which samples of the old version are forgotten, so that the reference follows the load.
 const REFERENCE_DECAY: Duration = Duration::from_secs(5);
 /// Test of failures: least fraction that counts as usual, and the excess over it that is bad.
@@ -20,11 +23,10 @@
     factor: 2.0,
     excess: 0.065,
 };
-/// Test of responses at least 2.4 to 3.4 times slower than the median of the route. The usual fraction leaves room for
-/// canary targets on VMs of half the mean speed.
+/// Test of responses at least 2.4 to 3.4 times slower than the median of the route at a VM of the same pace.
 const SLOW: Test = Test {
     classes_above: 6,
-    least: 0.08,
+    least: 0.1,
     factor: 2.0,
     excess: 0.2,
 };
@@ -132,15 +134,18 @@
 type Count = (f64, f64, f64);
 
 impl Evidence {
-    /// Counts the bad responses of the new version for a test; `None` if slowness cannot be judged yet.
-    fn count(&self, test: &Test, s: &RouteSamples) -> Option<Count> {
+    /// Counts the bad responses of a new target for a test; `None` if slowness cannot be judged yet. `slower_by` is the
+    /// slowness of its VM in time classes, if it is known.
+    fn count(&self, test: &Test, s: &RouteSamples, slower_by: Option<u8>) -> Option<Count> {
         let r = &self.reference;
         if test.classes_above == 0 {
             let usual = r.failed / r.total.max(1.0);
             return Some((f64::from(s.failed), f64::from(s.total), usual));
         }
-        let from = r.median()? + test.classes_above;
-        let slow = s.times.iter().filter(|(c, _)| **c >= from);
+        let least = time_class(MIN_SLOW_TIME);
+        let from = (r.median()? + test.classes_above).max(least);
+        let from_here = from + slower_by?;
+        let slow = s.times.iter().filter(|(c, _)| **c >= from_here);
         let slow: u32 = slow.map(|(_, n)| n).sum();
         let total: u32 = s.times.values().sum();
         Some((f64::from(slow), f64::from(total), r.fraction_from(from)))
@@ -164,6 +169,11 @@
 pub struct Judge {
     routes: BTreeMap<SmolStr, Evidence>,
     all: Evidence,
+    /// Paces of all old targets together, and of each new one.
+    old_pace: RelativeTimes,
+    paces: BTreeMap<NodeId, RelativeTimes>,
+    /// Samples of new targets whose pace is not known yet.
+    pending: BTreeMap<NodeId, BTreeMap<SmolStr, RouteSamples>>,
     /// Responses of the new version.
     total: u64,
     /// Those that were failures or slow.
@@ -185,30 +195,71 @@
             let e = self.routes.entry(route.clone()).or_default();
             e.reference.add(s);
             self.all.reference.add(s);
+            if let Some(median) = e.reference.median() {
+                let times = s.times.iter();
+                times.for_each(|(c, n)| self.old_pace.add(*c, median, *n));
+            }
         }
     }
 
-    /// Adds samples of the new version.
-    pub fn add_new(&mut self, routes: &BTreeMap<SmolStr, RouteSamples>) {
-        let mut sums: [Count; TESTS.len()] = Default::default();
+    /// Records the pace of a new target. Returns the slowness of its VM, if it is known.
+    fn record_pace(
+        &mut self,
+        node: &NodeId,
+        routes: &BTreeMap<SmolStr, RouteSamples>,
+    ) -> Option<u8> {
+        let pace = self.paces.entry(node.clone()).or_default();
         for (route, s) in routes {
-            let e = self.routes.entry(route.clone()).or_default();
+            let median = self.routes.get(route).and_then(|e| e.reference.median());
+            if let Some(median) = median {
+                let times = s.times.iter();
+                times.for_each(|(c, n)| pace.add(*c, median, *n));
+            }
+        }
+        pace.slower_by(&self.old_pace)
+    }
+
+    /// Adds samples of the target of a node, which has the new version. Times are judged once the pace of the target is
+    /// known.
+    pub fn add_new(&mut self, node: &NodeId, routes: &BTreeMap<SmolStr, RouteSamples>) {
+        for s in routes.values() {
             self.total += u64::from(s.total);
-            for (i, test) in TESTS.iter().enumerate() {
-                let Some(count) = e.count(test, s) else {
-                    continue;
-                };
-                e.record(i, count);
-                sums[i].0 += count.0;
-                sums[i].1 += count.1;
+            self.bad += u64::from(s.failed);
+        }
+        self.evaluate(0, routes, None);
+        let slower_by = self.record_pace(node, routes);
+        let mut pending = self.pending.remove(node).unwrap_or_default();
+        for (route, s) in routes {
+            pending.entry(route.clone()).or_default().add(s);
+        }
+        if slower_by.is_none() {
+            self.pending.insert(node.clone(), pending);
+            return;
+        }
+        self.bad += self.evaluate(1, &pending, slower_by);
+        self.evaluate(2, &pending, slower_by);
+    }
+
+    /// Adds samples to the evidence of a test, for each route and for all together. Returns the number of bad ones.
+    fn evaluate(
+        &mut self,
+        test: usize,
+        routes: &BTreeMap<SmolStr, RouteSamples>,
+        slower_by: Option<u8>,
+    ) -> u64 {
+        let (mut bad, mut total, mut usual) = Count::default();
+        for (route, s) in routes {
+            let e = self.routes.entry(route.clone()).or_default();
+            if let Some(count) = e.count(&TESTS[test], s, slower_by) {
+                e.record(test, count);
+                bad += count.0;
+                total += count.1;
                 // The slow responses of each route are relative to its own median.
-                sums[i].2 += count.1 * count.2;
+                usual += count.1 * count.2;
             }
-            self.bad += u64::from(s.failed) + e.count(&SLOW, s).map_or(0, |c| c.0 as u64);
-        }
-        for (i, (bad, total, usual)) in sums.into_iter().enumerate() {
-            self.all.record(i, (bad, total, usual / total.max(1.0)));
         }
+        self.all.record(test, (bad, total, usual / total.max(1.0)));
+        bad as u64
     }
 
     /// Number of responses of the new version, and of bad ones among them.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,9 +6,11 @@
 use std::path::Path;
 use std::time::Duration;
 
+use dragonflyquay::platform::adapter::PlatformAdapter;
 use dragonflyquay::platform::store::PlatformStore;
 use dragonflyquay::platform::{document, heartbeat};
-use dragonflyquay::sidecar::adapter::TargetCall;
+use dragonflyquay::sidecar::adapter::{Adapter, TargetCall};
+use dragonflyquay::sidecar::process::rollout::order::{RolloutState, RolloutStatus};
 use dragonflyquay::sidecar::process::target::state::ReportedState;
 use dragonflyquay::store::{Store, StoreError, Swap};
 use http::Method;
@@ -276,6 +278,9 @@
         "api/instances",
         "api/ready",
         "op/config",
+        "op/rollout",
+        "status/rollout",
+        "to_version",
         "virtual_hosts",
         "route_type",
         "retry_attempts",
@@ -288,3 +293,45 @@
     find_names(Path::new(&repo_file("src")), &names, &mut found);
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// Guards against orders that are misread, or malformed ones that are followed.
+#[test]
+fn orders_of_rollouts_are_decoded_or_rejected() {
+    let parse = |key: &str, text: &str| PlatformAdapter.parse_order(key, text.as_bytes());
+    let key = "op/rollout/s";
+    let order = |service: &str, to: &str, duration: &str| {
+        format!(r#"{{"service":"{service}","to_version":"{to}","duration_s":{duration},"more":1}}"#)
+    };
+    let read = parse(key, &order("s", "v2", "13.5")).unwrap();
+    assert_eq!((read.service.as_str(), read.to.as_str()), ("s", "v2"));
+    assert_eq!(read.limit, Duration::from_millis(13_500));
+    assert!(parse(key, &order("s", "v2", "12")).is_ok());
+    let long = "v".repeat(200);
+    let rejected = [
+        order("other", "v2", "12"),
+        order("s", "", "12"),
+        order("s", &long, "12"),
+        order("s", "v2", "0"),
+        order("s", "v2", "-3"),
+        order("s", "v2", "1e300"),
+        order("s", "v2", "\"x\""),
+        "{".into(),
+        String::new(),
+    ];
+    for text in rejected {
+        assert!(parse(key, &text).is_err(), "{text}");
+    }
+    for state in [
+        RolloutState::Running,
+        RolloutState::Completed,
+        RolloutState::RolledBack,
+    ] {
+        let status = RolloutStatus {
+            state,
+            to: "v2".into(),
+        };
+        let text = PlatformAdapter.rollout_status(&status);
+        assert_eq!(PlatformAdapter.parse_rollout_status(&text), Some(status));
+    }
+    assert_eq!(PlatformAdapter.rollout_status_key("s"), "status/rollout/s");
+}
--- a/tests/sidecar_rollout.rs
+++ b/tests/sidecar_rollout.rs
@@ -22,6 +22,19 @@
     (false, time * [1, 4][usize::from(rng.random::<f64>() < 0.5)])
 }
 
+fn slow_in_all(t: Duration, route: &str, load: f64, rng: &mut SmallRng) -> Answer {
+    let (_, time) = good(t, route, load, rng);
+    (false, time.mul_f64(3.5))
+}
+
+fn slow_in_a_fourth(t: Duration, route: &str, load: f64, rng: &mut SmallRng) -> Answer {
+    let (_, time) = good(t, route, load, rng);
+    (
+        false,
+        time * [1, 5][usize::from(rng.random::<f64>() < 0.25)],
+    )
+}
+
 fn failing_late(t: Duration, route: &str, load: f64, rng: &mut SmallRng) -> Answer {
     match t > ms(6000) {
         true => failing(t, route, load, rng),
@@ -51,6 +64,16 @@
     }
 }
 
+/// A usual version with widely varying times, of which one response in a hundred fails.
+fn varying(_: Duration, _: &str, _: f64, rng: &mut SmallRng) -> Answer {
+    // The sum of twelve uniform numbers is close to a normal distribution.
+    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+    (
+        rng.random::<f64>() < 0.01,
+        ms(100).mul_f64((0.5 * normal).exp()),
+    )
+}
+
 /// Plays a bad version, and checks the bounds on its exposure.
 fn play_bad(behaviour: Behaviour, disturb: fn(&mut Sim)) {
     for limit in LIMITS_MS {
@@ -93,6 +116,8 @@
 fn a_version_that_is_bad_at_once_is_rolled_back() {
     play_bad(failing, |_| {});
     play_bad(slow, |_| {});
+    play_bad(slow_in_all, |_| {});
+    play_bad(slow_in_a_fourth, |_| {});
 }
 
 /// Guards against good responses of the past that hide that a version has turned bad.
@@ -207,3 +232,24 @@
         }
     }
 }
+
+/// Guards against a good version that is taken for a bad one because its canary runs on slow VMs, its times vary widely or
+/// some of its requests fail as often as at the old version.
+#[test]
+fn a_good_version_on_unequal_vms_is_completed() {
+    for (old, new, rate) in SIZES {
+        for seed in 0..10 {
+            let mut sim = Sim::new(old, new, rate, ms(14_000), varying);
+            sim.old_behaviour = varying;
+            sim.vary_speeds(seed);
+            sim.run_until(ms(14_000));
+            let end = sim.end.expect("no end");
+            let reason = sim.reason();
+            assert_eq!(
+                end.0,
+                Step::Completed,
+                "{old} targets, seed {seed}: {reason}"
+            );
+        }
+    }
+}
