Begin with few requests only at targets that report to be cold

Cause: the first target of a process that recovers was taken for one that has just started, so after a restart of all nodes every target got few requests at once.

Change: the first target of a process begins with few requests only if its heartbeat says that it is slow after its start.

--- a/src/sidecar/process/target/change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -36,8 +36,6 @@
                 Vec::new()
             });
         }
-        let was_ready = before.as_ref().is_none_or(|t| t.ready);
-        let is_ready = state.as_ref().is_some_and(|t| t.ready);
         let (old, new) = (incarnation(&before), incarnation(&state));
         let same_target = id(&before) == id(&state) && (old == new || old == 0 || new == 0);
         // The first target of this process may have run for long; only it can tell.
@@ -45,9 +43,9 @@
             true => !same_target,
             false => self.target().is_cold(),
         };
-        if started || is_ready && !was_ready {
+        if started {
             self.slots.update(|q, _| {
-                q.restart_pace(!started);
+                q.restart_pace(false);
                 Vec::new()
             });
         }
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -6,9 +6,6 @@
 use crate::sidecar::process::target::pace::Sample;
 use crate::sidecar::process::target::queue::{Action, Queue, Running, Ticket};
 
-/// Multiple of the mean service time from which on a request whose deadline passed counts as an error of the target.
-const TIMEOUT_SERVICE_TIMES: u32 = 2;
-
 /// How a request ends at the target.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) enum Ending {
@@ -98,17 +95,14 @@
     }
 
     /// Records that a dispatched request ends as an error of the target. `timed_out` says that its deadline passed,
-    /// which is no error if the time was short.
-    pub fn on_error(&mut self, now: Now, ticket: Ticket, timed_out: bool) {
+    /// which says nothing about the target, because the time may have been short.
+    pub fn on_error(&mut self, ticket: Ticket, timed_out: bool) {
         let Some(i) = self.running.iter().position(|r| r.ticket == ticket) else {
             return;
         };
-        let r = &self.running[i];
-        let age = now.saturating_sub(r.since);
-        let error = !timed_out || age >= self.route_time(&r.route) * TIMEOUT_SERVICE_TIMES;
-        self.running[i].outcome = match error {
-            true => Ending::Error,
-            false => Ending::TimedOut,
+        self.running[i].outcome = match timed_out {
+            false => Ending::Error,
+            true => Ending::TimedOut,
         };
     }
 
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -42,7 +42,7 @@
 /// Error of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TargetError {
-    /// A server error, or no valid response.
+    /// A server error, or a lost connection or no response.
     Failed,
     /// No response until the deadline.
     TimedOut,
@@ -218,7 +218,7 @@
         self.slots.state().waiters.remove(&ticket);
         self.slots.update(|q, now| {
             if let Some(error) = self.error {
-                q.on_error(now, ticket, error == TargetError::TimedOut);
+                q.on_error(ticket, error == TargetError::TimedOut);
             }
             match self.failed {
                 Some(failed) => q.finish(now, ticket, failed),
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -284,7 +284,8 @@
     }
     slot.failed = Some(!response.status.is_success());
     let invalid = !info.signed || info.encoded || info.id.is_none();
-    if invalid || response.status.is_server_error() {
+    // An invalid response says nothing about the load of the target.
+    if !invalid && response.status.is_server_error() {
         slot.error = Some(TargetError::Failed);
     }
     if invalid {
@@ -322,11 +323,11 @@
         }
         _ => {
             if matches!(e, SendError::Lost(_)) {
+                slot.error = Some(TargetError::Failed);
                 log_full(n, slot.on_lost(), "reset");
                 n.on_request_lost(request);
             }
             slot.failed = Some(true);
-            slot.error = Some(TargetError::Failed);
             AttemptResult::failed_at_target(failure)
         }
     }
--- a/tests/pace_site/mod.rs
+++ b/tests/pace_site/mod.rs
@@ -352,7 +352,7 @@
         let timed_out = now > r.start + TIMEOUT;
         let queue = &mut self.targets[i].queue;
         if failed || timed_out {
-            queue.on_error(now, ticket, !failed);
+            queue.on_error(ticket, !failed);
         }
         let actions = queue.finish(now, ticket, failed || timed_out);
         let load = queue.load(now);
