--- a/src/sidecar/process/target/full.rs
+++ b/src/sidecar/process/target/full.rs
@@ -19,6 +19,8 @@
 /// Greatest number of rounds, of one response for each slot, between trials of one more request. With 64, a target that
 /// is full for long loses one request in several hundred.
 const MAX_ROUNDS: u32 = 64;
+/// Time without a refused request after which the limit grows with each round, because what caused the refusals has ended.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
 /// Age, as a fraction of the service time, up to which a lost request counts as refused: a full target resets a
 /// connection at once, and a request that breaks later had a slot.
 const REFUSAL_FRACTION: f64 = 0.25;
@@ -31,6 +33,8 @@
     limit: Option<usize>,
     /// Moving average of the fraction of refused requests.
     refused: f64,
+    /// Time of the last refused request.
+    refused_at: Now,
     /// End of the event.
     until: Now,
     /// Responses since the limit last changed.
@@ -48,6 +52,7 @@
     /// Records that the target had no room for a request while `others` occupied slots. `slots` is the number of slots.
     /// Returns whether the limit fell.
     pub fn on_full(&mut self, now: Now, others: usize, slots: usize, service: Duration) -> bool {
+        self.refused_at = now;
         self.refused += REFUSED_WEIGHT * (1.0 - self.refused);
         let excess = (self.refused - RARE_REFUSALS).max(0.0);
         let kept = (1.0 - REFUSAL_FACTOR * excess).max(0.0);
@@ -74,6 +79,9 @@
             return;
         };
         self.responses += 1;
+        if now >= self.refused_at + RECOVERY_TIME {
+            self.rounds = 1;
+        }
         if u64::from(self.responses) < limit as u64 * u64::from(self.rounds) {
             return;
         }
