Give up silent requests only after twelve times the usual time

Cause: a request that took longer than 250 ms and twice the slowest recent one counted as unanswered, so its connection was closed while the target was at work on it.

Change: the bound is twelve times the mean and three times the slowest recent response, beyond what single requests take.

--- a/src/sidecar/process/target/silence.rs
+++ b/src/sidecar/process/target/silence.rs
@@ -14,9 +14,10 @@
 /// Weight of a new sample in the mean.
 const MEAN_WEIGHT: f64 = 0.1;
 /// Multiple of the slowest recent response that is the bound.
-const BOUND_FACTOR: f64 = 2.0;
-/// Minimum of the bound as a multiple of the mean, for routes whose times hardly vary.
-const MIN_MEAN_FACTOR: f64 = 4.0;
+const BOUND_FACTOR: f64 = 3.0;
+/// Minimum of the bound as a multiple of the mean. Single requests may take ten times as long as others, and one at which
+/// the target is at work must not be given up.
+const MIN_MEAN_FACTOR: f64 = 12.0;
 /// Minimum of the bound; a pause of the process or of the VM takes as long.
 const MIN_BOUND: Duration = Duration::from_millis(250);
 /// Number of later requests that must have been answered.
