--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -115,6 +115,10 @@
         Arc::new(Gate::new(limits, Box::new(observer)))
     });
     let store = CountedStore::new(store, &metrics.store_calls, &metrics.store_waiting);
+    let slots = Slots::new(clock.clone());
+    if !s.pace {
+        slots.disable_pace();
+    }
     let node = Node {
         id: settings.node.id.clone(),
         service: s.service.clone(),
@@ -124,7 +128,7 @@
         last_confirmed: LastConfirmed::default(),
         log: EventLog::default(),
         routes: ArcSwapOption::empty(),
-        slots: Arc::new(Slots::new(clock.clone())),
+        slots: Arc::new(slots),
         pool: Pool::new(s.target),
         gate,
         shared_link: Arc::new(shared_link),
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -78,7 +78,7 @@
         self.pace.restart(same_target);
     }
 
-    /// Gives out all slots from now on, for comparisons with a ramp by time.
+    /// Gives out all slots from now on, also those of a target that has just started.
     pub fn disable_pace(&mut self) {
         self.pace_off = true;
     }
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -112,6 +112,11 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Lets the target have all its slots from its start.
+    pub fn disable_pace(&self) {
+        self.state().queue.disable_pace();
+    }
+
     /// Updates the queue and notifies the requests that were dispatched or rejected.
     pub fn update<F>(&self, update: F)
     where
