Do not spin while a connection may not read ahead

Cause: after a request, a connection that had no room in the memory budget went through its loop without waiting, so the process hung. The two changes of the loop, for large bodies and for the budget, were each right alone.

Change: it waits and checks for a close, for whichever reason it may not read.

--- a/src/connection/read_ahead.rs
+++ b/src/connection/read_ahead.rs
@@ -106,7 +106,7 @@
                     return;
                 }
             }
-            while self.ahead().pipeline.len() >= MAX_AHEAD_BYTES {
+            while !self.ahead().may_read() {
                 if self.is_closed_behind() {
                     return;
                 }
