Take only resets within 10 ms for the refusal of a full target

Cause: a reset within a quarter of the service time counted as a refusal.

Change: a full target on the same VM resets a connection at once, so only resets within 10 ms count.

--- a/src/sidecar/process/target/full.rs
+++ b/src/sidecar/process/target/full.rs
@@ -21,11 +21,9 @@
 const MAX_ROUNDS: u32 = 64;
 /// Time without a refused request after which the limit grows with each round, because what caused the refusals has ended.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
-/// Age, as a fraction of the service time, up to which a lost request counts as refused: a full target resets a
-/// connection at once, and a request that breaks later had a slot.
-const REFUSAL_FRACTION: f64 = 0.25;
-/// Minimum of this age, for routes whose requests take a few milliseconds.
-const MIN_REFUSAL_AGE: Duration = Duration::from_millis(10);
+/// Age up to which a lost request counts as refused: a full target on the same VM resets a connection at once, and a
+/// request that breaks later had a slot.
+const MAX_REFUSAL_AGE: Duration = Duration::from_millis(10);
 
 /// Limit after the target was full; none by default.
 #[derive(Debug, Default)]
@@ -44,8 +42,8 @@
 }
 
 /// Whether a request whose connection was lost at this age was refused by a full target.
-pub fn is_refusal(age: Duration, service_time: Duration) -> bool {
-    age <= service_time.mul_f64(REFUSAL_FRACTION).max(MIN_REFUSAL_AGE)
+pub fn is_refusal(age: Duration) -> bool {
+    age <= MAX_REFUSAL_AGE
 }
 
 impl FullLimit {
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -149,7 +149,7 @@
             return false;
         };
         let age = now.saturating_sub(r.since);
-        full::is_refusal(age, self.route_time(&r.route)) && self.on_full(now)
+        full::is_refusal(age) && self.on_full(now)
     }
 
     /// Records that the target had no room for one of the requests that occupy its slots. Returns whether it is to get
--- a/tests/sidecar_full_target.rs
+++ b/tests/sidecar_full_target.rs
@@ -286,9 +286,8 @@
 /// Guards against connections of running requests that break for another reason and count as the sign of a full target.
 #[test]
 fn only_an_early_reset_is_a_refusal() {
-    assert!(is_refusal(ms(5), ms(100)));
-    assert!(is_refusal(ms(8), ms(4)));
-    assert!(!is_refusal(ms(60), ms(100)));
+    assert!(is_refusal(ms(5)));
+    assert!(!is_refusal(ms(15)));
 }
 
 /// Guards against a slow target that counts as silent: its own response times set the bound, and a request that no
