--- a/src/connection/pipeline.rs
+++ b/src/connection/pipeline.rs
@@ -243,12 +243,12 @@
     active: Option<ActiveRequest>,
 ) -> StartedRequest {
     let (method, uri, headers) = (head.method.clone(), head.uri.clone(), head.headers.clone());
-    let method_of = method.clone();
+    let request_method = method.clone();
     let starting = starter.start(Request::from_parts(head, Empty::new()));
     let response = async move {
         let response = starting.await;
         if let Some(active) = active {
-            active.respond(response_bytes(&method_of, &response));
+            active.respond(response_bytes(&request_method, &response));
         }
         response
     };
--- a/src/connection/read_ahead.rs
+++ b/src/connection/read_ahead.rs
@@ -20,8 +20,8 @@
 
 /// Maximum number of bytes to read ahead.
 const MAX_AHEAD_BYTES: usize = 64 << 10;
-/// Interval at which a stream with more bytes than these is checked for a close behind them: the sender of a large body
-/// that waits for its turn has gone.
+/// Interval at which a stream that may not read ahead is checked for a close behind its unread bytes: it has
+/// [`MAX_AHEAD_BYTES`] already, or the budget of the process has no room for more.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const READ_BYTES: usize = 4 << 10;
 
--- a/src/sidecar/process/inbound.rs
+++ b/src/sidecar/process/inbound.rs
@@ -28,9 +28,9 @@
 const TRANSFER_MARGIN: f64 = 1.1;
 /// Fraction of its latency objective for which a body that can no longer meet it may wait, as for slots.
 const LATE_WAIT_FRACTION: f64 = 0.125;
-/// Default for the bytes of all admitted bodies, which are buffered whole until their requests end. A larger body is admitted only if
-/// there is no other. Of a stalled body only what has arrived counts, so that senders that announce much and deliver
-/// little do not keep out others.
+/// Maximum for the bytes of all admitted bodies, which are buffered whole until their requests end; the memory budget
+/// may lower it. A larger body is admitted only if there is no other. Of a stalled body only what has arrived counts,
+/// so that senders that announce much and deliver little do not keep out others.
 pub const MAX_HELD_BYTES: usize = 16 << 20;
 
 /// Longest body that is admitted, whatever a sender announces; more than the memory of a VM holds.
@@ -122,7 +122,7 @@
     clear_at: Now,
     uploads: Vec<Upload>,
     last_id: UploadId,
-    /// Bytes of all admitted bodies.
+    /// Maximum for the bytes of all admitted bodies.
     max_held: usize,
 }
 
@@ -225,7 +225,7 @@
         Ok(id)
     }
 
-    /// Adds a body that needs nothing of the link.
+    /// Adds a body of which nothing is left to grant; the caller sets what the link has to carry.
     fn hold(&mut self, now: Now, urgency: Urgency, bytes: usize) -> Result<UploadId, Full> {
         let held = self.uploads.iter().map(|u| match u.is_stalled(now) {
             true => u.arrived(),
--- a/src/sidecar/process/quota/account.rs
+++ b/src/sidecar/process/quota/account.rs
@@ -3,8 +3,8 @@
 use crate::prelude::*;
 use crate::sidecar::process::quota::{UnitAsk, UnitGrant, LOAN_TIME};
 
-/// Time without an answer after which the next holder is asked. Processes with a small share of a core pause for nearly as
-/// long; with 30 ms, the simulated fleet asked several holders for one unit then, and refused twice as many requests.
+/// Time without an answer after which the next holder is asked. Processes with a small share of a core pause for
+/// nearly as long; with a shorter time, several holders are asked for one unit and more requests are refused.
 const HEDGE_AFTER: Duration = Duration::from_millis(100);
 /// Time without an answer after which the same holder is asked again; longer than the pauses of a throttled process.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/sidecar/process/quota/limits.rs
+++ b/src/sidecar/process/quota/limits.rs
@@ -12,12 +12,12 @@
 const RATE_PART: f64 = 0.4;
 /// Part of the excess that raises the depth of the buckets, for the units that nodes hold.
 const DEPTH_PART: f64 = 0.3;
-/// Part of the excess that new processes may lend at once. Their predecessors' units are unknown to them.
+/// Part of the excess that new processes may lend at once. Their predecessors' units are unknown to them. What the three
+/// parts leave is for requests that run later than they took their unit.
 const START_PART: f64 = 0.2;
-// The rest is for requests that run later than they took their unit.
 
-/// Depth of the bucket of one holder below which a tenant gets fewer holders: units that several nodes may have at a time.
-/// In a trial, half of it made the simulated fleet refuse 0.38% of the requests within the quotas instead of 0.14%.
+/// Depth of the bucket of one holder below which a tenant gets fewer holders: units that several nodes may have at a
+/// time. With a smaller depth, more requests within the quota are refused.
 const HOLDER_DEPTH: f64 = 8.0;
 /// The same for the second holder, which a small tenant needs in case that the first one fails.
 const SECOND_HOLDER_DEPTH: f64 = 4.0;
--- a/src/sidecar/process/quota/mod.rs
+++ b/src/sidecar/process/quota/mod.rs
@@ -50,7 +50,7 @@
     #[serde(rename = "n")]
     pub seq: u32,
     /// Rate that the borrower has from this holder, in units per second.
-    #[serde(rename = "r", default, skip_serializing_if = "is_none")]
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero_rate")]
     pub rate: f32,
     /// Greatest number of units that the borrower may have from this holder.
     #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
@@ -59,7 +59,7 @@
     #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
     pub held: u32,
     /// Rate that it asks for, in units per second.
-    #[serde(rename = "q", default, skip_serializing_if = "is_none")]
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero_rate")]
     pub want_rate: f32,
     /// Units that it asks for; 0 with a rate of 0 ends the loan, and gets no answer.
     #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
@@ -76,7 +76,7 @@
     #[serde(rename = "n")]
     pub seq: u32,
     /// Rate of the loan, in units per second.
-    #[serde(rename = "r", default, skip_serializing_if = "is_none")]
+    #[serde(rename = "r", default, skip_serializing_if = "is_zero_rate")]
     pub rate: f32,
     /// Greatest number of units that the borrower may have.
     #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
@@ -92,7 +92,7 @@
     pub wait_ms: u32,
 }
 
-fn is_none(rate: &f32) -> bool {
+fn is_zero_rate(rate: &f32) -> bool {
     *rate == 0.0
 }
 
--- a/src/sidecar/process/target/full.rs
+++ b/src/sidecar/process/target/full.rs
@@ -11,10 +11,10 @@
 const HOLD: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Weight of a new request in the fraction of refused ones.
 const REFUSED_WEIGHT: f64 = 0.13;
-/// Fraction of refused requests up to which the target keeps its slots, and factor by which they fall beyond it.
-/// Connections may be reset for another reason although the target has room, and the slots that it is not given then are
-/// lost.
+/// Fraction of refused requests up to which the target keeps its slots. Connections may be reset for another reason
+/// although the target has room, and the slots that it is not given then are lost.
 const RARE_REFUSALS: f64 = 0.15;
+/// Fraction of the slots that is lost per unit by which the refused fraction exceeds [`RARE_REFUSALS`].
 const REFUSAL_FACTOR: f64 = 2.0;
 /// Greatest number of rounds, of one response for each slot, between trials of one more request. With 64, a target that
 /// is full for long loses one request in several hundred.
--- a/src/sidecar/request/upload.rs
+++ b/src/sidecar/request/upload.rs
@@ -170,7 +170,8 @@
         self.passed_on.load(Ordering::SeqCst)
     }
 
-    /// The failure of a request whose body could not be passed on in time, or that its caller is the cause.
+    /// Replaces a failure to pass the body on in time by [`Reason::SlowCaller`] if the caller has been silent for
+    /// [`SLOW_CALLER_AFTER`]; returns other failures unchanged.
     pub(crate) fn explain(&self, now: Now, f: Failure) -> Failure {
         let since = Duration::from_millis(self.waiting_since.load(Ordering::SeqCst));
         let slow = now.saturating_sub(since) >= SLOW_CALLER_AFTER;
