Make the limit of full targets a setting

Change: sidecar.limit_full, off by default, for targets that name more slots than they have. The tests of such targets set it.

--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -119,6 +119,9 @@
     if !s.pace {
         slots.disable_pace();
     }
+    if !s.limit_full {
+        slots.disable_full_limit();
+    }
     let node = Node {
         id: settings.node.id.clone(),
         service: s.service.clone(),
--- a/src/sidecar/process/target/occupancy.rs
+++ b/src/sidecar/process/target/occupancy.rs
@@ -26,7 +26,10 @@
 
     /// Number of slots that may be used.
     pub(super) fn usable_slots(&self) -> usize {
-        let slots = self.full_limit.apply(self.slots);
+        let slots = match self.full_limit_off {
+            true => self.slots,
+            false => self.full_limit.apply(self.slots),
+        };
         match self.pace_off {
             true => slots,
             false => slots.min(self.pace.limit(self.slots)),
@@ -78,6 +81,11 @@
         self.pace.restart(same_target);
     }
 
+    /// Gives out all slots from now on, also those of a target that turned out to be full.
+    pub fn disable_full_limit(&mut self) {
+        self.full_limit_off = true;
+    }
+
     /// Gives out all slots from now on, also those of a target that has just started.
     pub fn disable_pace(&mut self) {
         self.pace_off = true;
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -159,6 +159,8 @@
     pub(super) pace: Pace,
     /// Whether the pace is not applied.
     pub(super) pace_off: bool,
+    /// Whether a target that turned out to be full gets as many requests as before.
+    pub(super) full_limit_off: bool,
     pub(super) response_times: ResponseTimes,
     /// Mean service time over all routes, in seconds.
     mean_time: Option<f64>,
@@ -189,6 +191,7 @@
             full_limit: FullLimit::default(),
             pace: Pace::default(),
             pace_off: false,
+            full_limit_off: false,
             response_times: ResponseTimes::default(),
             mean_time: None,
             route_times: HashMap::default(),
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -112,6 +112,11 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Lets the target have all its slots, also after it turned out to be full.
+    pub fn disable_full_limit(&self) {
+        self.state().queue.disable_full_limit();
+    }
+
     /// Lets the target have all its slots from its start.
     pub fn disable_pace(&self) {
         self.state().queue.disable_pace();
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -42,6 +42,8 @@
     pub quota_overage: f64,
     /// Further allowed excess, in requests.
     pub quota_slack: f64,
+    /// Whether a target that resets connections or goes silent, as full ones do, gets fewer requests for a while.
+    pub limit_full: bool,
     /// Whether a target that starts or recovers gets few requests at first, as many as its responses allow.
     pub pace: bool,
     /// Fraction of the requests that reach a service between the order of a rollout and its time limit which a bad version
@@ -73,6 +75,7 @@
             quota_window_s: 5,
             quota_overage: 0.1,
             quota_slack: 20.0,
+            limit_full: false,
             pace: false,
             exposure_share: 0.1,
             exposure_slack: 50.0,
--- a/tests/sidecar_full_target.rs
+++ b/tests/sidecar_full_target.rs
@@ -13,7 +13,7 @@
 use dragonflyquay::sidecar::process::target::queue::{Action, Arrival, Queue};
 use dragonflyquay::sidecar::process::target::silence::ResponseTimes;
 use site_kit::capacity::{Capacity, WhenFull};
-use site_kit::{fresh_id, Node, Site, HOST};
+use site_kit::{config, fresh_id, Node, Site, HOST};
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -31,7 +31,13 @@
     said: usize,
     when_full: WhenFull,
 ) -> (Site, Vec<Arc<Capacity>>) {
-    let site = Site::start(nodes);
+    let mut site = Site::empty();
+    site.store.put_config(&config(1, ""));
+    for i in 0..nodes {
+        site.add_node_with(i, "limit_full = true\n");
+    }
+    site.nodes.iter().for_each(Node::wait_ready);
+    site.wait_linked();
     let limit = |n: &Node| {
         let capacity = Arc::new(Capacity::new(slots, when_full));
         let mut s = n.target.state.lock().unwrap();
