--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -242,7 +242,7 @@
         objective: p.aim_ms.map_or(timeout, millis),
         rank: p.priority.min(RANKS - 1),
         max_attempts: p.retry_attempts,
-        auth_exempt: p.auth_exempt,
+        public: p.auth_exempt,
         services: match split.is_empty() {
             true => only.into_iter().collect(),
             false => split,
--- a/src/sidecar/request/authenticate.rs
+++ b/src/sidecar/request/authenticate.rs
@@ -52,7 +52,7 @@
 ) -> Result<RouteAndTenant, Failure> {
     let route = table.route(host, path);
     let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
-    if route.auth_exempt || table.tenants.is_empty() {
+    if route.public || table.tenants.is_empty() {
         return Ok((route, None));
     }
     let tenant = key.and_then(|k| table.keys.get(k)).cloned();
--- a/src/sidecar/version/routes.rs
+++ b/src/sidecar/version/routes.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// A customer whose callers authenticate with API keys.
+/// An organisation whose callers authenticate with API keys.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
     /// Name, unique in the version.
@@ -67,7 +67,7 @@
     /// Maximum number of targets that may run one request; targets that did not run it do not count.
     pub max_attempts: u32,
     /// Whether its requests need no API key.
-    pub auth_exempt: bool,
+    pub public: bool,
     /// Services that run the requests, at least one.
     pub services: Vec<WeightedService>,
 }
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -369,7 +369,7 @@
         objective: ms(300),
         rank: 1,
         max_attempts: 2,
-        auth_exempt: false,
+        public: false,
         services: vec![WeightedService {
             service: service.into(),
             weight: 1,
