--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -1,6 +1,7 @@
 //! The target of this node: its state, its calls, its slots with their queue, and its rate limit.
 
 pub mod abandoned;
+mod admission;
 mod change;
 pub mod control;
 pub mod crash;
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::request::reason::Reason;
 use crate::sidecar::process::target::abandoned::Abandoned;
+use crate::sidecar::process::target::admission::LATE_WAIT_FRACTION;
 use crate::sidecar::process::target::full::FullLimit;
 use crate::sidecar::process::target::occupancy::Ending;
 use crate::sidecar::process::target::pace::Pace;
@@ -17,13 +18,9 @@
 use crate::sidecar::process::target::tenant_shares::TenantShares;
 use crate::sidecar::version::routes::RANKS;
 
-/// Maximum number of waiting requests; wait estimates are meaningless for longer queues.
-const MAX_WAITING: usize = 256;
-/// Fraction of its latency objective for which a request that can no longer meet it may wait for a free slot.
-const LATE_WAIT_FRACTION: f64 = 0.125;
 /// Fraction of the mean service time that must remain before the deadline for a request to be dispatched. With less
 /// time, most requests would miss their deadline and waste their slots.
-const MIN_TIME_FRACTION: f64 = 0.8;
+pub(super) const MIN_TIME_FRACTION: f64 = 0.8;
 /// Weight of a new sample in the moving averages of service times and of failures.
 const SAMPLE_WEIGHT: f64 = 0.1;
 /// Weight of a new sample in the slowdown of the target; times of single requests vary by half their mean.
@@ -35,8 +32,6 @@
 const SLOWDOWN_RANGE: (f64, f64) = (0.05, 20.0);
 /// Time constant of the moving average of the slots that each rank uses.
 const USAGE_TIME_CONSTANT: Duration = Duration::from_secs(2);
-/// Minimum fraction of the slots that the wait estimate assumes to be left over by more urgent ranks.
-const MIN_SLOT_FRACTION: f64 = 0.15;
 /// Service time assumed before the first sample.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(100);
 
@@ -116,11 +111,11 @@
 }
 
 #[derive(Debug)]
-struct Waiting {
-    arrival: Arrival,
+pub(super) struct Waiting {
+    pub(super) arrival: Arrival,
     since: Now,
     /// Time since which the request can no longer meet its latency objective.
-    late_since: Option<Now>,
+    pub(super) late_since: Option<Now>,
 }
 
 #[derive(Debug)]
@@ -152,7 +147,7 @@
 pub struct Queue {
     pub(super) slots: usize,
     /// Waiting requests in order of arrival.
-    waiting: Vec<Waiting>,
+    pub(super) waiting: Vec<Waiting>,
     pub(super) running: Vec<Running>,
     pub(super) abandoned: Abandoned,
     pub(super) full_limit: FullLimit,
@@ -170,13 +165,13 @@
     slowdown_ln: Option<f64>,
     slowdown_samples: u32,
     /// Moving average of the slots that each rank occupies.
-    slot_usage: [f64; RANKS],
+    pub(super) slot_usage: [f64; RANKS],
     /// Time of the last update of `slot_usage`.
     usage_at: Now,
     /// Moving average of the fraction of failed responses.
     failure_rate: f64,
-    tenant_shares: TenantShares,
-    limit: RateLimit,
+    pub(super) tenant_shares: TenantShares,
+    pub(super) limit: RateLimit,
     /// Whether the present target has said whether it has a rate limit.
     limit_known: bool,
 }
@@ -246,80 +241,6 @@
         self.advance(now)
     }
 
-    /// Returns why a new request must be rejected and the back-off, or `None` to admit it.
-    fn rejection(&self, now: Now, a: &Arrival) -> Option<(Reason, Duration)> {
-        if self.slots == 0 {
-            return Some((Reason::NotReady, Duration::ZERO));
-        }
-        let service_time = self.route_time(&a.route);
-        if a.deadline < now + service_time.mul_f64(MIN_TIME_FRACTION) {
-            return Some((Reason::Deadline, Duration::ZERO));
-        }
-        let ahead = self.ahead(a.rank, &a.tenant);
-        let slot_wait = self.expected_wait(now, a.rank, ahead);
-        let limit_wait = self.limit_wait(now, a.rank, ahead);
-        let queue_wait = slot_wait.max(limit_wait);
-        // The link sends other responses while the request waits and runs.
-        let link_wait = a.link_backlog.saturating_sub(queue_wait + service_time);
-        let wait = queue_wait + link_wait;
-        if wait.is_zero() {
-            return None;
-        }
-        let full = match (limit_wait > slot_wait, link_wait > queue_wait) {
-            (_, true) => Reason::LinkFull,
-            (true, _) => Reason::RateLimited,
-            _ => Reason::QueueFull,
-        };
-        let service_time = service_time + a.transfer;
-        if a.max_wait.is_some_and(|max| wait > max) {
-            return Some((full, Duration::ZERO));
-        }
-        if self.waiting.len() >= MAX_WAITING {
-            return Some((Reason::QueueFull, wait));
-        }
-        let end = now + wait + service_time;
-        let late_wait = a.objective.mul_f64(LATE_WAIT_FRACTION);
-        let late_allowed = now + service_time > a.due && wait <= late_wait && end <= a.deadline;
-        match end <= a.due || late_allowed {
-            true => None,
-            false => Some((full, end.saturating_sub(a.due).min(wait))),
-        }
-    }
-
-    /// Returns why a request that arrives after `delay` would be rejected then, and the back-off; `None` if it would be
-    /// admitted. `arriving` others that were admitted arrive before it.
-    pub fn preview(
-        &self,
-        now: Now,
-        a: &Arrival,
-        delay: Duration,
-        arriving: usize,
-    ) -> Option<(Reason, Duration)> {
-        if self.slots == 0 {
-            return Some((Reason::NotReady, Duration::ZERO));
-        }
-        let service_time = self.route_time(&a.route);
-        let at = now + delay;
-        if a.deadline < at + service_time.mul_f64(MIN_TIME_FRACTION) {
-            return Some((Reason::Deadline, Duration::ZERO));
-        }
-        let ahead = self.ahead(a.rank, &a.tenant) + arriving;
-        let queue_wait = self.expected_wait(now, a.rank, ahead);
-        let wait = queue_wait
-            .max(self.limit_wait(now, a.rank, ahead))
-            .saturating_sub(delay);
-        let end = at + wait + service_time;
-        let late_wait = a.objective.mul_f64(LATE_WAIT_FRACTION);
-        let late_allowed = at + service_time > a.due && wait <= late_wait && end <= a.deadline;
-        if a.max_wait.is_some_and(|max| wait > max) {
-            return Some((Reason::QueueFull, Duration::ZERO));
-        }
-        match wait.is_zero() || end <= a.due || late_allowed {
-            true => None,
-            false => Some((Reason::QueueFull, end.saturating_sub(a.due).min(wait))),
-        }
-    }
-
     /// Mean service time of a route at this target.
     pub fn route_time(&self, route: &str) -> Duration {
         let known = self.route_times.get(route).copied().or(self.mean_time);
@@ -330,50 +251,6 @@
         self.mean_time.unwrap_or(INITIAL_SERVICE_TIME.as_secs_f64())
     }
 
-    /// Number of waiting requests that a new one of this rank and tenant would queue behind. Requests that can no longer
-    /// meet their latency objective do not count, because all others go before them.
-    fn ahead(&self, rank: usize, tenant: &TenantId) -> usize {
-        let used = self.tenant_shares.used(tenant);
-        let before = |w: &&Waiting| match w.arrival.rank {
-            _ if w.late_since.is_some() => false,
-            r if r == rank => self.tenant_shares.used(&w.arrival.tenant) <= used,
-            r => r < rank,
-        };
-        self.waiting.iter().filter(before).count()
-    }
-
-    /// Number of waiting requests that one of this rank would queue behind on average over the tenants.
-    fn ahead_of_rank(&self, rank: usize) -> usize {
-        let before = |w: &&Waiting| w.arrival.rank <= rank && w.late_since.is_none();
-        self.waiting.iter().filter(before).count()
-    }
-
-    /// Expected wait of a new request: the time for the requests ahead of it on the slots that more urgent ranks leave.
-    fn expected_wait(&self, now: Now, rank: usize, ahead: usize) -> Duration {
-        let (occupied, usable) = (self.occupied(now), self.usable_slots());
-        if occupied + ahead < usable {
-            return Duration::ZERO;
-        }
-        let excess = (occupied + ahead + 1).saturating_sub(usable);
-        let slots = usable as f64;
-        let urgent_slots: f64 = self.slot_usage[..rank].iter().sum();
-        let available = (1.0 - urgent_slots / slots).max(MIN_SLOT_FRACTION);
-        Duration::from_secs_f64(excess as f64 * self.mean_service_time() / (slots * available))
-    }
-
-    /// Expected wait of a new request for the rate limit: the time for the requests ahead of it at the part of the rate
-    /// that more urgent ranks leave.
-    fn limit_wait(&self, now: Now, rank: usize, ahead: usize) -> Duration {
-        let wait = self.limit.wait(now, ahead);
-        if wait.is_zero() {
-            return wait;
-        }
-        let urgent: f64 = self.slot_usage[..rank].iter().sum();
-        let total: f64 = self.slot_usage.iter().sum();
-        let available = 1.0 - urgent / total.max(f64::MIN_POSITIVE);
-        wait.div_f64(available.max(MIN_SLOT_FRACTION))
-    }
-
     fn update_usage(&mut self, now: Now) {
         let dt = now.saturating_sub(self.usage_at);
         if dt < Duration::from_millis(10) {
