Give what a node knows of one target a file of its own

Change: the state of a target and the estimate of what a request gets there move to known_target.rs unchanged.

--- a/src/sidecar/process/routing/mod.rs
+++ b/src/sidecar/process/routing/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 pub mod crash_suspects;
 pub mod fairness;
+mod known_target;
 pub mod placement;
 mod retries;
 pub mod service_times;
