Play tenants, keys, quotas and uploads in the soak

Cause: the soak played nothing of the new parts.

Change: callers have keys of a tenant without a quota, of one with a quota, or unknown ones; a part of the requests are uploads. It checks that unknown keys run nothing, known ones are never refused as unknown, targets learn the tenant and not the key, bodies arrive as sent, uploads run once at most, and no window exceeds the quota.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -110,13 +110,19 @@
             for path in [
                 "/safe-a/x".into(),
                 "/safe-b/x".into(),
+                "/upload-a/x".into(),
                 format!("/v{}/x", site.version),
             ] {
                 let mut served = false;
                 // Targets fail some requests on purpose, so try more than once.
                 for _ in 0..4 {
-                    served |= rt.block_on(client::send(&http, &site.history, &destination, &path))
-                        == Some(200);
+                    served |= rt.block_on(client::send(
+                        &http,
+                        &site.history,
+                        &destination,
+                        &client::UNLIMITED,
+                        &path,
+                    )) == Some(200);
                 }
                 if !served {
                     missing.push_str(&format!(" n{i} does not serve {path};"));
@@ -152,7 +158,7 @@
 }
 
 /// Guards against violations that occur only under overlapping faults: responses for the wrong request, requests that
-/// are altered, run twice or run after a rejection, requests to a target that left, a node that returns to an older
+/// are altered, run twice, run after a rejection, under another tenant, with an unknown key or beyond a quota, requests to a target that left, a node that returns to an older
 /// version or does not find an existing route, requests without a response, processes that panic, exit unexpectedly or
 /// do not stop, and a site that does not recover.
 #[test]
--- a/tests/soak_kit/client.rs
+++ b/tests/soak_kit/client.rs
@@ -19,6 +19,36 @@
 /// on a busy machine.
 const RESPONSE_MARGIN: Duration = Duration::from_secs(8);
 
+/// API key of a caller, and the tenant that it belongs to; empty if it is unknown.
+pub struct Credentials {
+    pub key: &'static str,
+    pub tenant: &'static str,
+}
+
+pub const UNLIMITED: Credentials = Credentials {
+    key: "k-unlimited",
+    tenant: "unlimited",
+};
+pub const LIMITED: Credentials = Credentials {
+    key: "k-limited",
+    tenant: "limited",
+};
+pub const UNKNOWN: Credentials = Credentials {
+    key: "k-unknown",
+    tenant: "",
+};
+
+/// Size of the body of an upload, in bytes: several pieces of a large body.
+const UPLOAD_BYTES: usize = 40_000;
+
+/// Body of a request: bytes that depend on its id for an upload, empty for others.
+pub fn request_body(id: &str, path: &str) -> Bytes {
+    match path.starts_with("/upload") {
+        true => id.bytes().cycle().take(UPLOAD_BYTES).collect(),
+        false => Bytes::new(),
+    }
+}
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// The node that a request is sent to.
@@ -39,14 +69,21 @@
 }
 
 /// Sends and records a request and checks its response. Returns the status, `None` if there is no response.
-pub async fn send(http: &Http, history: &History, to: &Destination, path: &str) -> Option<u16> {
+pub async fn send(
+    http: &Http,
+    history: &History,
+    to: &Destination,
+    credentials: &Credentials,
+    path: &str,
+) -> Option<u16> {
     let id = format!("{:08x}", NEXT_ID.fetch_add(1, Ordering::SeqCst));
     let start = Instant::now();
     let sent = Sent {
         node: to.node,
         process: to.process,
         path: path.into(),
-        once: path.starts_with("/once"),
+        tenant: credentials.tenant.into(),
+        once: path.starts_with("/once") || path.starts_with("/upload"),
         at: start,
         status: None,
     };
@@ -59,7 +96,13 @@
             "dragonflyquay-deadline-ms",
             DEADLINE.as_millis().to_string(),
         )
-        .body(Full::default())
+        .header("authorization", format!("Bearer {}", credentials.key))
+        .method(if path.starts_with("/upload") {
+            "POST"
+        } else {
+            "GET"
+        })
+        .body(Full::new(request_body(&id, path)))
         .unwrap();
     let exchange = async {
         let res = http.request(req).await.ok()?;
@@ -94,6 +137,9 @@
             "wrong response: {id} {path} got {parts:?} {body:?}"
         ));
     }
+    if status == 401 && !credentials.tenant.is_empty() {
+        history.add_violation(format!("known key refused: {id} {path} at n{}", to.node));
+    }
     if status == 404 && !path.starts_with("/v") {
         history.add_violation(format!(
             "existing route not found: {id} {path} at n{}",
@@ -132,13 +178,24 @@
             (seen, seen_process) = (0, process);
         }
         n += 1;
-        let paths = ["/safe-a/x", "/once-b/x", "/safe-b/x", "/once-a/x"];
+        let paths = [
+            "/safe-a/x",
+            "/once-b/x",
+            "/safe-b/x",
+            "/once-a/x",
+            "/upload-a/x",
+        ];
         if n % 6 != 0 {
-            send(&http, &history, &to, paths[n % paths.len()]).await;
+            let credentials = match n % 16 {
+                1 => &UNKNOWN,
+                2 | 9 | 14 => &LIMITED,
+                _ => &UNLIMITED,
+            };
+            send(&http, &history, &to, credentials, paths[n % paths.len()]).await;
             continue;
         }
         let version = newest.load(Ordering::SeqCst);
-        match send(&http, &history, &to, &format!("/v{version}/x")).await {
+        match send(&http, &history, &to, &UNLIMITED, &format!("/v{version}/x")).await {
             Some(404) if version <= seen => {
                 history.add_violation(format!(
                     "older version: n{node} process {process} no longer has /v{version}/"
--- a/tests/soak_kit/history.rs
+++ b/tests/soak_kit/history.rs
@@ -4,6 +4,9 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use super::client::LIMITED;
+use super::QUOTA_BOUND;
+
 /// A request as its caller sees it.
 #[derive(Debug, Clone)]
 pub struct Sent {
@@ -12,6 +15,8 @@
     /// Number of the process of that node, counted from 1.
     pub process: usize,
     pub path: String,
+    /// Tenant of its API key; empty if the key is unknown.
+    pub tenant: String,
     /// Whether the request may run at most once.
     pub once: bool,
     /// Time at which the caller sent it.
@@ -29,6 +34,12 @@
     pub path: String,
     /// Service of the caller.
     pub caller: String,
+    /// Tenant that the target was told.
+    pub tenant: String,
+    /// Whether the API key reached the target.
+    pub has_key: bool,
+    /// Whether the body arrived as it was sent.
+    pub same_body: bool,
     /// Time at which the run began.
     pub at: Instant,
 }
@@ -122,11 +133,16 @@
                 out.push(format!("rejected but ran: {id} {sent:?} ran at {runs:?}"));
             }
             for r in runs {
-                if r.path != sent.path || r.caller != services[sent.node] {
+                let same = r.path == sent.path && r.caller == services[sent.node];
+                if !same || !r.same_body {
                     out.push(format!("changed in transit: {id} {sent:?} ran as {r:?}"));
                 }
+                if sent.tenant.is_empty() || r.tenant != sent.tenant || r.has_key {
+                    out.push(format!("wrong tenant or key: {id} {sent:?} ran as {r:?}"));
+                }
             }
         }
+        out.extend(over_quota(&records.runs));
         for l in &records.leaves {
             let all_runs = records
                 .runs
@@ -149,3 +165,18 @@
         out
     }
 }
+
+/// Windows in which more requests of the tenant with a quota ran than allowed; the first one of several that overlap.
+fn over_quota(runs: &HashMap<String, Vec<Run>>) -> Option<String> {
+    let (bound, window) = QUOTA_BOUND;
+    let first_runs = runs.values().filter_map(|r| r.first());
+    let limited = first_runs.filter(|r| r.tenant == LIMITED.tenant);
+    let mut times: Vec<Instant> = limited.map(|r| r.at).collect();
+    times.sort();
+    let count = |from: &Instant| {
+        let inside = times.iter().filter(|t| *t >= from && **t < *from + window);
+        inside.count()
+    };
+    let worst = times.iter().map(count).max()?;
+    (worst as f64 > bound).then(|| format!("over quota: {worst} requests ran in {window:?}"))
+}
--- a/tests/soak_kit/mod.rs
+++ b/tests/soak_kit/mod.rs
@@ -22,6 +22,11 @@
 
 /// Host of all routes.
 pub const HOST: &str = "h.example";
+/// Requests per second and burst of the tenant with a quota.
+pub const QUOTA: f64 = 6.0;
+/// Most requests of that tenant that may run in a window, over all nodes, and the length of the window.
+pub const QUOTA_BOUND: (f64, Duration) =
+    ((QUOTA * 5.0 + QUOTA) * 1.1 + 20.0, Duration::from_secs(5));
 /// Time after an acknowledged leave in which requests may still begin at the target.
 pub const DRAIN_TIME: Duration = Duration::from_millis(2000);
 /// Time after SIGTERM in which a process has to exit.
@@ -77,7 +82,8 @@
     pub changed: Instant,
 }
 
-/// Configuration with a safe and an at-most-once route for each of two services, and one route for each version so far.
+/// Configuration with a safe, an at-most-once and an upload route for each of two services, one route for each version so
+/// far, and two tenants, of which one has a quota.
 fn config(version: u64) -> String {
     let route = |name: &str, kind: &str, service: &str| {
         format!(
@@ -88,15 +94,24 @@
     for s in ["a", "b"] {
         routes.push(route(&format!("safe-{s}"), "safe", s));
         routes.push(route(&format!("once-{s}"), "unsafe", s));
+        routes.push(route(&format!("upload-{s}"), "upload", s));
     }
     routes.extend((1..=version).map(|v| route(&format!("v{v}"), "safe", "a")));
+    let tenant = |c: &client::Credentials, rate: f64| {
+        format!(
+            r#"{{"name":"{}","api_keys":["{}"],"priority":1,"rate_per_s":{rate},"burst":{rate}}}"#,
+            c.tenant, c.key
+        )
+    };
     let service = |s: &str| {
         format!(
             r#"{{"name":"{s}","health_path":"/health","max_connections":100,"protocol":"h1","tls":false}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{}]}}]}}"#,
+        r#"{{"version":{version},"tenants":[{},{}],"services":[{},{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"virtual_hosts":[{{"host":"{HOST}","paths":[{}]}}]}}"#,
+        tenant(&client::UNLIMITED, 0.0),
+        tenant(&client::LIMITED, QUOTA),
         service("a"),
         service("b"),
         routes.join(",")
--- a/tests/soak_kit/target.rs
+++ b/tests/soak_kit/target.rs
@@ -1,17 +1,17 @@
 //! Simulated target for the soak test. It records each run and fails some requests, selected by a hash of their ids.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use super::client::request_body;
 use super::history::{History, Run};
 
 /// State of an incarnation of a target.
@@ -50,7 +50,7 @@
                 tokio::spawn(async move {
                     let service = service_fn(move |req| {
                         let (incarnation, history) = (incarnation.clone(), history.clone());
-                        async move { respond(node, &incarnation, &history, &req).await }
+                        async move { respond(node, &incarnation, &history, req).await }
                     });
                     let http = hyper::server::conn::http1::Builder::new();
                     let _ = http.serve_connection(TokioIo::new(stream), service).await;
@@ -103,8 +103,8 @@
     node: usize,
     incarnation: &Mutex<Incarnation>,
     history: &History,
-    req: &http::Request<Incoming>,
-) -> Result<Res, Infallible> {
+    req: http::Request<Incoming>,
+) -> Result<Res, hyper::Error> {
     let incarnation = incarnation.lock().unwrap().clone();
     let header = |name: &str| {
         let value = req.headers().get(name).and_then(|v| v.to_str().ok());
@@ -128,13 +128,24 @@
     if hash % 100 < 5 {
         return empty(base.header("dragonflyquay-not-executed", "1"), 503);
     }
+    let path = req.uri().path().to_owned();
+    let has_key = req.headers().contains_key("authorization");
+    let (caller, tenant) = (
+        header("dragonflyquay-caller-service"),
+        header("dragonflyquay-tenant"),
+    );
+    // A body that breaks off ends the connection, and its request does not run.
+    let body = req.into_body().collect().await?.to_bytes();
     history.add_run(
         &id,
         Run {
             node,
             incarnation: incarnation.id.clone(),
-            path: req.uri().path().into(),
-            caller: header("dragonflyquay-caller-service"),
+            same_body: body == request_body(&id, &path),
+            path,
+            caller,
+            tenant,
+            has_key,
             at: Instant::now(),
         },
     );
