--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -435,6 +435,39 @@
     }
 }
 
+/// Guards against a settings template that is valid for whole numbers only: a platform may give fractions, and then no
+/// process starts.
+#[test]
+fn the_settings_template_takes_whole_numbers_and_fractions() {
+    let template = std::fs::read_to_string(workdir::repo_file("deploy/node.toml")).unwrap();
+    for number in ["2", "33.5"] {
+        let value = |name: &str| match name {
+            _ if name.starts_with("listen.") => "127.0.0.1:0".into(),
+            "platform.address" => "127.0.0.1:8142".into(),
+            "app_addr" => "127.0.0.1:7600".into(),
+            "ip" => "127.0.0.1".into(),
+            "port_range.0" => "7160".into(),
+            "port_range.1" => "7175".into(),
+            "limits.link_mbps" | "bounds.budget_min_retries" => number.to_owned(),
+            "heartbeat_ms" | "bounds.drain_ms" => "1500".into(),
+            "bounds.grace_s" | "bounds.budget_window_s" => "6".into(),
+            _ if name.starts_with("bounds.") => "0.2".into(),
+            _ => "x".into(),
+        };
+        let mut text = String::new();
+        let mut rest = template.as_str();
+        while let Some((before, after)) = rest.split_once("{{") {
+            let (name, after) = after.split_once("}}").unwrap();
+            text.push_str(before);
+            text.push_str(&value(name));
+            rest = after;
+        }
+        text.push_str(rest);
+        let settings = dragonflyquay::settings::parse(&text);
+        assert!(settings.is_ok(), "{number}: {settings:?}");
+    }
+}
+
 /// Guards against overrides on the command line that are ignored, accepted in a wrong unit, or lost.
 #[test]
 fn the_command_line_overrides_settings() {
