--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -43,10 +43,25 @@
     B::Error: Into<BodyError>,
 {
     let own_vm = from.is_loopback() || from == n.settings().listen.caller.ip();
-    let body = |b: B| (!b.is_end_stream()).then(|| b.map_err(Into::into).boxed_unsync());
+    let active = req.extensions().get::<ActiveRequest>().cloned();
+    let body = |b: B| (!b.is_end_stream()).then(|| keep_active(b, active));
     serve(n, req.map(body), !own_vm).await
 }
 
+/// A body whose request stays active until the body is dropped. Otherwise the rest of a rejected one, which is read and
+/// discarded after the response, would count as the head of the next request.
+fn keep_active<B>(body: B, active: Option<ActiveRequest>) -> Body
+where
+    B: http_body::Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BodyError>,
+{
+    body.map_err(move |e| {
+        let _ = &active;
+        e.into()
+    })
+    .boxed_unsync()
+}
+
 /// Serves a request of a caller. A large body with an announced length is read as it is sent on; any other is read whole
 /// before a target is chosen. `over_link` says whether it comes over the link of this VM.
 pub(crate) async fn serve(
@@ -59,10 +74,13 @@
     let id = info.id.clone().unwrap_or_default();
     let _guard = n.track_request();
     let (parts, body) = req.into_parts();
+    let active = parts.extensions.get::<ActiveRequest>().cloned();
     let mut body = CallerBody { body, over_link };
     let mut state = match read_request(&n, parts, &mut body, info, start).await {
         Ok(state) => state,
         Err(f) => {
+            // The next request of the connection may begin before the discarded body is dropped.
+            active.iter().for_each(ActiveRequest::set_running);
             body.discard(&n);
             return reject_early(&n, &id, &f);
         }
--- a/tests/client_limits.rs
+++ b/tests/client_limits.rs
@@ -11,6 +11,7 @@
 
 use client_kit::shape::{request_head, Door, Shape, ID};
 use client_kit::{one_at_a_time, peak_memory, LimitedNode, BODY_BYTES};
+use site_kit::upload::{connect, head, read_response};
 
 /// Plays the crowd of a shape at a door; see [`LimitedNode::play`] for what is checked.
 fn check(shape: Shape, door: Door) {
@@ -76,6 +77,36 @@
     }
 }
 
+/// Guards against the rest of a rejected body that counts as the head of the next request, so that the header timeout
+/// closes the connection of a caller that sends slowly.
+#[test]
+fn the_rest_of_a_rejected_body_is_no_head() {
+    const PIECES: usize = 5;
+    const PIECE_BYTES: usize = 10_000;
+    /// All pieces take twice the header timeout of the configuration.
+    const PAUSE: Duration = Duration::from_millis(500);
+    let _alone = one_at_a_time();
+    let node = LimitedNode::start_on_vm(160, BODY_BYTES);
+    let n = &node.site.nodes[0];
+    let mut stream = connect(n);
+    let id = site_kit::fresh_id();
+    let announced = head(&id, "/none/x", 9000, PIECES * PIECE_BYTES);
+    stream.write_all(announced.as_bytes()).unwrap();
+    let (response, _) = read_response(&mut stream);
+    assert!(response.starts_with("http/1.1 404 "), "{response}");
+    for _ in 0..PIECES {
+        std::thread::sleep(PAUSE);
+        stream.write_all(&[b'x'; PIECE_BYTES]).unwrap();
+    }
+    std::thread::sleep(PAUSE);
+    let next = head(&site_kit::fresh_id(), "/safe/x", 4000, 0);
+    stream.write_all(next.as_bytes()).unwrap();
+    let (response, _) = read_response(&mut stream);
+    assert!(response.starts_with("http/1.1 200 "), "{response}");
+    let page = workdir::http(n.admin, "GET", "/metrics", &[], "").unwrap();
+    assert!(!page.body.contains("dq_sidecar_limited_clients_total{"));
+}
+
 crowds! {
     // Guards against bodies of legal size that are held open before their end.
     WholeBody:
