Count a connection between nodes until its descriptor is closed

The account of the connection ended with the task that reads from it, while the aborted task that writes to it held the descriptor until the scheduler dropped it. The listener waits for accounts, so it accepted others meanwhile. The account is now part of the state of the stream and ends after the stream is closed.

--- a/src/sidecar/connection/greeting.rs
+++ b/src/sidecar/connection/greeting.rs
@@ -24,36 +24,36 @@
 /// Connection whose peer may not be a node.
 pub(crate) struct Greeting {
     state: Arc<GreetingState>,
-    account: Mutex<Option<Account>>,
-    /// Whether the process limits what its clients use.
-    limited: bool,
 }
 
-#[derive(Default)]
+/// State that the stream shares, so that the connection counts until its descriptor is closed. The writer of the connection
+/// may hold the stream for a moment longer than its reader.
 struct GreetingState {
     finished: AtomicBool,
     received: AtomicUsize,
+    account: Mutex<Option<Account>>,
 }
 
 impl Greeting {
     /// Begins the greeting on a connection; without an account it is not limited.
     pub(crate) fn new(account: Option<Account>) -> Self {
-        Self {
-            state: Arc::default(),
-            limited: account.is_some(),
+        let state = GreetingState {
+            finished: AtomicBool::new(account.is_none()),
+            received: AtomicUsize::new(0),
             account: Mutex::new(account),
+        };
+        Self {
+            state: Arc::new(state),
         }
     }
 
     fn account(&self) -> MutexGuard<'_, Option<Account>> {
-        self.account.lock().unwrap_or_else(|e| e.into_inner())
+        let account = self.state.account.lock();
+        account.unwrap_or_else(|e| e.into_inner())
     }
 
     /// Limits what is read from the connection until the greeting is finished.
     pub(crate) fn limit(&self, stream: TcpStream) -> GreetedStream {
-        if !self.limited {
-            self.finish();
-        }
         GreetedStream {
             stream,
             state: self.state.clone(),
@@ -81,6 +81,7 @@
 
 /// A stream on which little may arrive before the greeting is finished.
 pub(crate) struct GreetedStream {
+    /// Dropped before the state, whose account ends with it.
     stream: TcpStream,
     state: Arc<GreetingState>,
 }
