Let connections that give way free their memory before a body is read on

The budget counts the bytes of a connection that gives way as free before its task has run, and the task that needed the room read on meanwhile. It now lets the others run first, as the listeners do when descriptors run out.

--- a/src/connection/body_buffer.rs
+++ b/src/connection/body_buffer.rs
@@ -100,6 +100,9 @@
             break;
         }
         blocks.append(&data);
+        if let Some(request) = request {
+            request.settle().await;
+        }
     }
     if let Some(request) = request {
         request.set_running();
--- a/src/connection/gate.rs
+++ b/src/connection/gate.rs
@@ -10,8 +10,7 @@
 
 /// Interval at which limits in time are checked, for all connections together.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Times that a listener lets other tasks run before it accepts although connections are still being closed. Each needs to
-/// run once.
+/// Times that a task lets others run before it goes on although connections are still being closed. Each needs to run once.
 const MAX_YIELDS: usize = 64;
 /// Connections that callers leave to the other ports, so that they cannot shut out the target, readiness checks and other
 /// nodes.
@@ -96,6 +95,17 @@
         }
     }
 
+    /// Waits until the connections that have given way are closed. Until then they hold memory and descriptors that the
+    /// budget no longer counts.
+    pub(super) async fn settle(&self) {
+        for _ in 0..MAX_YIELDS {
+            if self.state().closing == 0 {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     pub(super) fn set_stage(&self, id: ClientId, stage: Stage) {
         let now = self.now();
         self.state().budget.set_stage(id, stage, now);
@@ -166,12 +176,7 @@
 
     /// Waits until the connections that have given way are closed, so that accepting others is not ahead of it.
     pub async fn settle(&self) {
-        for _ in 0..MAX_YIELDS {
-            if self.gate.state().closing == 0 {
-                return;
-            }
-            tokio::task::yield_now().await;
-        }
+        self.gate.settle().await;
     }
 
     /// Closes the connection of this port that gives way first, because the port has as many as it may have.
--- a/src/connection/meter.rs
+++ b/src/connection/meter.rs
@@ -283,6 +283,12 @@
         charged
     }
 
+    /// Waits until the connections that gave way to this one are closed, so that reading on is not ahead of the memory that
+    /// they return.
+    pub async fn settle(&self) {
+        self.0.client.gate.settle().await;
+    }
+
     /// Returns bytes of the body that are no longer held, such as those that have been sent on.
     pub fn release(&self, bytes: usize) {
         let mut held = lock(&self.0.held);
