Split the task of an accepted link by job

Change: `AcceptedLink` handles the received messages, `RunningRequests` decodes, starts and cancels the requests of a link, and response_sender.rs sends their results. relay.rs keeps accepting, reading and writing, and the changes of state to send. Behaviour is the same.

--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one connection: links between nodes with their frames, and connections to the target.
 
+mod accepted_link;
 mod dial;
 pub mod ending;
 pub mod frame;
@@ -13,6 +14,8 @@
 pub mod pacing;
 pub mod pool;
 pub mod relay;
+mod response_sender;
+mod running_requests;
 pub mod transit;
 mod upload_receiver;
 mod upload_sender;
