Split the task of an opened link by job

Cause: `drive` opened a link and also read it and checked its peer, in 80 lines; `handle_message` held the whole handling of each message.

`drive` keeps the opening and the end of a link; `read_messages` reads it. Behaviour is the same.

--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -3,24 +3,20 @@
 
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
-use futures_util::stream::SplitSink;
+use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
-use http::StatusCode;
 use tokio::sync::mpsc;
 use tokio_tungstenite::tungstenite::Message as Ws;
 
 use crate::prelude::*;
-use crate::request::reason::Reason;
 use crate::sidecar::connection::dial::LinkStream;
-use crate::sidecar::connection::frame::{Head, Message, ResponseHead, Seq};
+use crate::sidecar::connection::frame::{Head, Message, Seq};
 use crate::sidecar::connection::link::{lock, Link, MAX_OUTGOING};
+use crate::sidecar::connection::link_messages::handle_message;
 use crate::sidecar::connection::liveness::{
     Liveness, PeerState, AVOID_AFTER, CLOSE_AFTER, IDLE_PING_AFTER, PING_AFTER, SUSPECT_AFTER,
 };
-use crate::sidecar::connection::pool::TargetResponse;
 use crate::sidecar::process::node::Node;
-use crate::sidecar::request::admit::AttemptResult;
 
 pub(crate) fn hello_message(n: &Node) -> Message {
     Message::without_payload(Head::Hello(
@@ -35,7 +31,7 @@
     let (outgoing, queue) = mpsc::channel(MAX_OUTGOING);
     let (cancels, cancelled) = mpsc::unbounded_channel();
     let link = Arc::new(Link::new(node.clone(), outgoing, cancels));
-    let (mut sink, mut source) = stream.split();
+    let (mut sink, source) = stream.split();
     let hop = n.hop(node);
     let hello = Ws::Binary(n.encode(&hello_message(n), hop));
     if let Err(e) = sink.send(hello).await {
@@ -59,51 +55,61 @@
     ));
     lock(&n.links.open).insert(node.clone(), link.clone());
     n.placement().set_reachable(node, true);
+    let reason = read_messages(n, &link, source).await;
+    n.placement().set_reachable(node, false);
+    lock(&n.links.open).remove(node);
+    writer.abort();
+    link.fail_all();
+    reason
+}
+
+/// Reads the messages of a link and checks the liveness of its peer until the link has to be closed. Returns the reason.
+async fn read_messages(n: &Arc<Node>, link: &Link, mut source: SplitStream<LinkStream>) -> String {
     let mut liveness = Liveness {
         last_heard: n.clock.now(),
         pinged_at: None,
         state: PeerState::Healthy,
     };
-    let reason = loop {
+    loop {
         let wait = liveness.next_check(link.pending_since(), n.clock.now());
         tokio::select! {
             message = source.next() => match message {
                 Some(Ok(Ws::Binary(data))) => {
-                    liveness.last_heard = n.clock.now();
-                    liveness.pinged_at = None;
-                    lock(&link.freshness).on_message(liveness.last_heard);
-                    if liveness.state != PeerState::Healthy {
-                        liveness.state = PeerState::Healthy;
-                        link.responsive.store(true, Ordering::SeqCst);
-                        n.placement().set_reachable(node, true);
-                    }
-                    if let Err(e) = handle_message(n, &link, data) {
-                        break e;
+                    record_heard(n, link, &mut liveness);
+                    if let Err(e) = handle_message(n, link, data) {
+                        return e;
                     }
                 }
-                Some(Ok(Ws::Close(_))) | None => break "closed".to_owned(),
+                Some(Ok(Ws::Close(_))) | None => return "closed".to_owned(),
                 Some(Ok(_)) => {}
-                Some(Err(e)) => break e.to_string(),
+                Some(Err(e)) => return e.to_string(),
             },
             () = link.pending_added.notified() => {}
             () = link.ping_now.notified() => {
                 let now = n.clock.now();
                 if liveness.pinged_at.is_none() && now >= liveness.last_heard + PING_AFTER {
-                    ping(n, &link, &mut liveness);
+                    ping(n, link, &mut liveness);
                 }
             }
             () = tokio::time::sleep(wait) => {
-                if let Some(reason) = check_liveness(n, &link, &mut liveness) {
-                    break reason;
+                if let Some(reason) = check_liveness(n, link, &mut liveness) {
+                    return reason;
                 }
             }
         }
-    };
-    n.placement().set_reachable(node, false);
-    lock(&n.links.open).remove(node);
-    writer.abort();
-    link.fail_all();
-    reason
+    }
+}
+
+/// Records a message from the peer, which gets requests again if it was avoided.
+fn record_heard(n: &Node, link: &Link, liveness: &mut Liveness) {
+    liveness.last_heard = n.clock.now();
+    liveness.pinged_at = None;
+    lock(&link.freshness).on_message(liveness.last_heard);
+    if liveness.state != PeerState::Healthy {
+        liveness.state = PeerState::Healthy;
+        link.responsive.store(true, Ordering::SeqCst);
+        n.placement().set_reachable(&link.node, true);
+    }
 }
 
 /// Writes the messages of a link, cancellations first, until the link is closed.
@@ -173,88 +179,3 @@
     // The queue is full only if the peer does not read; then the ping counts as sent and remains unanswered.
     let _ = link.outgoing.try_send((0, ping));
 }
-
-/// Joins the parts of a response that have arrived with the rest of its body.
-///
-/// # Errors
-///
-/// A part is missing.
-fn join_parts(link: &Link, r: &ResponseHead, rest: Bytes) -> Result<Bytes, String> {
-    if r.sent_before == 0 {
-        return Ok(rest);
-    }
-    let mut body = link.take_parts(r.seq);
-    // The parts of a request that was given up are not kept, and nobody waits for its response.
-    if body.len() != r.sent_before && link.is_pending(r.seq) {
-        return Err("a part of a response is missing".into());
-    }
-    body.extend_from_slice(&rest);
-    Ok(body.freeze())
-}
-
-/// Handles a message on a link that this node opened.
-fn handle_message(n: &Arc<Node>, link: &Link, data: Bytes) -> Result<(), String> {
-    let bytes = data.len();
-    let message = Message::decode(data)?;
-    n.record_received(&message.head, bytes);
-    let now = n.clock.now();
-    match &message.head {
-        Head::Grant(seq, bytes) => link.grant(*seq, *bytes),
-        Head::ResponsePart(seq) => link.add_part(*seq, &message.payload)?,
-        Head::Response(r, load) => {
-            n.placement().record_load(now, &link.node, *load);
-            let (headers, rest) = message.split_payload(r.header_len)?;
-            let status = StatusCode::from_u16(r.status).map_err(|e| e.to_string())?;
-            let body = join_parts(link, r, rest)?;
-            let response = TargetResponse {
-                status,
-                headers,
-                body,
-                service_time: Duration::from_millis(r.service_ms),
-            };
-            link.finish(r.seq, AttemptResult::Response(response));
-        }
-        Head::Failed(f, load) => {
-            n.placement().record_load(now, &link.node, *load);
-            if f.failure().reason == Reason::Expired && link.is_before_deadline(f.seq, now) {
-                // The clock of one side jumped; another hello makes the peer measure delays anew.
-                let _ = link.outgoing.try_send((0, hello_message(n)));
-            }
-            let result = AttemptResult::Failed {
-                failure: f.failure(),
-                delivered: f.delivered,
-            };
-            link.finish(f.seq, result);
-        }
-        Head::Hello(record, version, reaches_store) => {
-            link.set_reaches_store(*reaches_store);
-            n.on_peer_record(record.as_ref().clone());
-            n.on_peer_version(&link.node, *version);
-        }
-        Head::TargetChanged(sequence, target) => {
-            n.on_peer_target(&link.node, *sequence, target.clone())
-        }
-        Head::Status(version, reaches_store) => {
-            link.set_reaches_store(*reaches_store);
-            n.on_peer_version(&link.node, *version);
-        }
-        Head::Pong(version) => n.on_peer_version(&link.node, *version),
-        Head::Freshness(version, age_ms) => {
-            let age = age_ms.map(Duration::from_millis);
-            let max_age = n.freshness_limits().max_age;
-            let current_at = lock(&link.freshness).on_answer(age, max_age);
-            n.on_peer_version(&link.node, *version);
-            if let Some(at) = current_at.filter(|_| *version <= n.version()) {
-                n.confirm_version(at);
-            }
-        }
-        Head::KnownTargets(known) => n.on_known_targets(known),
-        Head::QuotaGrant(process, grants) => n.on_quota_grants(&link.node, *process, grants),
-        Head::Rollout(news) => n.on_rollout_news(news, &link.node),
-        Head::DepartureKept(known) => n.on_departure_kept(&link.node, known),
-        Head::Config(base) => n.on_peer_config(&link.node, *base, message.payload),
-        _ => return Err("unexpected message".into()),
-    }
-    n.members().record_contact(&link.node, now);
-    Ok(())
-}
--- a/src/sidecar/connection/mod.rs
+++ b/src/sidecar/connection/mod.rs
@@ -7,6 +7,7 @@
 mod greeting;
 pub mod inbound_link;
 mod link;
+mod link_messages;
 mod link_task;
 pub mod links;
 mod liveness;
