--- a/src/platform/heartbeat.rs
+++ b/src/platform/heartbeat.rs
@@ -5,7 +5,7 @@
 
 use crate::prelude::*;
 use crate::sidecar::adapter::TargetCall;
-use crate::sidecar::process::target::state::{Heartbeat, ReportedState};
+use crate::sidecar::process::target::heartbeat::{Heartbeat, ReportedState};
 
 /// Path of the calls of a target; its id follows.
 const PATH_PREFIX: &str = "/api/instances/";
--- a/src/sidecar/adapter.rs
+++ b/src/sidecar/adapter.rs
@@ -8,8 +8,9 @@
 use crate::request::body::Body;
 use crate::request::reason::Failure;
 use crate::sidecar::process::rollout::order::{Order, RolloutStatus};
+use crate::sidecar::process::target::heartbeat::Heartbeat;
 use crate::sidecar::process::target::rate_limit::RequestRate;
-use crate::sidecar::process::target::state::{Heartbeat, TargetId};
+use crate::sidecar::process::target::state::TargetId;
 use crate::sidecar::version::routes::{ApiKey, RouteTable};
 
 /// What the headers of a caller's request say.
--- a/src/sidecar/process/rollout/hooks.rs
+++ b/src/sidecar/process/rollout/hooks.rs
@@ -14,7 +14,7 @@
 use crate::sidecar::process::rollout::view::{Filter, Passes, View};
 use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::process::sample::Confirmation;
-use crate::sidecar::process::target::state::Heartbeat;
+use crate::sidecar::process::target::heartbeat::Heartbeat;
 use crate::sidecar::request::admit::AttemptResult;
 use crate::store::Revision;
 
--- a/src/sidecar/process/rollout/table.rs
+++ b/src/sidecar/process/rollout/table.rs
@@ -12,7 +12,8 @@
 use crate::sidecar::process::rollout::order::{News, Order, Step};
 use crate::sidecar::process::rollout::samples::Report;
 use crate::sidecar::process::rollout::view::View;
-use crate::sidecar::process::target::state::{Heartbeat, TargetId};
+use crate::sidecar::process::target::heartbeat::Heartbeat;
+use crate::sidecar::process::target::state::TargetId;
 use crate::store::Revision;
 
 /// Time after the limit of an ended order from which on the same order, written again, is a new one.
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -14,7 +14,8 @@
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::departure;
-use crate::sidecar::process::target::state::{Heartbeat, ReportedState, TargetId};
+use crate::sidecar::process::target::heartbeat::{Heartbeat, ReportedState};
+use crate::sidecar::process::target::state::TargetId;
 
 /// Maximum size of the body of a call, in bytes.
 const MAX_CALL_BYTES: usize = 64 << 10;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,7 +11,7 @@
 use dragonflyquay::platform::{document, heartbeat};
 use dragonflyquay::sidecar::adapter::{Adapter, TargetCall};
 use dragonflyquay::sidecar::process::rollout::order::{RolloutState, RolloutStatus};
-use dragonflyquay::sidecar::process::target::state::ReportedState;
+use dragonflyquay::sidecar::process::target::heartbeat::ReportedState;
 use dragonflyquay::store::{Store, StoreError, Swap};
 use http::Method;
 use site_kit::store::{Faults, KvServer};
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use dragonflyquay::sidecar::process::fleet::target_history::{KnownTarget, TargetHistory};
-use dragonflyquay::sidecar::process::target::state::{
-    Heartbeat, HeartbeatError, OwnTarget, ReportedState, TargetState,
+use dragonflyquay::sidecar::process::target::heartbeat::{
+    Heartbeat, HeartbeatError, ReportedState,
 };
+use dragonflyquay::sidecar::process::target::state::{OwnTarget, TargetState};
 
 const ADDRESS: &str = "127.0.0.1:9000";
 
