Move the version in force out of the state of the process

Change: version/in_force.rs adopts versions, keeps recent documents, takes what other nodes say about versions, and tells when the version was last confirmed. Behaviour is the same.

--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -31,21 +31,17 @@
 use crate::sidecar::process::routing::fairness::Fairness;
 use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement};
 use crate::sidecar::process::routing::split::TrafficSplit;
-use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
+use crate::sidecar::process::sample::LastConfirmed;
 use crate::sidecar::process::target::crash::LostRequests;
 use crate::sidecar::process::target::departure::DepartureState;
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::version::config_server::ConfigRequest;
-use crate::sidecar::version::freshness::FreshnessLimits;
+use crate::sidecar::version::in_force::{ConfigUpdate, PatchCache};
 use crate::sidecar::version::routes::RouteTable;
 use crate::store::Store;
 
-/// Maximum number of recent documents to keep as bases of patches. Nodes that request a version are at most a few
-/// versions behind.
-const MAX_RECENT_DOCUMENTS: usize = 4;
-
 /// Phase of the process on its way to a graceful stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -142,24 +138,6 @@
     pub(crate) patch_cache: Mutex<PatchCache>,
 }
 
-/// Message of another node about the configuration.
-#[derive(Debug)]
-pub enum ConfigUpdate {
-    /// The node holds this version.
-    Version(NodeId, VersionNumber),
-    /// The node sent its document, as a patch of this version, or whole if the version is 0.
-    Document(NodeId, VersionNumber, Bytes),
-}
-
-/// Encoded patches from earlier versions to the one in force.
-#[derive(Debug, Default)]
-pub struct PatchCache {
-    /// Version that results from applying the patches.
-    pub number: VersionNumber,
-    /// Patches by their base version; 0 for the whole document.
-    pub patches: HashMap<VersionNumber, Bytes>,
-}
-
 /// Counts a request as in flight until it is dropped. The process waits for requests in flight before it stops.
 pub struct InFlightGuard(Arc<Node>);
 
@@ -272,44 +250,6 @@
         self.members_listed.load(Ordering::SeqCst) && self.health_path().is_some()
     }
 
-    /// Number of the version in force; 0 if there is none.
-    pub fn version(&self) -> VersionNumber {
-        self.routes.load().as_ref().map_or(0, |t| t.number)
-    }
-
-    /// Adopts a version if it is newer than the one in force. Returns whether it is.
-    pub fn adopt(&self, table: RouteTable, source: &str) -> bool {
-        if table.number <= self.version() {
-            return false;
-        }
-        let version = table.number;
-        let number = version.to_string();
-        self.metrics.version.set(version as i64);
-        self.log.event(
-            "version_adopted",
-            &[("number", &number), ("source", source)],
-        );
-        for name in &table.unknown_types {
-            self.log
-                .event("route_kind_unknown", &[("number", &number), ("kind", name)]);
-        }
-        let names = table.route_names();
-        self.placement()
-            .retain_routes(|route| names.contains(route));
-        let mut recent = lock(&self.recent_documents);
-        if recent.len() == MAX_RECENT_DOCUMENTS {
-            recent.pop_front();
-        }
-        recent.push_back((table.number, table.document.clone()));
-        drop(recent);
-        self.routes.store(Some(Arc::new(table)));
-        self.version_adopted.send_replace(version);
-        if self.reaches_store() {
-            self.state_changed.send_modify(|n| *n += 1);
-        }
-        true
-    }
-
     /// Record of this node, as it is sent to other nodes.
     pub fn record(&self) -> NodeRecord {
         lock(&self.own_record).clone()
@@ -365,21 +305,6 @@
         }
     }
 
-    /// Records which version another node holds; a newer one than the version in force is requested from it.
-    pub fn on_peer_version(&self, node: &NodeId, number: VersionNumber) {
-        if number > self.version() && !node.is_empty() {
-            let update = ConfigUpdate::Version(node.clone(), number);
-            // The receiver is never dropped while the process runs.
-            let _ = self.config_updates.send(update);
-        }
-    }
-
-    /// Hands over a document that another node sent, to be adopted.
-    pub fn on_peer_config(&self, node: &NodeId, base: VersionNumber, data: Bytes) {
-        let update = ConfigUpdate::Document(node.clone(), base, data);
-        let _ = self.config_updates.send(update);
-    }
-
     /// Chooses a target among those known to this node; see [`Placement::choose`].
     pub fn choose(&self, criteria: &Criteria<'_>) -> Choice {
         let now = self.clock.now();
@@ -409,31 +334,6 @@
         )
     }
 
-    /// Intervals and timeouts of the confirmation of the version in force.
-    pub fn freshness_limits(&self) -> FreshnessLimits {
-        FreshnessLimits::new(Duration::from_millis(self.settings().sidecar.apply_ms))
-    }
-
-    /// Records that no newer version than the one in force was known at the time `at`.
-    pub fn confirm_version(&self, at: Now) {
-        self.last_confirmed.record(Confirmation::Version, at);
-        if self.clock.now() <= at + self.freshness_limits().max_age {
-            self.version_confirmed.send_modify(|n| *n += 1);
-        }
-    }
-
-    /// Time since the version in force was last confirmed to be current, if it was.
-    pub fn confirmation_age(&self) -> Option<Duration> {
-        let last = self.last_confirmed.last(Confirmation::Version)?;
-        Some(self.clock.now().saturating_sub(last))
-    }
-
-    /// Time since the version in force was last confirmed to be current, or since the start of the process.
-    pub fn unconfirmed_time(&self) -> Duration {
-        self.last_confirmed
-            .age(Confirmation::Version, self.clock.now())
-    }
-
     /// Whether this node watches the store and reaches it.
     pub fn reaches_store(&self) -> bool {
         self.reaches_store.load(Ordering::SeqCst)
@@ -446,13 +346,6 @@
             self.state_changed.send_modify(|n| *n += 1);
         }
     }
-
-    /// Document of a recent version; `None` if it is not kept.
-    pub fn document(&self, number: VersionNumber) -> Option<Bytes> {
-        let recent = lock(&self.recent_documents);
-        let found = recent.iter().find(|(n, _)| *n == number);
-        found.map(|(_, d)| d.clone())
-    }
 }
 
 pub(crate) fn bool_str(b: bool) -> &'static str {
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -25,7 +25,7 @@
 use crate::sidecar::process::limits::{self, LimitLog};
 use crate::sidecar::process::listeners::Listeners;
 use crate::sidecar::process::metrics::Metrics;
-use crate::sidecar::process::node::{ConfigUpdate, Node};
+use crate::sidecar::process::node::Node;
 use crate::sidecar::process::quota::driver as quota_driver;
 use crate::sidecar::process::quota::driver::QuotaDriver;
 use crate::sidecar::process::quota::limits::QuotaBounds;
@@ -45,6 +45,7 @@
 use crate::sidecar::version::config_server;
 use crate::sidecar::version::config_server::ConfigRequest;
 use crate::sidecar::version::confirm;
+use crate::sidecar::version::in_force::ConfigUpdate;
 use crate::store::counted::CountedStore;
 use crate::store::Store;
 
--- a/src/sidecar/version/config.rs
+++ b/src/sidecar/version/config.rs
@@ -7,8 +7,9 @@
 use tokio::sync::mpsc;
 
 use crate::prelude::*;
-use crate::sidecar::process::node::{ConfigUpdate, Node};
+use crate::sidecar::process::node::Node;
 use crate::sidecar::version::config_server;
+use crate::sidecar::version::in_force::ConfigUpdate;
 use crate::sidecar::version::patch;
 use crate::store::{Listing, Revision, StoreError};
 
--- a/src/sidecar/version/mod.rs
+++ b/src/sidecar/version/mod.rs
@@ -5,5 +5,6 @@
 pub mod confirm;
 pub mod distribution;
 pub mod freshness;
+pub mod in_force;
 pub mod patch;
 pub mod routes;
