Move the messages of the platform's store out of its client

Change: store_messages.rs has the messages, their decoding and the encoding of queries; store.rs keeps the calls. Behaviour is the same.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,3 +6,4 @@
 pub mod heartbeat;
 pub mod rollout;
 pub mod store;
+mod store_messages;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,20 +3,20 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use base64::engine::general_purpose::STANDARD;
-use base64::Engine;
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-use crate::prelude::*;
-use crate::store::{
-    Changes, Entry, Event, LeaseId, Listing, Revision, Store, StoreError, Swap, MAX_VALUE_BYTES,
+use crate::platform::store_messages::{
+    decode, encode_query, new_write, unknown_outcome, ConflictResponse, Item, LeaseRequest,
+    LeaseResponse, Precondition, RangeResponse, Transaction, WatchResponse, WriteResponse,
 };
+use crate::prelude::*;
+use crate::store::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
 
 /// Maximum size of a response, in bytes; a watch may deliver a series of whole configuration documents.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
@@ -30,142 +30,6 @@
     timeout: Duration,
 }
 
-#[derive(Debug, Deserialize)]
-struct Item {
-    key: String,
-    /// Encoded in base64; absent if the item is an event about a deleted key.
-    #[serde(default)]
-    value: Option<String>,
-    revision: Revision,
-    #[serde(default)]
-    deleted: bool,
-}
-
-#[derive(Debug, Deserialize)]
-struct RangeResponse {
-    items: Vec<Item>,
-    has_more: bool,
-    /// Revision of the store when the page was read.
-    at: Revision,
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchResponse {
-    events: Vec<Item>,
-    /// Revision from which to watch next.
-    at: Revision,
-}
-
-#[derive(Debug, Serialize)]
-struct Precondition<'a> {
-    key: &'a str,
-    /// Required revision of the key; 0 if it must not exist.
-    revision: Revision,
-}
-
-#[derive(Debug, Serialize)]
-struct Write<'a> {
-    key: &'a str,
-    /// Encoded in base64.
-    value: String,
-    /// 0 if the key has no lease.
-    lease: LeaseId,
-}
-
-#[derive(Debug, Default, Serialize)]
-struct Transaction<'a> {
-    precondition: Vec<Precondition<'a>>,
-    writes: Vec<Write<'a>>,
-    remove: Vec<&'a str>,
-}
-
-#[derive(Debug, Deserialize)]
-struct WriteResponse {
-    revision: Revision,
-}
-
-#[derive(Debug, Deserialize)]
-struct ConflictResponse {
-    /// Present items of the keys whose precondition failed.
-    #[serde(default)]
-    items: Vec<Item>,
-}
-
-#[derive(Debug, Serialize)]
-struct LeaseRequest {
-    ttl_ms: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct LeaseResponse {
-    lease: LeaseId,
-}
-
-fn unknown_outcome<E>(e: E) -> StoreError
-where
-    E: std::fmt::Display,
-{
-    StoreError::Unknown(e.to_string())
-}
-
-fn decode<'a, T>(data: &'a [u8]) -> Result<T, StoreError>
-where
-    T: Deserialize<'a>,
-{
-    serde_json::from_slice(data).map_err(unknown_outcome)
-}
-
-impl Item {
-    fn bytes(&self) -> Result<Vec<u8>, StoreError> {
-        let text = self.value.as_deref().unwrap_or_default();
-        STANDARD.decode(text).map_err(unknown_outcome)
-    }
-
-    /// Decodes an item. One that cannot be read is left out, so that it does not hide the others.
-    fn readable<T, F>(self, decode: F) -> Option<T>
-    where
-        F: Fn(Self) -> Result<T, StoreError>,
-    {
-        let key = self.key.clone();
-        let decoded = decode(self);
-        if let Err(e) = &decoded {
-            spdlog::warn!("event=item_unreadable", kv: { key = key, error = e.to_string() });
-        }
-        decoded.ok()
-    }
-
-    fn entry(self) -> Result<Entry, StoreError> {
-        Ok(Entry {
-            value: self.bytes()?,
-            key: self.key,
-            revision: self.revision,
-        })
-    }
-
-    fn event(self) -> Result<Event, StoreError> {
-        Ok(Event {
-            value: match self.deleted {
-                true => None,
-                false => Some(self.bytes()?),
-            },
-            key: self.key,
-            revision: self.revision,
-        })
-    }
-}
-
-/// Percent-encodes a query value.
-fn encode_query(text: &str) -> String {
-    text.bytes()
-        .map(|b| match b {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' | b'/' => {
-                char::from(b).to_string()
-            }
-            b => format!("%{b:02X}"),
-        })
-        .collect()
-}
-
 impl PlatformStore {
     /// Creates a client; no connection is opened before the first call.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
@@ -289,21 +153,6 @@
     }
 }
 
-fn new_write<'a>(
-    key: &'a str,
-    value: &[u8],
-    lease: Option<LeaseId>,
-) -> Result<Write<'a>, StoreError> {
-    if value.len() > MAX_VALUE_BYTES {
-        return Err(StoreError::Invalid("value is too large".into()));
-    }
-    Ok(Write {
-        key,
-        value: STANDARD.encode(value),
-        lease: lease.unwrap_or(0),
-    })
-}
-
 #[async_trait]
 impl Store for PlatformStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
