Split the simulations of the site and of rollouts by job

Change: faults and the actions of a node have files of their own in the one, requests and calls to the store in the other. What the tests check, and the order of random numbers in the simulations, is the same.

--- a/tests/rollout_sim/mod.rs
+++ b/tests/rollout_sim/mod.rs
@@ -1,6 +1,9 @@
 //! A simulated fleet during a rollout: real views, deciders and elections, simulated requests, links and store.
 #![allow(unreachable_pub)]
 
+mod requests;
+mod store;
+
 use std::time::Duration;
 
 use dragonflyquay::prelude::SmolStr;
@@ -12,6 +15,7 @@
 use dragonflyquay::sidecar::process::rollout::plan::Bounds;
 use dragonflyquay::sidecar::process::rollout::samples::Report;
 use dragonflyquay::sidecar::process::rollout::table::{SampleResult, Seat, Table};
+use dragonflyquay::sidecar::process::rollout::view::Filter;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -241,105 +245,6 @@
         }
     }
 
-    /// Sends one request from a random node to a random target that its view allows.
-    fn request(&mut self) {
-        let now = self.now;
-        let entry = self.rng.random_range(0..self.nodes.len());
-        if !self.nodes[entry].up {
-            return;
-        }
-        let coin = self.rng.random();
-        let (mut found, mut excluded) = (None, Vec::new());
-        for _ in 0..4 {
-            let Some(e) = self.nodes[entry].table.entries.get(SERVICE) else {
-                return;
-            };
-            let passes = e.view.passes(coin, false, &[], now);
-            let side = self.nodes[entry].side;
-            let filters = [Some(&passes.first), passes.second.as_ref()];
-            let choose = |f: &dragonflyquay::sidecar::process::rollout::view::Filter| {
-                let ok = |(i, n): &(usize, &Node)| {
-                    n.up && n.side == side
-                        && now >= n.starts_at
-                        && !excluded.contains(i)
-                        && f.allows(&n.id, Some(&n.version))
-                };
-                let all = self.nodes.iter().enumerate().filter(ok);
-                all.map(|(i, _)| i).collect::<Vec<_>>()
-            };
-            let candidates = filters
-                .into_iter()
-                .flatten()
-                .map(choose)
-                .find(|c| !c.is_empty());
-            let Some(candidates) = candidates else { break };
-            let target = candidates[self.rng.random_range(0..candidates.len())];
-            let version = self.nodes[target].version.clone();
-            let id = self.nodes[target].id.clone();
-            let admits = self.nodes[target]
-                .table
-                .entries
-                .get(SERVICE)
-                .is_none_or(|e| e.view.admits(&id, false, Some(&version)));
-            let view = &mut self.nodes[entry]
-                .table
-                .entries
-                .get_mut(SERVICE)
-                .unwrap()
-                .view;
-            view.on_sent(Some(&version));
-            view.on_result(Some(&version), admits);
-            if admits {
-                found = Some(target);
-                break;
-            }
-            excluded.push(target);
-        }
-        match found {
-            Some(target) => self.run_at(target),
-            None => self.totals.unserved += 1,
-        }
-    }
-
-    fn run_at(&mut self, target: usize) {
-        let now = self.now;
-        let route = ROUTES[self.rng.random_range(0..ROUTES.len())];
-        let n = &mut self.nodes[target];
-        n.load += 1.0;
-        let is_new = n.version == "v2";
-        let (failed, time) = match is_new {
-            true if self.bad_from.is_some_and(|at| now >= at) => {
-                (self.rng.random::<f64>() < 0.3, ms(100))
-            }
-            true => (self.behaviour)(now, route, n.load, &mut self.rng),
-            false => (self.old_behaviour)(now, route, n.load, &mut self.rng),
-        };
-        let time = time.div_f64(n.speed);
-        // A target is cold for two seconds after its start, and its node knows it.
-        let cold = now < n.starts_at + ms(2000);
-        let slow = time > ms(250);
-        if let Some(e) = n.table.entries.get_mut(SERVICE) {
-            let result = [SampleResult::Good, SampleResult::Failed][usize::from(failed)];
-            if e.ended_at.is_none() {
-                let time = (!cold).then_some(time);
-                e.report
-                    .count(&route.into(), Some(result == SampleResult::Failed), time);
-            }
-        }
-        let t = &mut self.totals;
-        if now <= self.limit {
-            t.old += u64::from(!is_new);
-            t.new += u64::from(is_new);
-        }
-        if is_new {
-            t.last_new = now;
-            t.bad += u64::from(failed || slow);
-            if t.bad >= 50 {
-                t.fiftieth_bad.get_or_insert(now);
-            }
-        }
-    }
-
     fn report(&mut self, i: usize) {
         let now = self.now;
         let n = &mut self.nodes[i];
@@ -396,63 +301,4 @@
             self.send(to, Message::News(Box::new(news.clone())), i);
         }
     }
-
-    /// The calls of `calls.rs` that are due, with an immediate result.
-    fn call_store(&mut self, i: usize) {
-        let now = self.now;
-        if !self.store_up || !self.nodes[i].reaches_store {
-            return;
-        }
-        let Some(e) = self.nodes[i].table.entries.get_mut(SERVICE) else {
-            return;
-        };
-        if let Some(seat) = &mut e.seat {
-            let at = self.record.as_ref().map_or(0, |r| r.0);
-            if at != seat.record_at {
-                e.seat = None;
-            } else if let Some(step) = seat.decider.end().filter(|_| seat.recorded_at.is_none()) {
-                self.end.get_or_insert((step, now));
-                seat.decider.on_ended(step, now);
-                seat.recorded_at = Some(now);
-            } else if now >= seat.called_at + RENEW_INTERVAL {
-                self.revision += 1;
-                let news = seat.decider.next_news(now);
-                self.record = Some((self.revision, Record { news }));
-                (seat.record_at, seat.renewed_at, seat.called_at) = (self.revision, now, now);
-            }
-            return;
-        }
-        let news = e.view.news();
-        if news.step.is_final() || !e.candidate.is_due(e.view.heard_at(), now) {
-            return;
-        }
-        let known = News {
-            elapsed_ms: now.saturating_sub(e.view.started_at()).as_millis() as u64,
-            ..news.clone()
-        };
-        let found = self.record.as_ref().map(|(at, r)| (*at, r));
-        let own = SmolStr::from(format!("n{i}"));
-        match e.candidate.on_record(found, &known, false, &own, now) {
-            Claim::Swap(_, news) if self.end.is_none() => {
-                let news = *news;
-                self.revision += 1;
-                self.record = Some((self.revision, Record { news: news.clone() }));
-                let bounds = Bounds {
-                    share: 0.1,
-                    slack: 50.0,
-                };
-                e.seat = Some(Box::new(Seat {
-                    decider: Decider::new(news, e.view.started_at(), bounds, now),
-                    record_at: self.revision,
-                    renewed_at: now,
-                    called_at: now,
-                    status_at: 0,
-                    sent_at: Duration::ZERO,
-                    recorded_at: None,
-                    closed: false,
-                }));
-            }
-            _ => {}
-        }
-    }
 }
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -2,10 +2,14 @@
 //! crashes, pauses and partitions. All times are in milliseconds since the start of the simulation.
 #![allow(dead_code, unreachable_pub)]
 
+mod actions;
+mod faults;
 mod links;
 mod queries;
 mod store;
 
+pub use faults::Fault;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
@@ -31,36 +35,6 @@
 
 const TICK_MS: u64 = 100;
 
-/// A fault, or a commit, that the simulation injects. Nodes and zones are given by number, durations in
-/// milliseconds.
-#[derive(Debug, Clone)]
-pub enum Fault {
-    Crash {
-        node: usize,
-        down_ms: u64,
-    },
-    Pause {
-        node: usize,
-        ms: u64,
-    },
-    Partition {
-        zone: usize,
-        ms: u64,
-    },
-    StoreDown {
-        ms: u64,
-    },
-    /// The store is restored to an older state.
-    StoreRollback,
-    /// Not a fault: an operator commits a new version.
-    Commit,
-    /// Frames are lost with this probability, and also duplicated and reordered.
-    PacketLoss {
-        percent: u32,
-        ms: u64,
-    },
-}
-
 enum Event {
     /// Node and its generation.
     Tick(usize, u64),
@@ -245,10 +219,6 @@
         self.push(delay, Event::Tick(n, generation));
     }
 
-    pub fn inject(&mut self, delay: u64, fault: Fault) {
-        self.push(delay, Event::Fault(fault));
-    }
-
     /// Runs until `ms` of simulated time have passed.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
@@ -314,64 +284,6 @@
         self.update_own_record(n);
     }
 
-    fn apply(
-        &mut self,
-        n: usize,
-        generation: u64,
-        members: Vec<membership::Action>,
-        versions: Vec<dissemination::Action>,
-    ) {
-        let now = millis(self.now);
-        for a in members {
-            match a {
-                membership::Action::Send(link, f) => self.send(n, link, &f),
-                membership::Action::Dial(to) => {
-                    let reachable = self.reachable(n, to);
-                    let delay = if reachable { 20 } else { 2000 };
-                    let stopped = self.nodes[to.port() as usize - 10_000].process.is_none();
-                    let delay = if stopped { 5 } else { delay };
-                    self.push(delay, Event::Dialed(n, generation, to, stopped));
-                }
-                membership::Action::Close(link) => {
-                    self.close(n, link);
-                    let p = self.nodes[n].process.as_mut().unwrap();
-                    let out = p.dissemination.link_down(now, link);
-                    self.apply(n, generation, vec![], out);
-                }
-                membership::Action::PreviousVersion(v) => {
-                    let p = self.nodes[n].process.as_mut().unwrap();
-                    p.dissemination.update_floor(FloorEvent::Peer(Some(v)));
-                }
-                membership::Action::IncarnationRaised(_) => {}
-            }
-        }
-        for a in versions {
-            match a {
-                dissemination::Action::Send(link, f) => self.send(n, link, &f),
-                dissemination::Action::Check(c) => {
-                    let result = c.check();
-                    let p = self.nodes[n].process.as_mut().unwrap();
-                    let out = p.dissemination.checked(now, &c, result);
-                    self.apply(n, generation, vec![], out);
-                }
-                dissemination::Action::Adopt(s) => {
-                    let node = &mut self.nodes[n];
-                    // A restarted node may adopt again the version that it had before.
-                    assert!(
-                        s.version == node.token || s.version.number > node.token.number,
-                        "n{n} went back from {:?} to {:?}",
-                        node.token,
-                        s.version
-                    );
-                    node.token = s.version;
-                }
-                // A node that was paused or partitioned may offer an older version to one that waits after its restart.
-                dissemination::Action::Reject("version-below-floor") => {}
-                dissemination::Action::Reject(kind) => panic!("n{n} rejected {kind}"),
-            }
-        }
-    }
-
     fn update_own_record(&mut self, n: usize) {
         let token = self.nodes[n].token;
         if let Some(p) = self.nodes[n].process.as_mut() {
@@ -405,41 +317,4 @@
             self.push(5, Event::Store(n, generation, call, until));
         }
     }
-
-    fn apply_fault(&mut self, f: Fault) {
-        match f {
-            Fault::Crash { node, down_ms } if self.nodes[node].process.is_some() => {
-                let p = self.nodes[node].process.take().unwrap();
-                self.nodes[node].generation += 1;
-                for (c, end) in p.links.into_values() {
-                    self.conns[c].open = false;
-                    if !self.is_partitioned(node, self.conns[c].ends[1 - end].0) {
-                        self.push(5, Event::LinkDown(c, 1 - end));
-                    }
-                }
-                self.push(down_ms, Event::Restart(node));
-            }
-            Fault::Pause { node, ms } => self.nodes[node].paused_until = self.now + ms,
-            Fault::Partition { zone, ms } => drop(self.partitions.insert(zone, self.now + ms)),
-            Fault::StoreDown { ms } => self.store.down_until = self.now + ms,
-            Fault::PacketLoss { percent, ms } => self.packet_loss = (percent, self.now + ms),
-            // A version that no node holds yet would be lost in the rollback.
-            Fault::StoreRollback if 2 * self.nodes_at_newest() > self.nodes.len() => {
-                self.store.head = self.store.head.saturating_sub(1);
-                self.store.revision += 1;
-            }
-            // Operators commit on the newest version only. After a rollback the nodes first have to publish it again.
-            Fault::Commit if self.store.head == self.versions.len() => {
-                let parent = self
-                    .versions
-                    .last()
-                    .map_or_else(Digest::default, |s| s.version.hash);
-                self.versions
-                    .push(version(self.versions.len() as u64 + 1, parent));
-                self.store.head += 1;
-                self.store.revision += 1;
-            }
-            Fault::Commit | Fault::Crash { .. } | Fault::StoreRollback => {}
-        }
-    }
 }
