Set the logger in one place

Cause: the logs to standard error and to standard output built the same logger.

Change: `set_logger` builds it for both. Behaviour is the same.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -81,7 +81,10 @@
         .formatter(PairFormatter)
         .build()
         .map_err(|e| e.to_string())?;
-    let sink: Arc<dyn Sink> = Arc::new(sink);
+    set_logger(Arc::new(sink), level)
+}
+
+fn set_logger(sink: Arc<dyn Sink>, level: LogLevel) -> Result<(), String> {
     let logger = spdlog::Logger::builder()
         .sink(sink)
         .level_filter(filter(level))
@@ -129,14 +132,7 @@
         .overflow_policy(OverflowPolicy::DropIncoming)
         .build()
         .map_err(|e| e.to_string())?;
-    let logger = spdlog::Logger::builder()
-        .sink(Arc::new(sink))
-        .level_filter(filter(level))
-        .flush_level_filter(LevelFilter::All)
-        .build()
-        .map_err(|e| e.to_string())?;
-    spdlog::set_default_logger(Arc::new(logger));
-    Ok(())
+    set_logger(Arc::new(sink), level)
 }
 
 /// Event log with a limited rate. Lines above the limit are dropped, and the next line reports their number.
