Share the set-up that test files had twice

Cause: two files defined the same link and offers of uploads, four made the first target drain in the same way, and two tests started the same site with tenants.

Change: inbound_kit has the link and the offers, `Site::drain_first_target` the drain, and `tenant_site` the site. What the tests check is the same.

--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -101,12 +101,7 @@
 #[test]
 fn a_lost_link_explains_an_unknown_outcome() {
     let mut site = Site::start(2);
-    site.nodes[0].target.state.lock().unwrap().reported = "draining";
-    wait_until("requests go to another node", || {
-        let id = fresh_id();
-        site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
-        site.nodes[1].target.runs(&id) == 1
-    });
+    site.drain_first_target();
     let id = fresh_id();
     let from = site.nodes[0].caller;
     let status = std::thread::scope(|s| {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -364,12 +364,7 @@
 fn a_suspended_node_is_avoided() {
     let site = Site::start(2);
     let n = &site.nodes[0];
-    n.target.state.lock().unwrap().reported = "draining";
-    wait_until("requests go to another node", || {
-        let id = fresh_id();
-        n.send_as(&id, "GET", "/safe/x", "4000");
-        site.nodes[1].target.runs(&id) == 1
-    });
+    site.drain_first_target();
     site.nodes[1].process.signal("STOP");
     wait_until("requests are rejected early", || {
         let start = std::time::Instant::now();
--- a/tests/sidecar_bandwidth.rs
+++ b/tests/sidecar_bandwidth.rs
@@ -234,12 +234,7 @@
         }
         site.nodes.iter().for_each(site_kit::Node::wait_ready);
         site.wait_linked();
-        site.nodes[0].target.state.lock().unwrap().reported = "draining";
-        wait_until("requests go to the second node", || {
-            let id = fresh_id();
-            site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
-            site.nodes[1].target.runs(&id) == 1
-        });
+        site.drain_first_target();
         Self(site)
     }
 
--- a/tests/sidecar_cancel.rs
+++ b/tests/sidecar_cancel.rs
@@ -35,12 +35,7 @@
         proxy.forward(relay);
         site.nodes.iter().for_each(site_kit::Node::wait_ready);
         site.wait_linked();
-        site.nodes[0].target.state.lock().unwrap().reported = "draining";
-        wait_until("requests go to the second node", || {
-            let id = fresh_id();
-            site.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
-            site.nodes[1].target.runs(&id) == 1
-        });
+        site.drain_first_target();
         // The target of the first node gets no more requests after half the drain time.
         std::thread::sleep(Duration::from_millis(1100));
         Self {
--- a/tests/sidecar_inbound.rs
+++ b/tests/sidecar_inbound.rs
@@ -1,52 +1,25 @@
 //! Admission of large request bodies to a VM's link, played on a simulated link without a network.
 
+mod inbound_kit;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use dragonflyquay::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
-use dragonflyquay::sidecar::process::inbound::{Full, Inbound, Offer, Turn};
+use dragonflyquay::sidecar::process::bandwidth::PIECE_BYTES;
+use dragonflyquay::sidecar::process::inbound::{Full, Inbound, Turn};
+use inbound_kit::{ms, new_inbound, offer, MBPS, SERVICE_TIME};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-/// Width of the simulated link, in Mbit/s.
-const MBPS: f64 = 10.0;
-/// Part of the width that is granted, as on a real link.
-const USABLE_FRACTION: f64 = 0.95;
 /// Time from a grant until the piece reaches the link of the receiver: a round trip between zones.
 const ROUND_TRIP: Duration = Duration::from_micros(2800);
-/// Latency objective of the uploads.
-const OBJECTIVE: Duration = Duration::from_millis(1500);
-/// Time for which the target runs an upload.
-const SERVICE_TIME: Duration = Duration::from_millis(100);
 /// Size of a small message.
 const SMALL_BYTES: usize = 400;
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 fn link_time(bytes: usize) -> Duration {
     Duration::from_secs_f64(bytes as f64 * 8.0 / (MBPS * 1e6))
 }
 
-fn new_inbound() -> Inbound {
-    Inbound::new(USABLE_FRACTION * MBPS)
-}
-
-fn offer(now: Duration, rank: usize, bytes: usize) -> Offer {
-    Offer {
-        urgency: Urgency {
-            rank,
-            due: now + OBJECTIVE,
-        },
-        bytes,
-        deadline: now + 2 * OBJECTIVE,
-        objective: OBJECTIVE,
-        service_time: SERVICE_TIME,
-        max_wait: None,
-    }
-}
-
 /// An upload that was admitted.
 struct Upload {
     id: u64,
--- a/tests/sidecar_inbound_admission.rs
+++ b/tests/sidecar_inbound_admission.rs
@@ -1,41 +1,11 @@
 //! Admission of large request bodies: single decisions, without a network.
 
-use std::time::Duration;
+mod inbound_kit;
 
 use dragonflyquay::sidecar::process::bandwidth::{Urgency, PIECE_BYTES};
 use dragonflyquay::sidecar::process::inbound::{Inbound, Offer, Turn};
 use dragonflyquay::sidecar::process::target::queue::{Arrival, Queue};
-
-/// Width of the simulated link, in Mbit/s.
-const MBPS: f64 = 10.0;
-/// Part of the width that is granted, as on a real link.
-const USABLE_FRACTION: f64 = 0.95;
-/// Latency objective of the uploads.
-const OBJECTIVE: Duration = Duration::from_millis(1500);
-/// Time for which the target runs an upload.
-const SERVICE_TIME: Duration = Duration::from_millis(100);
-
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
-fn new_inbound() -> Inbound {
-    Inbound::new(USABLE_FRACTION * MBPS)
-}
-
-fn offer(now: Duration, rank: usize, bytes: usize) -> Offer {
-    Offer {
-        urgency: Urgency {
-            rank,
-            due: now + OBJECTIVE,
-        },
-        bytes,
-        deadline: now + 2 * OBJECTIVE,
-        objective: OBJECTIVE,
-        service_time: SERVICE_TIME,
-        max_wait: None,
-    }
-}
+use inbound_kit::{ms, new_inbound, offer};
 
 /// Guards against bodies that are read although they cannot arrive in time, and against the rejection of those that can.
 #[test]
--- a/tests/sidecar_tenants.rs
+++ b/tests/sidecar_tenants.rs
@@ -42,9 +42,8 @@
     response.map_or(0, |r| r.status)
 }
 
-/// Guards against requests that run under a tenant that the caller chose, and against keys that reach a target.
-#[test]
-fn targets_get_the_tenant_of_the_key_and_never_the_key() {
+/// Starts two nodes and a configuration with two keys of one tenant and one of another.
+fn tenant_site() -> Site {
     let mut site = Site::empty();
     site.store
         .put_config(&tenants(1, r#""k1","k2""#, r#""k3""#));
@@ -53,6 +52,13 @@
     }
     site.nodes.iter().for_each(Node::wait_ready);
     site.wait_linked();
+    site
+}
+
+/// Guards against requests that run under a tenant that the caller chose, and against keys that reach a target.
+#[test]
+fn targets_get_the_tenant_of_the_key_and_never_the_key() {
+    let site = tenant_site();
     let cases = [
         ("/safe/a", vec![("authorization", "Bearer k1")], "t1"),
         (
@@ -122,14 +128,7 @@
 /// last key of a tenant, and against keys of a new version that are refused.
 #[test]
 fn keys_change_with_the_version() {
-    let mut site = Site::empty();
-    site.store
-        .put_config(&tenants(1, r#""k1","k2""#, r#""k3""#));
-    for i in 0..2 {
-        site.add_node(i);
-    }
-    site.nodes.iter().for_each(Node::wait_ready);
-    site.wait_linked();
+    let site = tenant_site();
     assert_eq!(status(&site.nodes[1], "/safe/a", "k3"), 200);
     site.store.put_config(&tenants(2, r#""k2","k4""#, ""));
     for n in &site.nodes {
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -197,6 +197,17 @@
             });
         }
     }
+
+    /// Makes the target of the first of two nodes report that it stops soon, and waits until requests of that node run at
+    /// the target of the second one.
+    pub fn drain_first_target(&self) {
+        self.nodes[0].target.state.lock().unwrap().reported = "draining";
+        wait_until("requests go to the second node", || {
+            let id = fresh_id();
+            self.nodes[0].send_as(&id, "GET", "/safe/x", "4000");
+            self.nodes[1].target.runs(&id) == 1
+        });
+    }
 }
 
 impl Node {
