Test requests and heartbeats at reused addresses

Cause: four variants of an address that is assigned to a target of another service had no test: no live node remembers the former target; the other target's heartbeats reach a restarted node first; requests of 1 s run or wait while the target ends; the address goes back to a target of the first service.

The target stand-in can end, so that its address refuses connections, and another target can start there. It records which target ran a request.

--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -64,6 +64,22 @@
     )
 }
 
+/// Sends a request with this id to the callers' address of a node. Returns `None` if there is no response.
+pub fn send_to(
+    caller: SocketAddr,
+    id: &str,
+    method: &str,
+    path: &str,
+    timeout_ms: &str,
+) -> Option<Response> {
+    let headers = [
+        ("dragonflyquay-request-id", id),
+        ("dragonflyquay-deadline-ms", timeout_ms),
+        ("host", HOST),
+    ];
+    http(caller, method, path, &headers, "")
+}
+
 impl Site {
     /// Starts a site with this number of nodes, each in its own availability zone, and waits until they are ready.
     pub fn start(nodes: usize) -> Self {
@@ -213,12 +229,7 @@
         path: &str,
         timeout_ms: &str,
     ) -> Option<Response> {
-        let headers = [
-            ("dragonflyquay-request-id", id),
-            ("dragonflyquay-deadline-ms", timeout_ms),
-            ("host", HOST),
-        ];
-        http(self.caller, method, path, &headers, "")
+        send_to(self.caller, id, method, path, timeout_ms)
     }
 
     pub fn status(&self) -> String {
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::super::workdir::http_json;
+use super::super::workdir::{http_json, wait_until};
 use super::capacity::Capacity;
 use super::SERVICE;
 
@@ -21,6 +21,8 @@
 pub struct ReceivedRequest {
     pub id: String,
     pub path: String,
+    /// Id of the target that ran the request.
+    pub target: String,
     /// Target that must run the request.
     pub expected_target: String,
     pub caller: String,
@@ -38,6 +40,8 @@
 pub struct State {
     /// Target id.
     pub id: String,
+    /// `service` in heartbeats.
+    pub service: &'static str,
     /// `born` in heartbeats.
     pub incarnation: u64,
     /// `state` in heartbeats.
@@ -48,6 +52,8 @@
     pub held: bool,
     /// Whether the target has crashed and has not started again.
     pub down: bool,
+    /// Whether the target has ended for good; another one may start at its address.
+    pub ended: bool,
     /// `slots` in heartbeats.
     pub slots: u32,
     /// `version` in heartbeats.
@@ -72,11 +78,13 @@
         let address = listener.local_addr().unwrap();
         let state = Arc::new(Mutex::new(State {
             id: id.into(),
+            service: SERVICE,
             incarnation: 1000,
             reported: "ready",
             headers: String::new(),
             held: false,
             down: false,
+            ended: false,
             slots: 4,
             version: "v1",
             failing: false,
@@ -98,6 +106,25 @@
         crash(&self.state, self.address);
     }
 
+    /// Ends the target and closes its connections. Its address refuses connections until [`Target::start_another`].
+    pub fn end(&self) {
+        self.state.lock().unwrap().ended = true;
+        self.crash();
+    }
+
+    /// Starts another target at the address of one that has ended, and waits until it accepts connections. It runs all
+    /// requests at once.
+    pub fn start_another(&self, id: &str, service: &'static str) {
+        let mut s = self.state.lock().unwrap();
+        s.id = id.into();
+        s.service = service;
+        s.incarnation += 5000;
+        s.ended = false;
+        s.capacity = None;
+        drop(s);
+        wait_until("another target", || !self.state.lock().unwrap().down);
+    }
+
     /// Sends a heartbeat, unless the target is down. Returns the status of the response.
     pub fn send_heartbeat(&self, control: SocketAddr) -> Option<u16> {
         let s = self.state.lock().unwrap().clone();
@@ -111,8 +138,8 @@
     /// Sends a heartbeat with this state and sequence number.
     pub fn send_heartbeat_as(&self, control: SocketAddr, s: &State, seq: u64) -> Option<u16> {
         let body = format!(
-            r#"{{"service":"{SERVICE}","address":"{}","zone":"az","version":"{}","slots":{},"state":"{}","cold_remaining_ms":0,"seq":{seq},"born":{}}}"#,
-            self.address, s.version, s.slots, s.reported, s.incarnation
+            r#"{{"service":"{}","address":"{}","zone":"az","version":"{}","slots":{},"state":"{}","cold_remaining_ms":0,"seq":{seq},"born":{}}}"#,
+            s.service, self.address, s.version, s.slots, s.reported, s.incarnation
         );
         let path = format!("/api/instances/{}", s.id);
         http_json(control, "PUT", &path, &body).map(|res| res.status)
@@ -132,11 +159,8 @@
     received: &Arc<Mutex<Vec<ReceivedRequest>>>,
 ) {
     let address = listener.local_addr().unwrap();
-    let mut listener = Some(listener);
+    let mut accepting = listener;
     loop {
-        let accepting = listener
-            .take()
-            .unwrap_or_else(|| TcpListener::bind(address).unwrap());
         // Open connections by the addresses of their peers.
         let open: Arc<Mutex<BTreeMap<SocketAddr, TcpStream>>> = Arc::default();
         for stream in accepting.incoming().flatten() {
@@ -157,6 +181,10 @@
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
         std::thread::sleep(CRASH_DURATION);
+        while state.lock().unwrap().ended {
+            std::thread::sleep(HOLD_POLL_INTERVAL);
+        }
+        accepting = TcpListener::bind(address).unwrap();
         let mut s = state.lock().unwrap();
         s.incarnation += 1;
         s.down = false;
@@ -248,6 +276,7 @@
         }
         let request = ReceivedRequest {
             id: header("dragonflyquay-request-id"),
+            target: s.id.clone(),
             expected_target: header("dragonflyquay-expected-instance"),
             caller: header("dragonflyquay-caller-service"),
             tenant: header("dragonflyquay-tenant"),
@@ -269,7 +298,7 @@
             received.lock().unwrap().push(request);
             continue;
         }
-        if !respond(&mut out, &path, &request, state, received) {
+        if !respond(&mut out, &path, &request, (&s, state), received) {
             return;
         }
     }
@@ -280,10 +309,9 @@
     out: &mut TcpStream,
     path: &str,
     request: &ReceivedRequest,
-    state: &Mutex<State>,
+    (s, state): (&State, &Mutex<State>),
     received: &Mutex<Vec<ReceivedRequest>>,
 ) -> bool {
-    let s = state.lock().unwrap().clone();
     let id = &request.id;
     let instance = format!("dragonflyquay-instance-id: {}\r\n{}", s.id, s.headers);
     if path == "/health" {
