Play a rollout in the fault soak test

Cause: the fault soak test covered no rollout.

Change: one more node with a target of version v2 in service a, which reports itself once the order is in the store; faults affect it as well. The seed chooses a good version or one that fails 50 or 100% of its requests. Checks: no request before the order; none later than rollback_ms (5 s more while the store is disturbed) after the 50th bad response or after the status rolled_back; the status ends in time; a bad version is not completed. After a rollback the callers go on until a late request is a violation. The schedules of all seeds change, because the order and the further node take part in them.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -20,7 +20,8 @@
 const SEEDS: [u64; 2] = [1, 2];
 /// Seeds that violated a guarantee once, each with the cause.
 const REGRESSION_SEEDS: [(u64, &str); 0] = [];
-/// Nodes of the site, half of them in each of two availability zones. Each zone has the targets of one of two services.
+/// Nodes with callers, half of them in each of two availability zones. Each zone has the targets of one of two services.
+/// One more node has the target of a new version of the first service.
 const NODES: usize = 4;
 const CALLERS_PER_NODE: usize = 3;
 /// Time after the last fault in which every node has to become ready and to serve both services and the newest version;
@@ -31,7 +32,7 @@
 
 /// Runs one seed for `length` and returns the violations.
 fn run_seed(rt: &Runtime, seed: u64, length: Duration) -> Vec<String> {
-    let mut site = Site::start(rt, NODES);
+    let mut site = Site::start(rt, NODES, seed);
     let newest = Arc::new(AtomicU64::new(site.version));
     let stop = Arc::new(AtomicBool::new(false));
     recover(rt, &mut site, &newest).unwrap();
@@ -44,7 +45,7 @@
     }
     let start = Instant::now();
     let mut last_tick = start;
-    for (at, event, duration) in plan::schedule(seed, NODES, length) {
+    for (at, event, duration) in plan::schedule(seed, NODES + 1, length) {
         while start.elapsed() < at {
             std::thread::sleep(Duration::from_millis(10));
             if last_tick.elapsed() >= TICK_INTERVAL {
@@ -56,6 +57,11 @@
         newest.store(site.version, Ordering::SeqCst);
     }
     let recovered = recover(rt, &mut site, &newest);
+    let recovered_at = Instant::now();
+    while !site.rollout.is_over(recovered_at) {
+        std::thread::sleep(TICK_INTERVAL);
+        site.tick();
+    }
     stop.store(true, Ordering::SeqCst);
     for c in callers {
         let _ = rt.block_on(c);
@@ -65,12 +71,18 @@
     let services: Vec<_> = site.nodes.iter().map(|n| n.service.clone()).collect();
     let mut violations = site.history.check(DRAIN_TIME, &services);
     violations.extend(recovered.err());
+    let (found, rollout) = site.rollout.check(&site.history);
+    violations.extend(found);
     let logs = site.logs();
     let panics = logs.iter().flatten().filter(|l| l.contains("panicked"));
     violations.extend(panics.map(|l| format!("panic: {l}")));
+    let verdicts = logs.iter().flatten();
+    verdicts
+        .filter(|l| l.contains("event=rollout_verdict"))
+        .for_each(|l| println!("seed {seed}: {l}"));
     let (sent, ran, served) = site.history.counts();
     println!(
-        "seed {seed}: {sent} sent, {ran} ran, {served} served, {} violations",
+        "seed {seed}: {sent} sent, {ran} ran, {served} served; {rollout}; {} violations",
         violations.len()
     );
     if sent < 100 || served < sent / 20 {
@@ -160,7 +172,8 @@
 /// Guards against violations that occur only under overlapping faults: responses for the wrong request, requests that
 /// are altered, run twice, run after a rejection, under another tenant, with an unknown key or beyond a quota, requests to a target that left, a node that returns to an older
 /// version or does not find an existing route, requests without a response, processes that panic, exit unexpectedly or
-/// do not stop, and a site that does not recover.
+/// do not stop, and a site that does not recover. In a rollout: requests at a version before its order or after its
+/// rollback, a rollout that does not end, and a bad version that is completed.
 #[test]
 fn guarantees_hold_under_faults() {
     let seconds = std::env::var("DQ_SOAK_SECONDS")
--- a/tests/soak_kit/history.rs
+++ b/tests/soak_kit/history.rs
@@ -7,6 +7,9 @@
 use super::client::LIMITED;
 use super::QUOTA_BOUND;
 
+/// Stands for the store among the disturbed nodes.
+pub const STORE: usize = usize::MAX;
+
 /// A request as its caller sees it.
 #[derive(Debug, Clone)]
 pub struct Sent {
@@ -31,6 +34,10 @@
     pub node: usize,
     /// Id of the incarnation of the target.
     pub incarnation: String,
+    /// Version of the target.
+    pub version: &'static str,
+    /// Whether the target responds with a server error.
+    pub failed: bool,
     pub path: String,
     /// Service of the caller.
     pub caller: String,
@@ -113,6 +120,16 @@
         (records.sent.len(), records.runs.len(), served.count())
     }
 
+    /// Runs at the targets of a version, with the ids of their requests, in the order in which they began.
+    pub fn runs_of(&self, version: &str) -> Vec<(String, Run)> {
+        let records = self.0.lock().unwrap();
+        let all = records.runs.iter();
+        let all = all.flat_map(|(id, runs)| runs.iter().map(move |r| (id.clone(), r.clone())));
+        let mut found: Vec<_> = all.filter(|(_, r)| r.version == version).collect();
+        found.sort_by_key(|(_, r)| r.at);
+        found
+    }
+
     /// Returns all violations. `drain` is the time after an acknowledged leave in which runs may still begin;
     /// `services` holds the service of each node, which is the caller of the requests sent to that node.
     pub fn check(&self, drain: std::time::Duration, services: &[String]) -> Vec<String> {
--- a/tests/soak_kit/mod.rs
+++ b/tests/soak_kit/mod.rs
@@ -5,6 +5,7 @@
 pub mod history;
 pub mod plan;
 pub mod proxy;
+pub mod rollout;
 pub mod target;
 
 use std::net::SocketAddr;
@@ -14,10 +15,11 @@
 
 use super::site_kit::store::{Faults, KvServer};
 use super::workdir::{http, http_json, ChildProcess, Workdir};
-use history::{History, Leave};
+use history::{History, Leave, STORE};
 use plan::{Connection, Event};
 use proxy::{Mode, Proxy};
-use target::Target;
+use rollout::{Rollout, NEW_VERSION, OLD_VERSION};
+use target::{Target, Version};
 use tokio::runtime::Runtime;
 
 /// Host of all routes.
@@ -78,6 +80,7 @@
     pub nodes: Vec<Node>,
     pub history: Arc<History>,
     pub version: u64,
+    pub rollout: Rollout,
     /// Time of the last change of the configuration or of the store's faults.
     pub changed: Instant,
 }
@@ -119,21 +122,36 @@
 }
 
 impl Site {
-    /// Starts a site and waits until the processes of all nodes have started.
-    pub fn start(rt: &Runtime, nodes: usize) -> Self {
+    /// Starts a site and waits until the processes of all nodes have started. The last of them has the target of the new
+    /// version, which reports itself once the rollout is ordered, and no callers.
+    pub fn start(rt: &Runtime, nodes: usize, seed: u64) -> Self {
         let mut site = Self {
             dir: Workdir::new(),
             kv: KvServer::start(),
             nodes: Vec::new(),
             history: Arc::default(),
             version: 0,
+            rollout: Rollout::new(seed),
             changed: Instant::now(),
         };
         site.commit();
-        for i in 0..nodes {
-            let target = rt.block_on(Target::start(i, site.history.clone()));
+        for i in 0..=nodes {
+            let version = match i == nodes {
+                true => Version {
+                    name: NEW_VERSION,
+                    bad_percent: site.rollout.bad_percent,
+                },
+                false => Version {
+                    name: OLD_VERSION,
+                    bad_percent: 0,
+                },
+            };
+            let target = rt.block_on(Target::start(i, version, site.history.clone()));
             let node = Node {
-                service: if i % 2 == 0 { "a" } else { "b" }.into(),
+                service: match i % 2 == 0 || i == nodes {
+                    true => rollout::SERVICE.into(),
+                    false => "b".into(),
+                },
                 state: State::Down,
                 starts: Arc::default(),
                 addresses: Arc::default(),
@@ -220,6 +238,13 @@
             self.history
                 .add_disturbance(i, now, now + duration + SETTLE_TIME);
         }
+        if matches!(
+            event,
+            Event::Store(_) | Event::Proxy(_, Connection::Store, _)
+        ) {
+            self.history
+                .add_disturbance(STORE, now, now + duration + SETTLE_TIME);
+        }
         match event {
             Event::Signal(i, name) => {
                 if let State::Up(p) | State::Stopping(p, _) = &self.nodes[*i].state {
@@ -265,12 +290,14 @@
             Event::Commit(count) => (0..*count).for_each(|_| self.commit()),
             Event::Drain(i) => self.nodes[*i].target.incarnation.lock().unwrap().draining = true,
             Event::Replace(i) => self.nodes[*i].target.replace(),
+            Event::Order => self.rollout.order(&self.kv),
         }
     }
 
     /// Sends the heartbeats of all targets, and checks and restarts processes that have exited.
     pub fn tick(&mut self) {
         let now = Instant::now();
+        self.rollout.read_status(&self.kv);
         for i in 0..self.nodes.len() {
             let n = &mut self.nodes[i];
             match &mut n.state {
@@ -315,6 +342,9 @@
 
     fn heartbeat(&self, i: usize) {
         let n = &self.nodes[i];
+        if n.target.version.name == NEW_VERSION && !self.rollout.is_ordered() {
+            return;
+        }
         let Some(addresses) = *n.addresses.lock().unwrap() else {
             return;
         };
--- a/tests/soak_kit/plan.rs
+++ b/tests/soak_kit/plan.rs
@@ -39,6 +39,8 @@
     Drain(usize),
     /// The target of a node begins a new incarnation.
     Replace(usize),
+    /// Writes the order of the rollout.
+    Order,
 }
 
 impl Event {
@@ -51,7 +53,11 @@
             | Self::Terminate(i)
             | Self::Proxy(i, ..)
             | Self::Replace(i) => Some(*i),
-            Self::Store(_) | Self::ExpireLeases | Self::Commit(_) | Self::Drain(_) => None,
+            Self::Store(_)
+            | Self::ExpireLeases
+            | Self::Commit(_)
+            | Self::Drain(_)
+            | Self::Order => None,
         }
     }
 }
@@ -63,6 +69,9 @@
 pub fn schedule(seed: u64, nodes: usize, length: Duration) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut out: Vec<Step> = Vec::new();
+    let ordered_at = rng.random_range(300..2000);
+    let ordered_at = Duration::from_millis(ordered_at).min(length / 2);
+    out.push((ordered_at, Event::Order, Duration::ZERO));
     let mut at = Duration::from_millis(300);
     while at < length {
         // The pauses are shorter than most faults, so that faults overlap.
--- a/tests/soak_kit/target.rs
+++ b/tests/soak_kit/target.rs
@@ -25,16 +25,25 @@
     pub seq: u64,
 }
 
+/// What a target runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Version {
+    pub name: &'static str,
+    /// Percentage of the requests that fail in addition to those that fail at every target.
+    pub bad_percent: u64,
+}
+
 /// A running target.
 pub struct Target {
     pub address: SocketAddr,
+    pub version: Version,
     pub incarnation: Arc<Mutex<Incarnation>>,
 }
 
 type Res = http::Response<Full<Bytes>>;
 
 impl Target {
-    pub async fn start(node: usize, history: Arc<History>) -> Self {
+    pub async fn start(node: usize, version: Version, history: Arc<History>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let incarnation = Arc::new(Mutex::new(Incarnation {
@@ -50,7 +59,7 @@
                 tokio::spawn(async move {
                     let service = service_fn(move |req| {
                         let (incarnation, history) = (incarnation.clone(), history.clone());
-                        async move { respond(node, &incarnation, &history, req).await }
+                        async move { respond(node, version, &incarnation, &history, req).await }
                     });
                     let http = hyper::server::conn::http1::Builder::new();
                     let _ = http.serve_connection(TokioIo::new(stream), service).await;
@@ -59,6 +68,7 @@
         });
         Self {
             address,
+            version,
             incarnation,
         }
     }
@@ -84,8 +94,8 @@
             "ready"
         };
         let body = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"z","version":"v1","slots":4,"state":"{state}","cold_remaining_ms":0,"seq":{},"born":{}}}"#,
-            incarnation.seq, incarnation.born
+            r#"{{"service":"{service}","address":"{address}","zone":"z","version":"{}","slots":4,"state":"{state}","cold_remaining_ms":0,"seq":{},"born":{}}}"#,
+            self.version.name, incarnation.seq, incarnation.born
         );
         (incarnation.id.clone(), body, incarnation.draining)
     }
@@ -101,6 +111,7 @@
 
 async fn respond(
     node: usize,
+    version: Version,
     incarnation: &Mutex<Incarnation>,
     history: &History,
     req: http::Request<Incoming>,
@@ -136,11 +147,14 @@
     );
     // A body that breaks off ends the connection, and its request does not run.
     let body = req.into_body().collect().await?.to_bytes();
+    let failed = (5..=7).contains(&(hash % 100)) || hash / 10_000 % 100 < version.bad_percent;
     history.add_run(
         &id,
         Run {
             node,
             incarnation: incarnation.id.clone(),
+            version: version.name,
+            failed,
             same_body: body == request_body(&id, &path),
             path,
             caller,
@@ -152,7 +166,7 @@
     tokio::time::sleep(Duration::from_millis(5 + hash / 100 % 40)).await;
     let base = base.header("dragonflyquay-response-signature", format!("sig-{id}"));
     let status = match hash % 100 {
-        5..=7 => 500,
+        _ if failed => 500,
         // Lost response: holds the connection until the caller gives up.
         8 => std::future::pending().await,
         _ => 200,
