Separate routing decisions of requests from their effects

Cause: a query that explains where a request would go must use the functions that decide for requests, and these also counted, logged or waited.

Change: `attempt::plan` plans an attempt, `resolve` holds what the route and the tenant determine, `authenticate::find` takes the source of the tenant, and `Node::choose_with` takes an observer and a source of random numbers. Requests pass an observer whose functions are empty. Requests behave as before.

The cost of a choice was not measured.

--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -29,7 +29,7 @@
 use crate::sidecar::process::routing::budget::RetryBudget;
 use crate::sidecar::process::routing::crash_suspects::CrashSuspects;
 use crate::sidecar::process::routing::fairness::Fairness;
-use crate::sidecar::process::routing::placement::{Choice, Criteria, Placement};
+use crate::sidecar::process::routing::placement::Placement;
 use crate::sidecar::process::routing::split::TrafficSplit;
 use crate::sidecar::process::sample::{Confirmation, LastConfirmed};
 use crate::sidecar::process::target::crash::LostRequests;
@@ -380,16 +380,6 @@
         let _ = self.config_updates.send(update);
     }
 
-    /// Chooses a target among those known to this node; see [`Placement::choose`].
-    pub fn choose(&self, criteria: &Criteria<'_>) -> Choice {
-        let now = self.clock.now();
-        if let Some(passes) = self.rollout_passes(criteria.service, now) {
-            return self.choose_by_version(criteria, &passes, now);
-        }
-        self.placement()
-            .choose(now, criteria, &mut *lock(&self.rng))
-    }
-
     /// This node as one that may watch the store.
     pub fn watcher_candidate(&self) -> WatcherCandidate {
         WatcherCandidate {
--- a/src/sidecar/process/rollout/hooks.rs
+++ b/src/sidecar/process/rollout/hooks.rs
@@ -12,7 +12,6 @@
 use crate::sidecar::process::rollout::samples::Report;
 use crate::sidecar::process::rollout::table::{SampleResult, Table};
 use crate::sidecar::process::rollout::view::{Filter, Passes, View};
-use crate::sidecar::process::routing::placement::{Choice, Criteria};
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::state::Heartbeat;
 use crate::sidecar::request::admit::AttemptResult;
@@ -206,31 +205,6 @@
         }
     }
 
-    /// Chooses a target with the first filter, and with the second one if there is none.
-    pub(crate) fn choose_by_version(
-        &self,
-        criteria: &Criteria<'_>,
-        passes: &Passes,
-        now: Now,
-    ) -> Choice {
-        let choose = |f: &Filter| {
-            let allowed = |node: &NodeId, version: Option<&SmolStr>| f.allows(node, version);
-            self.placement()
-                .choose_among(now, criteria, &mut *lock(&self.rng), |node, info| {
-                    allowed(node, info.version.as_ref())
-                })
-        };
-        let first = choose(&passes.first);
-        match (&first, &passes.second) {
-            (Choice::None, Some(second)) => choose(second),
-            (Choice::Full(_), Some(second)) if passes.spill => match choose(second) {
-                Choice::None => first,
-                choice => choice,
-            },
-            _ => first,
-        }
-    }
-
     /// Records that a request is sent to the target of a node.
     pub(crate) fn on_rollout_sent(&self, service: &str, node: &str) {
         self.with_view(service, node, |view, version| view.on_sent(version));
--- a/src/sidecar/process/rollout/view.rs
+++ b/src/sidecar/process/rollout/view.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::sidecar::process::rollout::order::{News, Step};
+use crate::sidecar::process::routing::placement::Choice;
 
 /// Time without news after which a step beyond the canary no longer holds. A lost decider must not keep all requests at
 /// a version that is not judged any more.
@@ -66,6 +67,24 @@
     pub spill: bool,
 }
 
+impl Passes {
+    /// Chooses a target with the first filter, and with the second one if there is none. `choose` chooses with one filter.
+    pub fn choose<F>(&self, choose: F) -> Choice
+    where
+        F: Fn(&Filter) -> Choice,
+    {
+        let first = choose(&self.first);
+        match (&first, &self.second) {
+            (Choice::None, Some(second)) => choose(second),
+            (Choice::Full(_), Some(second)) if self.spill => match choose(second) {
+                Choice::None => first,
+                choice => choice,
+            },
+            _ => first,
+        }
+    }
+}
+
 /// State of one rollout at a node.
 #[derive(Debug)]
 pub struct View {
--- a/src/sidecar/process/routing/mod.rs
+++ b/src/sidecar/process/routing/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod budget;
 mod candidates;
+mod choice;
 pub mod crash_suspects;
 pub mod fairness;
 mod known_target;
+pub mod observe;
 pub mod placement;
 mod retries;
 pub mod service_times;
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -17,6 +17,7 @@
 use crate::sidecar::process::routing::known_target::{
     back_off_from, BackOff, ServiceState, Target,
 };
+use crate::sidecar::process::routing::observe::{Exclusion, Observer};
 use crate::sidecar::process::routing::service_times::{ServiceTimes, TimeDistribution};
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::version::routes::RANKS;
@@ -202,20 +203,22 @@
     where
         R: Rng,
     {
-        self.choose_among(now, req, rng, |_, _| true)
+        self.choose_among(now, req, rng, |_, _| true, &())
     }
 
     /// Chooses a target as [`Placement::choose`] does, among those for whose node and properties `allowed` returns true.
-    pub fn choose_among<R, F>(
+    pub fn choose_among<R, F, O>(
         &self,
         now: Now,
         req: &Criteria<'_>,
         rng: &mut R,
         allowed: F,
+        observer: &O,
     ) -> Choice
     where
         R: Rng,
         F: Fn(&NodeId, &TargetInfo) -> bool,
+        O: Observer,
     {
         let Some(service) = self.services.get(req.service) else {
             return Choice::None;
@@ -226,11 +229,13 @@
             let Some(t) = self.targets.get(node) else {
                 continue;
             };
-            if !t.info.ready || !t.info.reachable || t.leaving || !allowed(node, &t.info) {
+            if let Some(why) = t.exclusion(|info| allowed(node, info)) {
+                observer.on_excluded(node, why);
                 continue;
             }
             let back_off = t.back_off(req, now);
             if !back_off.is_zero() {
+                observer.on_excluded(node, Exclusion::BackOff);
                 min_back_off = Some(min_back_off.map_or(back_off, |b| b.min(back_off)));
                 continue;
             }
@@ -242,7 +247,11 @@
             });
         }
         let evaluate = |e: &Eligible<'_, Target>| e.target.evaluate(req, service, &self.times, now);
-        let Some((selected, evaluation)) = select(&eligible, req.rank, rng, evaluate) else {
+        let sampled = |e: &Eligible<'_, Target>| {
+            observer.on_sampled(e.node);
+            evaluate(e)
+        };
+        let Some((selected, evaluation)) = select(&eligible, req.rank, rng, sampled) else {
             return min_back_off.map_or(Choice::None, Choice::Full);
         };
         let limit = MAX_WAIT_FACTOR * req.remaining.as_secs_f64();
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -154,6 +154,16 @@
     }
 }
 
+/// Failure of a request that the queue for slots rejects.
+pub(crate) fn rejected(rejection: Option<(Reason, Duration)>) -> Result<(), Failure> {
+    rejection.map_or(Ok(()), |(reason, back_off)| {
+        Err(Failure {
+            back_off,
+            ..Failure::not_run(reason)
+        })
+    })
+}
+
 /// What the queue for slots needs to know about a request.
 pub(crate) fn arrival(n: &Node, request: &TargetRequest) -> Arrival {
     let arrival = Arrival {
--- a/src/sidecar/request/admit_upload.rs
+++ b/src/sidecar/request/admit_upload.rs
@@ -81,13 +81,7 @@
         Source::Link => n.inbound.backlog(),
         Source::Caller => Duration::ZERO,
     };
-    let rejection = n.slots.preview(&arrival(n, request), delay, arriving);
-    rejection.map_or(Ok(()), |(reason, back_off)| {
-        Err(Failure {
-            back_off,
-            ..Failure::not_run(reason)
-        })
-    })
+    admit::rejected(n.slots.preview(&arrival(n, request), delay, arriving))
 }
 
 /// Runs an admitted request whose body has arrived.
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -55,64 +55,114 @@
     pub(crate) trace: String,
 }
 
-/// Chooses a target and sends the request there.
-///
-/// # Errors
-///
-/// No target can be chosen.
-pub(crate) async fn attempt(
-    n: &Arc<Node>,
-    state: &mut RequestState,
-) -> Result<CallResult, Failure> {
-    let now = n.clock.now();
-    state.request.end_before(n.stop_end());
-    let immediate = state.full.len() < MAX_IMMEDIATE_ATTEMPTS
-        && n.placement().has_free_slots(&state.request.service);
-    let mut excluded = state.tried.clone();
+/// Where the next attempt of a request goes.
+pub(crate) struct Plan {
+    pub(crate) choice: Choice,
+    /// Longest expected wait with which the attempt is admitted; `None` if it may wait.
+    pub(crate) max_wait: Option<Duration>,
+}
+
+/// Nodes that the next attempt of a request avoids; see [`RequestState`].
+#[derive(Clone, Copy)]
+pub(crate) struct Avoided<'a> {
+    pub(crate) tried: &'a [NodeId],
+    pub(crate) full: &'a [NodeId],
+}
+
+/// What a target is chosen by for a request.
+pub(crate) fn criteria<'a>(
+    request: &'a TargetRequest,
+    upload: bool,
+    excluded: &'a [NodeId],
+    now: Now,
+) -> Criteria<'a> {
+    Criteria {
+        service: &request.service,
+        route: &request.route,
+        rank: request.rank,
+        until_due: request.due.saturating_sub(now),
+        remaining: request.deadline.saturating_sub(now),
+        upload,
+        excluded,
+    }
+}
+
+/// Plans the next attempt of a request, without any effect. `choose` chooses a target by the criteria.
+pub(crate) fn plan<F>(
+    n: &Node,
+    request: &TargetRequest,
+    upload: bool,
+    avoided: Avoided<'_>,
+    choose: F,
+    now: Now,
+) -> Plan
+where
+    F: Fn(&Criteria<'_>) -> Choice,
+{
+    let Avoided { tried, full } = avoided;
+    let immediate =
+        full.len() < MAX_IMMEDIATE_ATTEMPTS && n.placement().has_free_slots(&request.service);
+    let mut excluded = tried.to_vec();
     if immediate {
-        excluded.extend_from_slice(&state.full);
+        excluded.extend_from_slice(full);
     }
-    let criteria = Criteria {
-        service: &state.request.service,
-        route: &state.request.route,
-        rank: state.request.rank,
-        until_due: state.request.due.saturating_sub(now),
-        remaining: state.request.deadline.saturating_sub(now),
-        upload: state.upload.is_some(),
-        excluded: &excluded,
-    };
-    let choice = n.choose(&criteria);
+    let choice = choose(&criteria(request, upload, &excluded, now));
     // If all targets are full, the last attempt waits at the best of them.
-    let all_full = immediate && !state.full.is_empty() && !matches!(choice, Choice::Target(_));
-    let immediate = immediate && !all_full;
+    let all_full = immediate && !full.is_empty() && !matches!(choice, Choice::Target(_));
     let choice = match all_full {
-        true => n.choose(&Criteria {
-            excluded: &state.tried,
-            ..criteria
-        }),
+        true => choose(&criteria(request, upload, tried, now)),
         false => choice,
     };
-    let node = match choice {
-        Choice::Target(node) => node,
+    let until_due = request.due.saturating_sub(now);
+    let max_wait = until_due.mul_f64(IMMEDIATE_WAIT_FRACTION);
+    Plan {
+        choice,
+        max_wait: (immediate && !all_full).then_some(max_wait),
+    }
+}
+
+/// Node of a choice. `retry_after` is the shortest back-off of the request so far.
+///
+/// # Errors
+///
+/// No target was chosen.
+pub(crate) fn chosen(choice: Choice, retry_after: &mut Duration) -> Result<NodeId, Failure> {
+    match choice {
+        Choice::Target(node) => Ok(node),
         Choice::Full(back_off) => {
-            state.retry_after = shorter_back_off(state.retry_after, back_off);
-            return Err(Failure {
-                back_off: state.retry_after,
+            *retry_after = shorter_back_off(*retry_after, back_off);
+            Err(Failure {
+                back_off: *retry_after,
                 ..Failure::not_run(Reason::HeldOff)
-            });
+            })
         }
         Choice::None => {
-            state.retry_after = shorter_back_off(state.retry_after, NOT_READY_BACK_OFF);
-            return Err(Failure::not_run(Reason::NoTarget));
+            *retry_after = shorter_back_off(*retry_after, NOT_READY_BACK_OFF);
+            Err(Failure::not_run(Reason::NoTarget))
         }
+    }
+}
+
+/// Chooses a target and sends the request there.
+///
+/// # Errors
+///
+/// No target can be chosen.
+pub(crate) async fn attempt(
+    n: &Arc<Node>,
+    state: &mut RequestState,
+) -> Result<CallResult, Failure> {
+    let now = n.clock.now();
+    state.request.end_before(n.stop_end());
+    let avoided = Avoided {
+        tried: &state.tried,
+        full: &state.full,
     };
+    let upload = state.upload.is_some();
+    let plan = plan(n, &state.request, upload, avoided, |c| n.choose(c), now);
+    let node = chosen(plan.choice, &mut state.retry_after)?;
     state.tried.push(node.clone());
-    let max_wait = state
-        .request
-        .due
-        .saturating_sub(now)
-        .mul_f64(IMMEDIATE_WAIT_FRACTION);
-    state.request.max_wait = immediate.then_some(max_wait);
+    state.request.max_wait = plan.max_wait;
     state.request.limit = n.placement().limit(&node);
     state.request.retry = state.sent > 0;
     n.placement().record_sent(&node, now);
@@ -212,11 +262,7 @@
     }
     state.possible_runs -= 1;
     state.update_quota();
-    let full = matches!(
-        failure.reason,
-        Reason::QueueFull | Reason::RateLimited | Reason::LinkFull
-    );
-    if state.request.max_wait.is_some() && full {
+    if state.request.max_wait.is_some() && lacks_slot(failure.reason) {
         // The rejection reported the load of the target, so it is chosen again only if there is no better one.
         state.full.extend(state.tried.pop());
         return;
@@ -244,8 +290,16 @@
     }
 }
 
+/// Whether a target rejected a request because it has no slot or no room for it now.
+pub(crate) fn lacks_slot(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::RateLimited | Reason::LinkFull
+    )
+}
+
 /// The shorter of two back-offs; zero means no back-off.
-fn shorter_back_off(a: Duration, b: Duration) -> Duration {
+pub(crate) fn shorter_back_off(a: Duration, b: Duration) -> Duration {
     match (a.is_zero(), b.is_zero()) {
         (true, _) => b,
         (_, true) => a,
--- a/src/sidecar/request/attempts.rs
+++ b/src/sidecar/request/attempts.rs
@@ -11,7 +11,7 @@
 
 /// Number of tried nodes after which a request is not retried; those without a slot that was free at once do not count.
 /// A rejection costs no run, but it costs a round trip.
-const MAX_TRIED_NODES: usize = 4;
+pub(crate) const MAX_TRIED_NODES: usize = 4;
 
 /// Requests at nodes that do not respond. Their responses count if they still arrive.
 #[derive(Default)]
--- a/src/sidecar/request/authenticate.rs
+++ b/src/sidecar/request/authenticate.rs
@@ -22,7 +22,8 @@
     key: Option<&ApiKey>,
 ) -> Result<Authenticated, Failure> {
     let unknown_key = Failure::not_run(Reason::UnknownKey);
-    match find(&table, host, path, key) {
+    let tenant_of = |table: &RouteTable| key.and_then(|k| table.keys.get(k)).cloned();
+    match find(&table, host, path, tenant_of) {
         // A newer version cannot provide a missing key.
         Err(f) if f == unknown_key && key.is_some() => {}
         result => return with_table(table, result),
@@ -31,11 +32,12 @@
         return Err(Failure::not_run(Reason::Unconfirmed));
     }
     let table = n.routes.load_full().unwrap_or(table);
-    let result = find(&table, host, path, key);
+    let result = find(&table, host, path, tenant_of);
     with_table(table, result)
 }
 
-type RouteAndTenant = (Arc<Route>, Option<Arc<Tenant>>);
+/// Route of a request, and its tenant if it has one.
+pub(crate) type RouteAndTenant = (Arc<Route>, Option<Arc<Tenant>>);
 
 fn with_table(
     table: Arc<RouteTable>,
@@ -44,19 +46,27 @@
     result.map(|(route, tenant)| (table, route, tenant))
 }
 
-fn find(
+/// Finds the route of a request in a version, and the tenant unless the route needs none. `tenant_of` returns the tenant of
+/// the caller.
+///
+/// # Errors
+///
+/// As for [`authenticate`].
+pub(crate) fn find<F>(
     table: &RouteTable,
     host: &str,
     path: &str,
-    key: Option<&ApiKey>,
-) -> Result<RouteAndTenant, Failure> {
+    tenant_of: F,
+) -> Result<RouteAndTenant, Failure>
+where
+    F: Fn(&RouteTable) -> Option<Arc<Tenant>>,
+{
     let route = table.route(host, path);
     let route = route.ok_or(Failure::not_run(Reason::NoRoute))?.clone();
     if route.public || table.tenants.is_empty() {
         return Ok((route, None));
     }
-    let tenant = key.and_then(|k| table.keys.get(k)).cloned();
-    let tenant = tenant.ok_or(Failure::not_run(Reason::UnknownKey))?;
+    let tenant = tenant_of(table).ok_or(Failure::not_run(Reason::UnknownKey))?;
     Ok((route, Some(tenant)))
 }
 
@@ -67,7 +77,7 @@
         return true;
     }
     if n.reaches_store() {
-        return n.unconfirmed_time() <= limits.max_age;
+        return is_confirmed(n);
     }
     let mut confirmed = n.version_confirmed.subscribe();
     let mut adopted = n.version_adopted.subscribe();
@@ -82,3 +92,8 @@
         .await
         .is_ok()
 }
+
+/// Whether the version in force was confirmed a short time ago.
+pub(crate) fn is_confirmed(n: &Node) -> bool {
+    n.unconfirmed_time() <= n.freshness_limits().max_age
+}
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -21,14 +21,13 @@
 use crate::sidecar::process::node::{Node, Phase};
 use crate::sidecar::process::quota::driver;
 use crate::sidecar::request::admit::{strip_response, TargetRequest};
-use crate::sidecar::request::attempt::{RequestState, NOT_READY_BACK_OFF};
+use crate::sidecar::request::attempt::RequestState;
 use crate::sidecar::request::attempts::run_attempts;
 use crate::sidecar::request::authenticate::authenticate;
+use crate::sidecar::request::resolve::{self, early_back_off, time_limit, Resolved, Sent};
 use crate::sidecar::request::upload::{self, upload_len, Upload};
-use crate::sidecar::version::routes::{CallerLimits, Route, RouteTable};
+use crate::sidecar::version::routes::{CallerLimits, RouteTable};
 
-/// Minimum time after which a caller is told to retry, before jitter.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Maximum time for which a request waits for the first version. Short compared with the timeout of any caller, so that
 /// the caller can still retry.
 const VERSION_TIMEOUT: Duration = Duration::from_millis(150);
@@ -120,12 +119,11 @@
 /// Counts, logs and answers a request that was rejected before a target was chosen.
 fn reject_early(n: &Node, id: &str, f: &Failure) -> Response<Body> {
     n.metrics.record_request("none", 0, Some(f), Duration::ZERO);
-    if f.reason == Reason::Quota {
-        // Logged by tenant; there may be very many.
-        return failure_response(n, f, id, f.back_off);
+    // Those of quotas are logged by tenant; there may be very many.
+    if f.reason != Reason::Quota {
+        log_rejected(n, id, f);
     }
-    log_rejected(n, id, f);
-    failure_response(n, f, id, NOT_READY_BACK_OFF)
+    failure_response(n, f, id, early_back_off(f))
 }
 
 /// Logs a request that was rejected before its route was known.
@@ -207,18 +205,14 @@
     res
 }
 
-fn failure_response(n: &Node, f: &Failure, id: &str, retry_after: Duration) -> Response<Body> {
+fn failure_response(n: &Node, f: &Failure, id: &str, back_off: Duration) -> Response<Body> {
     // Without jitter, callers that were rejected together would retry together. Before the time of a quota there is no
     // room, and the times of its rejections differ.
     let jitter = match f.reason {
         Reason::Quota => 1.0 + 0.1 * rand::random::<f64>(),
         _ => 0.75 + 0.5 * rand::random::<f64>(),
     };
-    let retry_after = retry_after
-        .max(f.back_off)
-        .max(MIN_RETRY_AFTER)
-        .mul_f64(jitter);
-    let retry_after = (f.outcome == Outcome::NotRun).then_some(retry_after);
+    let retry_after = resolve::retry_after(f, back_off).map(|t| t.mul_f64(jitter));
     let mut res = n
         .adapter
         .failure_response(f, (!id.is_empty()).then_some(id), retry_after);
@@ -252,7 +246,7 @@
     let table = wait_for_version(n).await?;
     let (host, path) = (host(&parts.headers, &parts.uri), parts.uri.path());
     let (table, route, tenant) = authenticate(n, table, host, path, info.key.as_ref()).await?;
-    let remaining = info.timeout.map_or(route.timeout, |t| t.min(route.timeout));
+    let remaining = time_limit(&route, info.timeout);
     let quota = match &tenant {
         Some(t) => driver::take(n, t, remaining).await?,
         None => None,
@@ -282,31 +276,24 @@
     }
     let rank = table.rank(&route, tenant.as_deref());
     n.count_request(&service, rank, start);
+    let resolved = Resolved {
+        route: &route,
+        service: &service,
+        tenant: tenant.as_deref(),
+        rank,
+        start,
+        remaining,
+    };
+    let path = parts.uri.path_and_query();
+    let sent = Sent {
+        id: info.id.ok_or(Failure::not_run(Reason::BadRequest))?,
+        method: parts.method,
+        path: path.map_or("/", |p| p.as_str()).into(),
+        headers,
+        body,
+    };
     Ok(RequestState {
-        request: TargetRequest {
-            id: info.id.ok_or(Failure::not_run(Reason::BadRequest))?,
-            route: route.name.clone(),
-            service: service.clone(),
-            caller: n.service.clone(),
-            tenant: tenant.map_or_else(TenantId::default, |t| t.name.clone()),
-            rank: n.fairness().effective_rank(&service, rank),
-            idempotent: route.idempotent,
-            objective: route.objective,
-            due: start + until_due(&route, remaining),
-            deadline: start + remaining,
-            baseline: n.placement().baseline(&route.name),
-            max_wait: None,
-            limit: None,
-            retry: false,
-            method: parts.method,
-            path: parts
-                .uri
-                .path_and_query()
-                .map_or("/", |p| p.as_str())
-                .into(),
-            headers,
-            body,
-        },
+        request: resolved.request(n, sent),
         upload,
         version: table.number,
         route,
@@ -334,13 +321,6 @@
     }
 }
 
-/// Time left to meet the latency objective. A caller whose timeout is shorter than that of the route has spent the
-/// difference on earlier attempts.
-fn until_due(route: &Route, remaining: Duration) -> Duration {
-    let spent = route.timeout.saturating_sub(remaining);
-    route.objective.saturating_sub(spent)
-}
-
 /// Limits on bodies of callers, from the version in force.
 fn body_limits(n: &Node) -> CallerLimits {
     let table = n.routes.load();
--- a/src/sidecar/request/mod.rs
+++ b/src/sidecar/request/mod.rs
@@ -3,8 +3,9 @@
 pub mod admit;
 pub(crate) mod admit_upload;
 pub mod attempt;
-mod attempts;
-mod authenticate;
+pub(crate) mod attempts;
+pub(crate) mod authenticate;
 pub mod early;
 pub mod entry;
+pub(crate) mod resolve;
 pub(crate) mod upload;
