Answer queries about the routing of a request

Cause: to learn where a request would go now, operators had to send it and read the log.

Change: `POST /explain` at the admin port of `sidecar` answers from memory with route, tenant, quota, retry budget, rollout, all targets and the result. It calls the functions that decide for requests. Those that change state (quota, split, queue) run on a copy of it.

--- a/src/sidecar/process/admin.rs
+++ b/src/sidecar/process/admin.rs
@@ -1,14 +1,21 @@
-//! Admin API of a sidecar node: metrics and status.
+//! Admin API of a sidecar node: metrics, status and explanations of routing decisions.
 
 use http::{header, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 
+use crate::connection::body_buffer;
+use crate::connection::meter::ActiveRequest;
 use crate::prelude::*;
 use crate::request::body::{full, Body};
+use crate::sidecar::process::explain::answer::Query;
+use crate::sidecar::process::explain::{explain, QueryError};
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::rollout::view::View;
 
+/// Maximum size of a query, in bytes.
+const MAX_QUERY_BYTES: usize = 16 << 10;
+
 /// State of a node.
 #[derive(Debug, Serialize)]
 struct Status {
@@ -75,12 +82,15 @@
     n.rollout_views(summary)
 }
 
-/// Serves a request of the admin API; its body is not read.
+/// Serves a request of the admin API. The body of `/explain` is read, those of others are not.
 pub async fn serve(n: Arc<Node>, req: Request<Incoming>) -> Response<Body> {
+    if (req.method(), req.uri().path()) == (&Method::POST, "/explain") {
+        return serve_explain(&n, req).await;
+    }
     let (kind, body) = match (req.method(), req.uri().path()) {
         (&Method::GET, "/metrics") => ("text/plain; version=0.0.4", n.metrics.render(&n)),
         (&Method::GET, "/status") => ("application/json", status(&n)),
-        (_, "/metrics" | "/status") => return failure(StatusCode::METHOD_NOT_ALLOWED),
+        (_, "/metrics" | "/status" | "/explain") => return failure(StatusCode::METHOD_NOT_ALLOWED),
         _ => return failure(StatusCode::NOT_FOUND),
     };
     let mut res = Response::new(full(body));
@@ -89,6 +99,51 @@
     res
 }
 
+/// Answers a query about a request.
+async fn serve_explain(n: &Node, req: Request<Incoming>) -> Response<Body> {
+    let timeout = Duration::from_millis(n.settings().limits.body_timeout_ms);
+    let active = req.extensions().get::<ActiveRequest>().cloned();
+    let read = body_buffer::collect(req.into_body(), MAX_QUERY_BYTES, active.as_ref());
+    let Ok(Ok(body)) = tokio::time::timeout(timeout, read).await else {
+        let message = "the body is longer than 16 KiB, incomplete or late";
+        return refusal(StatusCode::BAD_REQUEST, message);
+    };
+    let query = match serde_json::from_slice::<Query>(&body) {
+        Ok(query) => query,
+        // The text of the error may contain the API key.
+        Err(e) => {
+            let (line, column) = (e.line(), e.column());
+            let message = format!("the body is no query: see line {line}, column {column}");
+            return refusal(StatusCode::BAD_REQUEST, &message);
+        }
+    };
+    match explain(n, &query) {
+        Ok(answer) => json_response(
+            StatusCode::OK,
+            serde_json::to_string(&answer).unwrap_or_default(),
+        ),
+        Err(QueryError::Invalid(message)) => refusal(StatusCode::BAD_REQUEST, message),
+        Err(QueryError::UnknownTenant) => refusal(
+            StatusCode::NOT_FOUND,
+            "the version in force has no such tenant",
+        ),
+    }
+}
+
+/// Response with a message for the operator.
+fn refusal(status: StatusCode, message: &str) -> Response<Body> {
+    let body = serde_json::json!({ "message": message });
+    json_response(status, body.to_string())
+}
+
+fn json_response(status: StatusCode, body: String) -> Response<Body> {
+    let mut res = Response::new(full(body));
+    *res.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(header::CONTENT_TYPE, kind);
+    res
+}
+
 fn failure(status: StatusCode) -> Response<Body> {
     let mut res = Response::new(full("{}"));
     *res.status_mut() = status;
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod bandwidth;
+pub mod explain;
 pub mod fleet;
 pub mod inbound;
 pub mod limits;
--- a/src/sidecar/process/quota/account.rs
+++ b/src/sidecar/process/quota/account.rs
@@ -16,7 +16,7 @@
 const MIN_RATE: f64 = 0.01;
 
 /// What is known of one holder.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Account {
     seq: u32,
     /// Number of the holder's process that lent; 0 before its first answer.
--- a/src/sidecar/process/quota/borrower.rs
+++ b/src/sidecar/process/quota/borrower.rs
@@ -31,7 +31,7 @@
 const NO_HOLDER_RETRY: Duration = Duration::from_millis(250);
 
 /// Mean number of events per second over the last [`DEMAND_TIME_S`].
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Rate {
     per_s: f64,
     at: Now,
@@ -50,7 +50,7 @@
 }
 
 /// One tenant at an entry node.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Borrower {
     quota: Quota,
     /// Holders other than this node, the preferred one first.
@@ -207,7 +207,7 @@
             let released = accounts.filter_map(|(h, a)| Some((h.clone(), a.release(tenant, now)?)));
             return released.collect();
         }
-        self.accounts.values_mut().for_each(|a| a.refresh(now));
+        self.refresh(now);
         let demand = self.demand.now(now);
         let (holders, want) = self.next_holders(demand, reachable, now);
         // A request that still waits says so again.
@@ -299,6 +299,11 @@
         }
     }
 
+    /// Adds the units that have accrued, and ends loans whose time has passed.
+    pub fn refresh(&mut self, now: Now) {
+        self.accounts.values_mut().for_each(|a| a.refresh(now));
+    }
+
     /// Units and rate at this node.
     pub fn held(&self) -> (f64, f64) {
         let level = self.accounts.values().map(Account::level).sum();
--- a/src/sidecar/process/quota/bucket.rs
+++ b/src/sidecar/process/quota/bucket.rs
@@ -67,6 +67,11 @@
         enough
     }
 
+    /// Units, as of the last [`Bucket::refill`], and the rate that is not lent.
+    pub fn left(&self, lent: Lent) -> (f64, f64) {
+        (self.level, (self.allotment.rate - lent.rate).max(0.0))
+    }
+
     /// Greatest rate that borrowers may have in sum.
     pub fn max_lent_rate(&self, unknown: f64) -> f64 {
         self.allotment.rate * LENT_RATE * (1.0 - unknown)
--- a/src/sidecar/process/quota/driver.rs
+++ b/src/sidecar/process/quota/driver.rs
@@ -246,6 +246,18 @@
         policy.take(tenant, quota, |h| self.links.is_responsive(h), now)
     }
 
+    /// What [`take`] would find now: units and rate of the tenant at this node, and the verdict on a request. Nothing
+    /// changes, because all of it happens on a copy.
+    pub(crate) fn try_quota(&self, tenant: &TenantId, quota: Quota) -> ((f64, f64), Verdict) {
+        let now = self.clock.boot_time();
+        let mut copy = self.quotas().copy_of(tenant);
+        copy.on_request(tenant, quota, now);
+        self.refresh_nodes(&mut copy, now);
+        let available = copy.available(tenant, quota, now);
+        let verdict = copy.take(tenant, quota, |h| self.links.is_responsive(h), now);
+        (available, verdict)
+    }
+
     /// Tells the policy the known nodes and the settings, if those it has are old.
     fn refresh_nodes(&self, policy: &mut Quotas, now: Now) {
         if !policy.needs_nodes(now) {
--- a/src/sidecar/process/quota/holder.rs
+++ b/src/sidecar/process/quota/holder.rs
@@ -45,7 +45,7 @@
 }
 
 /// Part of one tenant's quota that this node owns.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Part {
     bucket: Bucket,
     quota: Quota,
@@ -228,6 +228,21 @@
         })
     }
 
+    /// Copy with the part of one tenant only.
+    pub fn copy_of(&self, tenant: &TenantId) -> Self {
+        let part = self.parts.get_key_value(tenant);
+        let part = part.map(|(tenant, part)| (tenant.clone(), part.clone()));
+        Self {
+            parts: part.into_iter().collect(),
+        }
+    }
+
+    /// Units of this node's own part, and the rate of it that is not lent; `None` if this node owns no part.
+    pub fn own(&mut self, c: &Context<'_>, tenant: &TenantId, quota: Quota) -> Option<(f64, f64)> {
+        let part = self.part(c, tenant, quota)?;
+        Some(part.bucket.left(part.lent()))
+    }
+
     /// Takes a unit for a request at this node. `None` if this node owns no part.
     ///
     /// # Errors
--- a/src/sidecar/process/quota/policy.rs
+++ b/src/sidecar/process/quota/policy.rs
@@ -132,6 +132,43 @@
         }
     }
 
+    /// Copy with the state of one tenant only. A query tries a request out on it, so that the state of this node does not
+    /// change.
+    pub fn copy_of(&self, tenant: &TenantId) -> Self {
+        let borrower = self.borrowers.get_key_value(tenant);
+        let borrower = borrower.map(|(tenant, b)| (tenant.clone(), b.clone()));
+        Self {
+            node: self.node.clone(),
+            az: self.az.clone(),
+            bounds: self.bounds,
+            roster: self.roster.clone(),
+            roster_at: self.roster_at,
+            started: self.started,
+            seen: self.seen.clone(),
+            unknown: self.unknown,
+            borrowers: borrower.into_iter().collect(),
+            lender: self.lender.copy_of(tenant),
+            polled_at: self.polled_at,
+        }
+    }
+
+    /// Units of a tenant that requests at this node can take now, and the rate at which they grow: of the own part of the
+    /// quota and of what was borrowed.
+    pub fn available(&mut self, tenant: &TenantId, quota: Quota, now: Now) -> (f64, f64) {
+        let context = Context {
+            bounds: self.bounds,
+            roster: &self.roster,
+            unknown: self.unknown,
+            now,
+        };
+        let own = self.lender.own(&context, tenant, quota).unwrap_or_default();
+        if let Some(b) = self.borrowers.get_mut(tenant) {
+            b.refresh(now);
+        }
+        let held = self.held(tenant);
+        (own.0 + held.0, own.1 + held.1)
+    }
+
     /// Verdict on a request that has waited for too long: the time after which it may come again.
     pub fn refuse(&mut self, tenant: &TenantId, now: Now) -> Duration {
         let b = self.borrowers.get_mut(tenant);
--- a/src/sidecar/process/quota/roster.rs
+++ b/src/sidecar/process/quota/roster.rs
@@ -33,7 +33,7 @@
 }
 
 /// The known nodes, now and during the last [`HANDOVER`].
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Roster {
     own: NodeId,
     nodes: Nodes,
--- a/src/sidecar/process/routing/budget.rs
+++ b/src/sidecar/process/routing/budget.rs
@@ -34,6 +34,12 @@
     top_rank: usize,
 }
 
+/// Index of the bucket of a time.
+fn bucket_index(limits: &RetryLimits, now: Now) -> u128 {
+    let width = (limits.window / BUCKETS).max(Duration::from_millis(1));
+    now.as_nanos() / width.as_nanos()
+}
+
 /// Requests and retries of one service within the window.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
@@ -43,8 +49,7 @@
 impl RetryBudget {
     /// Returns the current bucket. Removes buckets that are older than the window.
     fn bucket(&mut self, limits: &RetryLimits, now: Now) -> &mut Bucket {
-        let width = (limits.window / BUCKETS).max(Duration::from_millis(1));
-        let index = now.as_nanos() / width.as_nanos();
+        let index = bucket_index(limits, now);
         while self
             .buckets
             .front()
@@ -87,16 +92,35 @@
         now: Now,
     ) -> bool {
         self.bucket(limits, now);
-        let sum = |f: fn(&Bucket) -> f64| self.buckets.iter().map(f).sum::<f64>();
+        let (retries, allowed) = self.use_and_limit(limits, rank, nodes, now);
+        retries + 1.0 <= allowed
+    }
+
+    /// Retries of this rank that this node's share of the budget, one of `nodes`, has left.
+    pub fn left(&self, limits: &RetryLimits, rank: usize, nodes: usize, now: Now) -> f64 {
+        let (retries, allowed) = self.use_and_limit(limits, rank, nodes, now);
+        (allowed - retries).max(0.0)
+    }
+
+    /// Retries in the window, and how many of them this rank is allowed.
+    fn use_and_limit(
+        &self,
+        limits: &RetryLimits,
+        rank: usize,
+        nodes: usize,
+        now: Now,
+    ) -> (f64, f64) {
+        let index = bucket_index(limits, now);
+        let valid = |b: &&Bucket| b.index + u128::from(BUCKETS) >= index;
+        let sum = |f: fn(&Bucket) -> f64| self.buckets.iter().filter(valid).map(f).sum::<f64>();
         let (requests, retries) = (sum(|b| b.requests), sum(|b| b.retries));
         let min_retries = limits.min_retries / nodes.max(1) as f64;
-        let top_rank = self.buckets.iter().map(|b| b.top_rank).min();
+        let top_rank = self.buckets.iter().filter(valid).map(|b| b.top_rank).min();
         let fraction = match top_rank.is_none_or(|t| rank <= t) {
             true => USABLE_FRACTION,
             false => LESS_URGENT_FRACTION,
         };
-        let allowed = fraction * (limits.ratio * requests + min_retries);
-        retries + 1.0 <= allowed
+        (retries, fraction * (limits.ratio * requests + min_retries))
     }
 
     /// Counts a retry of this rank if this node's share of the budget, one of `nodes`, allows it. Returns whether it
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -65,9 +65,9 @@
 #[derive(Debug)]
 pub struct Placement {
     az: Az,
-    targets: BTreeMap<NodeId, Target>,
-    services: HashMap<ServiceId, ServiceState>,
-    times: ServiceTimes,
+    pub(super) targets: BTreeMap<NodeId, Target>,
+    pub(super) services: HashMap<ServiceId, ServiceState>,
+    pub(super) times: ServiceTimes,
 }
 
 impl Placement {
--- a/src/sidecar/process/routing/retries.rs
+++ b/src/sidecar/process/routing/retries.rs
@@ -2,7 +2,7 @@
 
 use crate::prelude::*;
 use crate::sidecar::process::node::{lock, Node};
-use crate::sidecar::process::routing::budget::RetryLimits;
+use crate::sidecar::process::routing::budget::{RetryBudget, RetryLimits};
 use crate::sidecar::version::routes::RANKS;
 
 /// The least urgent rank.
@@ -46,6 +46,17 @@
         others.all(|(_, b)| b.allows_retry(&limits, LAST_RANK, nodes, now))
     }
 
+    /// Retries of a rank that the budget of a service has left at this node.
+    pub(crate) fn retries_left(&self, service: &str, rank: usize, now: Now) -> f64 {
+        let limits = self.retry_limits();
+        let nodes = self.members().count();
+        let budgets = lock(&self.retry_budgets);
+        match budgets.get(service) {
+            Some(budget) => budget.left(&limits, rank, nodes, now),
+            None => RetryBudget::default().left(&limits, rank, nodes, now),
+        }
+    }
+
     /// Takes one retry from the budget of a service. Returns whether the budget allows it.
     pub fn take_retry(&self, service: &ServiceId, rank: usize, now: Now) -> bool {
         let limits = self.retry_limits();
--- a/src/sidecar/process/routing/split.rs
+++ b/src/sidecar/process/routing/split.rs
@@ -37,6 +37,21 @@
         credit[best] -= total;
         &services[best]
     }
+
+    /// Service that [`TrafficSplit::next`] would choose now. If the route has had no request here, this is one of several
+    /// possible choices, because the initial credit is random.
+    pub fn peek<'a>(
+        &self,
+        route: &SmolStr,
+        services: &'a [WeightedService],
+    ) -> &'a WeightedService {
+        let state = self.routes.get_key_value(route);
+        let state = state.map(|(route, state)| (route.clone(), state.clone()));
+        let mut copy = Self {
+            routes: state.into_iter().collect(),
+        };
+        copy.next(route, services)
+    }
 }
 
 /// Random initial credit, so that nodes with few requests do not all start with the same service.
--- a/src/sidecar/process/target/abandoned.rs
+++ b/src/sidecar/process/target/abandoned.rs
@@ -17,7 +17,7 @@
 const SERVICE_TIMES: f64 = 2.0;
 
 /// Slots that are occupied by requests without a caller.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Abandoned {
     /// Each request with the time until which it occupies its slot.
     entries: Vec<(Ticket, Now)>,
--- a/src/sidecar/process/target/full.rs
+++ b/src/sidecar/process/target/full.rs
@@ -26,7 +26,7 @@
 const MAX_REFUSAL_AGE: Duration = Duration::from_millis(10);
 
 /// Limit after the target was full; none by default.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct FullLimit {
     limit: Option<usize>,
     /// Moving average of the fraction of refused requests.
--- a/src/sidecar/process/target/pace.rs
+++ b/src/sidecar/process/target/pace.rs
@@ -60,7 +60,7 @@
 }
 
 /// Concurrency limit of a target.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Pace {
     limit: Limit,
     /// Number of falls so far.
--- a/src/sidecar/process/target/queue.rs
+++ b/src/sidecar/process/target/queue.rs
@@ -110,7 +110,7 @@
     *n == 0
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Waiting {
     pub(super) arrival: Arrival,
     since: Now,
@@ -118,7 +118,7 @@
     pub(super) late_since: Option<Now>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Running {
     pub(super) ticket: Ticket,
     pub(super) route: SmolStr,
@@ -143,7 +143,7 @@
 }
 
 /// Slots of the target and the requests that wait for them.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Queue {
     pub(super) slots: usize,
     /// Waiting requests in order of arrival.
--- a/src/sidecar/process/target/rate_limit.rs
+++ b/src/sidecar/process/target/rate_limit.rs
@@ -13,7 +13,7 @@
 const BURST_TIME: Duration = Duration::from_millis(250);
 
 /// Token bucket with the rate that a target allows.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct RateLimit {
     /// `None` if the target names no limit.
     rate: Option<RequestRate>,
--- a/src/sidecar/process/target/silence.rs
+++ b/src/sidecar/process/target/silence.rs
@@ -34,7 +34,7 @@
 }
 
 /// Response times of each route at the target, in seconds.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct ResponseTimes {
     routes: HashMap<SmolStr, Times>,
 }
--- a/src/sidecar/process/target/slots.rs
+++ b/src/sidecar/process/target/slots.rs
@@ -165,6 +165,22 @@
         self.state().queue.preview(now, arrival, delay, arriving)
     }
 
+    /// Why a request that arrives now would be rejected, with the back-off; `None` if it would be admitted. Nothing changes,
+    /// because the request arrives at a copy of the queue.
+    pub fn try_arrival(&self, arrival: Arrival, limit: Option<f32>) -> Option<(Reason, Duration)> {
+        let now = self.clock.now();
+        let mut copy = self.state().queue.clone();
+        if let Some(rate) = limit {
+            copy.suggest_limit(now, rate.into());
+        }
+        let own = arrival.ticket;
+        let rejection = |action| match action {
+            Action::Reject(ticket, reason, back_off) if ticket == own => Some((reason, back_off)),
+            _ => None,
+        };
+        copy.arrive(now, arrival).into_iter().find_map(rejection)
+    }
+
     /// Fraction of the running requests that are retries.
     pub fn retry_fraction(&self) -> f64 {
         self.state().queue.retry_fraction()
--- a/src/sidecar/process/target/tenant_shares.rs
+++ b/src/sidecar/process/target/tenant_shares.rs
@@ -13,7 +13,7 @@
 const MIN_USE_S: f64 = 1e-3;
 
 /// Recent use of slots by tenant, in seconds.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct TenantShares {
     used: HashMap<TenantId, f64>,
     updated: Now,
--- a/src/sidecar/request/admit_upload.rs
+++ b/src/sidecar/request/admit_upload.rs
@@ -84,6 +84,14 @@
     admit::rejected(n.slots.preview(&arrival(n, request), delay, arriving))
 }
 
+/// Whether a request with a large body would be admitted now, as far as that does not depend on the length of the body.
+/// Nothing changes.
+pub(crate) fn try_admission(n: &Node, request: &TargetRequest) -> Result<(), Failure> {
+    admit::check_target(n, request)?;
+    let arriving = n.inbound.policy().arriving(n.clock.now());
+    check_slot(n, request, Source::Caller, arriving)
+}
+
 /// Runs an admitted request whose body has arrived.
 pub(crate) async fn run(
     n: &Arc<Node>,
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod capacity;
+pub mod explain;
 pub mod store;
 pub mod target;
 pub mod upload;
