Add the command explain

Cause: operators had no command for queries about the routing of a request.

Change: `dragonflyquay explain` queries a node and prints the answer as text, or unchanged with `--json`.

--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -42,6 +42,30 @@
 where
     B: Serialize,
     T: DeserializeOwned,
+{
+    decode(node, &call_raw(node, method, path, body).await?)
+}
+
+/// Decodes the body of a successful response.
+///
+/// # Errors
+///
+/// [`Exit::Failed`] when it is of another type.
+pub fn decode<T>(node: SocketAddr, data: &[u8]) -> CmdResult<T>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(data).or_else(|e| fail(Exit::Failed, format!("node {node}: {e}")))
+}
+
+/// Calls an endpoint and returns the body of its response.
+///
+/// # Errors
+///
+/// As for [`call`], except that any body is accepted.
+pub async fn call_raw<B>(node: SocketAddr, method: Method, path: &str, body: &B) -> CmdResult<Bytes>
+where
+    B: Serialize,
 {
     let body = serde_json::to_vec(body).unwrap_or_default();
     let req = Request::builder()
@@ -58,8 +82,7 @@
         Err(_) => return fail(Exit::Unavailable, format!("node {node}: request timed out")),
     };
     if status.is_success() {
-        return serde_json::from_slice(&data)
-            .or_else(|e| fail(Exit::Failed, format!("node {node}: {e}")));
+        return Ok(data);
     }
     let message =
         serde_json::from_slice::<ErrorBody>(&data).map_or(status.to_string(), |e| e.message);
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod dev;
 pub mod devbackend;
 pub mod devstore;
+pub mod explain;
 pub mod load;
 pub mod node;
 pub mod quarantine;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
   commit      store a manifest and make it the next version
   stop        drain the backend server of a node
   status      show the state of a node, its zone or all nodes
+  explain     show where a node of sidecar would send a request
   quarantine  list or clear requests suspected of crashing backend servers
   dev         run a small complete site in one process
   devstore    run a stand-in for the platform's store
@@ -35,6 +36,7 @@
             Some("commit") => cmd::commit::run(args),
             Some("stop") => cmd::stop::run(args),
             Some("status") => cmd::status::run(args),
+            Some("explain") => cmd::explain::run(args),
             Some("quarantine") => cmd::quarantine::run(args),
             Some("dev") => cmd::dev::run(args),
             Some("devstore") => cmd::devstore::run(args),
