Estimate the load of targets by the mean of their zone

A node hears little of other zones, and the mean load of the service, which stands for targets without reports, is that of its own zone.

The mean is kept for each zone, and a zone without recent reports counts as full at most. After two rejections in the own zone no gain is required to leave it.

--- a/src/sidecar/process/routing/known_target.rs
+++ b/src/sidecar/process/routing/known_target.rs
@@ -1,6 +1,7 @@
 //! What this node knows of one target, and the estimate of what a request gets there. No I/O.
 
 use crate::prelude::*;
+use crate::sidecar::process::routing::az_load::AzLoads;
 use crate::sidecar::process::routing::candidates::Evaluation;
 use crate::sidecar::process::routing::placement::Criteria;
 use crate::sidecar::process::routing::service_times::{ServiceTimes, TimeDistribution};
@@ -92,15 +93,15 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceState {
     pub(super) nodes: Vec<NodeId>,
-    /// Moving average of the running and waiting requests per slot.
-    pub(super) load: f64,
+    /// Mean loads of its targets.
+    pub(super) loads: AzLoads,
     /// Sum of the slowdowns of the targets that have reported one, in percent, and their number.
     pub(super) slowdowns: (u64, u64),
 }
 
 impl Target {
     /// Expected number of running requests and of waiting ones ahead of a new request of this rank. As the last report
-    /// ages, the estimate moves to the mean of the target, and then to that of its service, `mean` requests per slot.
+    /// ages, the estimate moves to the mean of the target, and then to that of its service in its zone, `mean` requests per slot.
     /// Requests that this node has sent since the report are added.
     pub(super) fn requests(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let decay = |t: Now, tau: f64| (-now.saturating_sub(t).as_secs_f64() / tau).exp();
@@ -192,7 +193,8 @@
         now: Now,
     ) -> Evaluation {
         let cold = self.cold_factor(now);
-        let requests = self.requests(req.rank, service.load, now);
+        let mean = service.loads.get(&self.info.az, now);
+        let requests = self.requests(req.rank, mean, now);
         let wait =
             (requests + 1.0 - self.slots(now)).max(0.0) * self.service_time() / self.slots(now);
         let inbound_wait = match req.upload {
--- a/src/sidecar/process/routing/mod.rs
+++ b/src/sidecar/process/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Choice among the targets of a service, split between services, fairness between ranks, and retry budgets.
 
+mod az_load;
 pub mod budget;
 mod candidates;
 mod choice;
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -22,10 +22,6 @@
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::version::routes::RANKS;
 
-/// Weight of a new report in the mean load of a service.
-const SERVICE_LOAD_WEIGHT: f64 = 0.05;
-/// Mean load of a service, in requests per slot, below which some of its targets have free slots.
-const FULL_LOAD: f64 = 1.0;
 /// Weight of a new report in the mean load of a target.
 const TARGET_LOAD_WEIGHT: f64 = 0.2;
 /// Expected wait, as a multiple of the time to the deadline, above which a request is rejected without an attempt.
@@ -192,10 +188,9 @@
     }
 
     /// Whether the targets of a service have free slots on average.
-    pub fn has_free_slots(&self, service: &str) -> bool {
-        self.services
-            .get(service)
-            .is_some_and(|s| s.load < FULL_LOAD)
+    pub fn has_free_slots(&self, service: &str, now: Now) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|s| s.loads.has_free_slots(now))
     }
 
     /// Chooses a target that is ready, reachable, not excluded and not in back-off for the request.
@@ -251,7 +246,9 @@
             observer.on_sampled(e.node);
             evaluate(e)
         };
-        let Some((selected, evaluation)) = select(&eligible, req.rank, rng, sampled) else {
+        let own_failures = self.own_failures(req);
+        let selected = select(&eligible, req.rank, own_failures, rng, sampled);
+        let Some((selected, evaluation)) = selected else {
             return min_back_off.map_or(Choice::None, Choice::Full);
         };
         let limit = MAX_WAIT_FACTOR * req.remaining.as_secs_f64();
@@ -265,6 +262,13 @@
         Choice::Target(selected.node.clone())
     }
 
+    /// Number of excluded targets in the availability zone of this node.
+    fn own_failures(&self, req: &Criteria<'_>) -> usize {
+        let excluded = req.excluded.iter();
+        let targets = excluded.filter_map(|n| self.targets.get(n));
+        targets.filter(|t| t.info.az == self.az).count()
+    }
+
     /// Adds a request to the estimate of those at the target that its last load report lacks.
     pub fn record_sent(&mut self, node: &NodeId, now: Now) {
         if let Some(t) = self.targets.get_mut(node) {
@@ -286,7 +290,7 @@
             t.mean_requests = Some(mean + TARGET_LOAD_WEIGHT * (requests - mean));
             let per_slot = requests / t.slots(now);
             if let Some(s) = self.services.get_mut(&t.info.service) {
-                s.load += SERVICE_LOAD_WEIGHT * (per_slot - s.load);
+                s.loads.record(&t.info.az, per_slot, now);
                 s.replace_slowdown(old_slowdown, load.slowdown_pct);
             }
         }
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -101,7 +101,7 @@
 {
     let Avoided { tried, full } = avoided;
     let immediate =
-        full.len() < MAX_IMMEDIATE_ATTEMPTS && n.placement().has_free_slots(&request.service);
+        full.len() < MAX_IMMEDIATE_ATTEMPTS && n.placement().has_free_slots(&request.service, now);
     let mut excluded = tried.to_vec();
     if immediate {
         excluded.extend_from_slice(full);
--- a/tests/pace_site/mod.rs
+++ b/tests/pace_site/mod.rs
@@ -13,7 +13,6 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-const ENTRIES: usize = 6;
 const TICK: Duration = Duration::from_millis(20);
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const TIMEOUT: Duration = Duration::from_millis(1500);
@@ -43,6 +42,10 @@
     pub slots: u32,
     /// Time of each target relative to the mean.
     pub times: Vec<f64>,
+    /// Fraction of the requests that begin in each availability zone. Targets and entry nodes are spread evenly over them.
+    pub zones: Vec<f64>,
+    /// Entry nodes; each knows only the load of the targets that it has sent requests to.
+    pub entries: usize,
     /// Requests per second, as a fraction of what all targets can run.
     pub load: f64,
     pub time: Duration,
@@ -111,6 +114,11 @@
     format!("n{i}").into()
 }
 
+/// Availability zone of the target or entry node with this index.
+fn zone(plan: &Plan, i: usize) -> Az {
+    format!("az{}", i % plan.zones.len()).into()
+}
+
 impl Sim {
     pub fn new(plan: &Plan, paced: bool, seed: u64) -> Self {
         let target = |_: usize| {
@@ -135,7 +143,9 @@
             now: Duration::ZERO,
             events: BinaryHeap::new(),
             targets: (0..count).map(target).collect(),
-            entries: (0..ENTRIES).map(|_| Placement::new("a".into())).collect(),
+            entries: (0..plan.entries)
+                .map(|i| Placement::new(zone(plan, i)))
+                .collect(),
             requests: BTreeMap::new(),
             starts: BTreeMap::new(),
             next: 1,
@@ -160,7 +170,7 @@
         let id = self.targets[i].id;
         let info = TargetInfo {
             service: "s".into(),
-            az: "a".into(),
+            az: zone(&self.plan, i),
             slots: self.plan.slots,
             ready: true,
             reachable: true,
@@ -205,7 +215,7 @@
         self.at(self.now + Duration::from_secs_f64(gap), Event::Arrival);
         self.score.offered += 1;
         let request = Request {
-            entry: self.arrivals.random_range(0..ENTRIES),
+            entry: self.random_entry(),
             start: self.now,
             tried: Vec::new(),
             full: Vec::new(),
@@ -215,6 +225,21 @@
         self.attempt(request);
     }
 
+    /// Entry node of a new request.
+    fn random_entry(&mut self) -> usize {
+        let zones = self.plan.zones.len();
+        let i = self.arrivals.random_range(0..self.plan.entries);
+        if zones == 1 {
+            return i;
+        }
+        let mut point = self.arrivals.random::<f64>();
+        let zone = self.plan.zones.iter().position(|share| {
+            point -= share;
+            point <= 0.0
+        });
+        i / zones * zones + zone.unwrap_or(zones - 1)
+    }
+
     fn on_tick(&mut self) {
         for i in 0..self.targets.len() {
             let actions = self.targets[i].queue.advance(self.now);
@@ -233,7 +258,7 @@
             return;
         }
         let p = &self.entries[r.entry];
-        let mut immediate = r.full.len() < MAX_IMMEDIATE && p.has_free_slots("s");
+        let mut immediate = r.full.len() < MAX_IMMEDIATE && p.has_free_slots("s", self.now);
         let due = r.start + OBJECTIVE;
         let mut excluded = r.tried.clone();
         if immediate {
--- a/tests/sidecar_pace.rs
+++ b/tests/sidecar_pace.rs
@@ -17,6 +17,8 @@
     Plan {
         slots: 13,
         times: (0..targets).map(time).collect(),
+        zones: vec![1.0],
+        entries: 6,
         load,
         time: ms(9_000),
         troubles,
