Keep no more of the retry budget for urgent requests than their part

What is kept for more urgent ranks is at most their fraction of the requests, and 0.3 as before. The new test failed before: 10 urgent requests in 1,000 lowered the retries of the others from 160 to 100; now they lower them by 2 at most.

--- a/src/sidecar/process/routing/budget.rs
+++ b/src/sidecar/process/routing/budget.rs
@@ -5,14 +5,16 @@
 use std::collections::VecDeque;
 
 use crate::prelude::*;
+use crate::sidecar::version::routes::RANKS;
 
 /// Number of buckets into which the window is divided.
 const BUCKETS: u32 = 10;
 /// Fraction of the budget that is used, so that the sum over all nodes stays within it without coordination: nodes that
 /// restarted have an empty window, and the calls that retries make to other services are only estimated.
 const USABLE_FRACTION: f64 = 0.8;
-/// Maximum fraction of the budget that less urgent ranks use, so that some is left for the most urgent one.
-const LESS_URGENT_FRACTION: f64 = 0.5;
+/// Maximum fraction of the budget that is kept for requests of more urgent ranks. No more is kept than their fraction of
+/// the requests, so that a few urgent ones do not take the retries of all others.
+const URGENT_FRACTION: f64 = 0.3;
 
 /// Limits on the retries of a service over all nodes.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,10 +30,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
     index: u128,
-    requests: f64,
+    /// Requests by rank.
+    requests: [f64; RANKS],
     retries: f64,
-    /// Most urgent rank of the requests; `usize::MAX` if there are none.
-    top_rank: usize,
 }
 
 /// Index of the bucket of a time.
@@ -60,7 +61,6 @@
         if self.buckets.back().is_none_or(|b| b.index != index) {
             self.buckets.push_back(Bucket {
                 index,
-                top_rank: usize::MAX,
                 ..Bucket::default()
             });
         }
@@ -78,8 +78,7 @@
         now: Now,
     ) {
         let bucket = self.bucket(limits, now);
-        bucket.requests += 1.0;
-        bucket.top_rank = bucket.top_rank.min(rank);
+        bucket.requests[rank.min(RANKS - 1)] += 1.0;
         bucket.retries += retry_probability;
     }
 
@@ -112,15 +111,15 @@
     ) -> (f64, f64) {
         let index = bucket_index(limits, now);
         let valid = |b: &&Bucket| b.index + u128::from(BUCKETS) >= index;
-        let sum = |f: fn(&Bucket) -> f64| self.buckets.iter().filter(valid).map(f).sum::<f64>();
-        let (requests, retries) = (sum(|b| b.requests), sum(|b| b.retries));
+        let buckets = || self.buckets.iter().filter(valid);
+        let requests: f64 = buckets().flat_map(|b| b.requests).sum();
+        let retries: f64 = buckets().map(|b| b.retries).sum();
+        let urgent = |b: &Bucket| b.requests.iter().take(rank).sum::<f64>();
+        let urgent: f64 = buckets().map(urgent).sum();
+        let kept = (urgent / requests.max(1.0)).min(URGENT_FRACTION);
         let min_retries = limits.min_retries / nodes.max(1) as f64;
-        let top_rank = self.buckets.iter().filter(valid).map(|b| b.top_rank).min();
-        let fraction = match top_rank.is_none_or(|t| rank <= t) {
-            true => USABLE_FRACTION,
-            false => LESS_URGENT_FRACTION,
-        };
-        (retries, fraction * (limits.ratio * requests + min_retries))
+        let allowed = (USABLE_FRACTION - kept) * (limits.ratio * requests + min_retries);
+        (retries, allowed)
     }
 
     /// Counts a retry of this rank if this node's share of the budget, one of `nodes`, allows it. Returns whether it
--- a/tests/sidecar_policy.rs
+++ b/tests/sidecar_policy.rs
@@ -306,6 +306,27 @@
     assert!(allowed_retries(&mut alone, 2) > others);
 }
 
+/// Guards against a few urgent requests that keep retries from all others although they cannot need them.
+#[test]
+fn a_few_urgent_requests_keep_little_budget() {
+    let limits = RetryLimits {
+        window: Duration::from_secs(10),
+        ratio: 0.2,
+        min_retries: 0.0,
+    };
+    let others = |urgent: u64| {
+        let mut budget = RetryBudget::default();
+        for i in 0..1000 {
+            budget.record_request(&limits, usize::from(i >= urgent), 0.0, ms(i));
+        }
+        let take = |_: &u32| budget.try_take(&limits, 1, 4, ms(1000));
+        (0..1000).filter(take).count()
+    };
+    // What is kept is at most the fraction of the urgent requests: 1 in 100 of a budget of 200.
+    assert!(others(0) - others(10) <= 2, "{} {}", others(0), others(10));
+    assert!(others(500) < others(10));
+}
+
 /// Guards against requests that are dispatched with too little time to finish: they waste slots.
 #[test]
 fn requests_with_too_little_time_are_not_dispatched() {
