Name the results of routing and quota queries by their fields

Change: structs in place of the pairs (`Usage`, `Available`, `QuotaTrial`, `Rejection`), clearer names of private items, the search for eligible targets in a function of its own, and doc comments that agree with the code. `Exclusion` no longer derives traits of serde, which nothing used. Behaviour, wire names and messages are the same.

Tests were not run.

--- a/src/connection/meter.rs
+++ b/src/connection/meter.rs
@@ -283,8 +283,8 @@
         charged
     }
 
-    /// Waits until the connections that gave way to this one are closed, so that reading on is not ahead of the memory that
-    /// they return.
+    /// Waits until the connections that gave way to this one are closed, so that no more is read before their memory
+    /// is freed.
     pub async fn settle(&self) {
         self.0.client.gate.settle().await;
     }
--- a/src/sidecar/connection/accepted_link.rs
+++ b/src/sidecar/connection/accepted_link.rs
@@ -16,7 +16,7 @@
 use crate::sidecar::process::node::Node;
 use crate::sidecar::version::config_server::ConfigRequest;
 
-/// Delay on a link from which on a request is logged; a multiple of what a loaded process needs to read it.
+/// Minimum delay of a request on its link that is logged. A loaded process needs a fraction of it to read a request.
 const LOGGED_DELAY: Duration = Duration::from_millis(250);
 
 /// A link that another node opened. Dropping it cancels the requests that are still running.
--- a/src/sidecar/connection/running_requests.rs
+++ b/src/sidecar/connection/running_requests.rs
@@ -1,4 +1,5 @@
-//! Running requests of an accepted link: decodes and starts them, and cancels them when the peer or the link has gone.
+//! Running requests of an accepted link: decodes and starts them, and cancels them at the request of the peer or when
+//! the link is closed.
 
 use std::sync::Mutex;
 
--- a/src/sidecar/process/explain.rs
+++ b/src/sidecar/process/explain.rs
@@ -19,11 +19,13 @@
 use crate::sidecar::process::quota::Verdict;
 use crate::sidecar::process::rollout::view::View;
 use crate::sidecar::request::authenticate::{find, is_confirmed, RouteAndTenant};
-use crate::sidecar::request::resolve::{early_back_off, retry_after, time_limit, Resolved, Sent};
+use crate::sidecar::request::resolve::{
+    early_back_off, retry_after, time_limit, CallerRequest, Resolved,
+};
 use crate::sidecar::version::routes::{ApiKey, Route, RouteTable, Tenant};
 
-/// Request id of a request that is only explained. It is not sent.
-const NO_ID: &str = "explain";
+/// Id of a request that is only explained. It is not sent to a target.
+const EXPLAINED_REQUEST_ID: &str = "explain";
 
 /// Why a query has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,8 +36,12 @@
     UnknownTenant,
 }
 
-/// A rejection, with the shortest back-off of the request.
-type Rejection = (Failure, Duration);
+/// A rejection of a request.
+struct Rejection {
+    failure: Failure,
+    /// Shortest back-off known for the request; zero if there is none.
+    back_off: Duration,
+}
 
 /// Explains a request.
 ///
@@ -62,7 +68,7 @@
     let mut answer = empty_answer(n, query);
     let result = match table {
         Some(table) => decide(n, &table, query, (method, uri), &mut answer),
-        None => Err(early(Failure::not_run(Reason::NoVersion))),
+        None => Err(early_rejection(Failure::not_run(Reason::NoVersion))),
     };
     answer.result = result_answer(n, result);
     Ok(answer)
@@ -101,8 +107,11 @@
 }
 
 /// A rejection before a target is chosen.
-fn early(f: Failure) -> Rejection {
-    (f, early_back_off(&f))
+fn early_rejection(failure: Failure) -> Rejection {
+    Rejection {
+        failure,
+        back_off: early_back_off(&failure),
+    }
 }
 
 fn result_answer(n: &Node, result: Result<NodeId, Rejection>) -> ResultAnswer {
@@ -113,12 +122,12 @@
             status: None,
             retry_after_ms: None,
         },
-        Err((f, back_off)) => {
-            let retry_after = retry_after(&f, back_off);
-            let response = n.adapter.failure_response(&f, None, retry_after);
+        Err(Rejection { failure, back_off }) => {
+            let retry_after = retry_after(&failure, back_off);
+            let response = n.adapter.failure_response(&failure, None, retry_after);
             ResultAnswer {
                 node: None,
-                reason: Some(f.reason.as_str().to_owned()),
+                reason: Some(failure.reason.as_str().to_owned()),
                 status: Some(response.status().as_u16()),
                 retry_after_ms: retry_after.map(millis),
             }
@@ -135,7 +144,7 @@
     answer: &mut Answer,
 ) -> Result<NodeId, Rejection> {
     let start = n.clock.now();
-    let (route, tenant) = authenticate(n, table, query, uri.path()).map_err(early)?;
+    let (route, tenant) = authenticate(n, table, query, uri.path()).map_err(early_rejection)?;
     let timeout = query.timeout_ms.map(Duration::from_millis);
     let remaining = time_limit(&route, timeout);
     let rank = table.rank(&route, tenant.as_deref());
@@ -163,23 +172,23 @@
         start,
         remaining,
     };
-    let request = resolved.request(n, sent(method, &uri));
+    let request = resolved.request(n, caller_request(method, &uri));
     answer.effective_rank = Some(request.rank);
     answer.retries_left = Some(n.retries_left(&service, rank, start));
     answer.rollout = rollout(n, &service, start);
     answer.service = Some(service.to_string());
     // The targets are of interest also if the request would not get that far.
-    let refusal = refusal.flatten().map(early);
+    let refusal = refusal.flatten().map(early_rejection);
     let (placed, targets) = place(n, request, rank, query.upload, refusal);
     answer.targets = targets;
     placed
 }
 
-/// A request without headers and body.
-fn sent(method: Method, uri: &Uri) -> Sent {
+/// The explained request. A query names no headers and no body.
+fn caller_request(method: Method, uri: &Uri) -> CallerRequest {
     let path = uri.path_and_query();
-    Sent {
-        id: NO_ID.into(),
+    CallerRequest {
+        id: EXPLAINED_REQUEST_ID.into(),
         method,
         path: path.map_or("/", |p| p.as_str()).into(),
         headers: HeaderMap::new(),
@@ -226,11 +235,11 @@
     }
 }
 
-/// Quota of a tenant, and the failure of a request that it rejects; `None` if the tenant has no quota.
+/// Quota of a tenant, and the failure of the request if the quota rejects it; `None` if the tenant has no quota.
 fn check_quota(n: &Node, tenant: &Tenant) -> Option<(QuotaAnswer, Option<Failure>)> {
     let quota = Quota::new(tenant.rate, tenant.burst)?;
-    let ((units, unit_rate), verdict) = n.try_quota(&tenant.name, quota);
-    let (verdict, refusal) = match verdict {
+    let trial = n.try_quota(&tenant.name, quota);
+    let (verdict, refusal) = match trial.verdict {
         Verdict::Granted => (QuotaVerdict::Granted, None),
         Verdict::Wait => (QuotaVerdict::Waits, None),
         Verdict::Refused(back_off) => {
@@ -244,8 +253,8 @@
     let answer = QuotaAnswer {
         rate: quota.rate,
         burst: quota.burst,
-        units,
-        unit_rate,
+        units: trial.available.units,
+        unit_rate: trial.available.rate,
         verdict,
     };
     Some((answer, refusal))
--- a/src/sidecar/process/explain/answer.rs
+++ b/src/sidecar/process/explain/answer.rs
@@ -227,7 +227,7 @@
     pub retry_after_ms: Option<u64>,
 }
 
-/// Duration in whole milliseconds.
+/// Converts a duration to whole milliseconds, rounded down.
 pub(crate) fn millis(d: Duration) -> u64 {
     u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/sidecar/process/explain/place.rs
+++ b/src/sidecar/process/explain/place.rs
@@ -13,11 +13,11 @@
 use crate::sidecar::request::admit::{self, TargetRequest};
 use crate::sidecar::request::admit_upload;
 use crate::sidecar::request::attempt::{
-    chosen, criteria, lacks_slot, plan, shorter_back_off, Avoided,
+    chosen_node, criteria, lacks_slot, plan_attempt, shorter_back_off, Avoided,
 };
 use crate::sidecar::request::attempts::MAX_TRIED_NODES;
 
-/// What the choices of one request found about each target.
+/// States of the targets that the choices of one request have observed.
 #[derive(Default)]
 struct Trace(RefCell<BTreeMap<NodeId, TargetState>>);
 
@@ -60,14 +60,14 @@
     request.end_before(n.stop_end());
     let placed = match n.crash_verdict(&request) {
         _ if n.fairness().must_shed(&request.service, rank) => {
-            Err((Failure::not_run(Reason::HeldOff), Duration::ZERO))
+            Err(without_back_off(Failure::not_run(Reason::HeldOff)))
         }
         CrashVerdict::Rejected(back_off) => {
             let failure = Failure {
                 back_off,
                 ..Failure::not_run(Reason::Quarantined)
             };
-            Err((failure, Duration::ZERO))
+            Err(without_back_off(failure))
         }
         verdict => {
             let may_retry = verdict == CrashVerdict::Allowed;
@@ -82,6 +82,14 @@
     (placed, targets)
 }
 
+/// A rejection without a back-off of a target.
+fn without_back_off(failure: Failure) -> Rejection {
+    Rejection {
+        failure,
+        back_off: Duration::ZERO,
+    }
+}
+
 /// Plans attempts until one is at a target that does not reject the request. A rejection is treated as by the attempts of a
 /// request: see `record_result` and `may_retry` there.
 fn choose(
@@ -99,11 +107,16 @@
             tried: &tried,
             full: &full,
         };
-        let choose = |c: &Criteria<'_>| n.choose_with(c, || Box::new(rand::rng()), trace);
-        let plan = plan(n, request, upload, avoided, choose, n.clock.now());
-        let node = match chosen(plan.choice, &mut back_off) {
+        let choose_once = |c: &Criteria<'_>| n.choose_with(c, || Box::new(rand::rng()), trace);
+        let plan = plan_attempt(n, request, upload, avoided, choose_once, n.clock.now());
+        let node = match chosen_node(plan.choice, &mut back_off) {
             Ok(node) => node,
-            Err(f) => return Err((last_failure.unwrap_or(f), back_off)),
+            Err(f) => {
+                return Err(Rejection {
+                    failure: last_failure.unwrap_or(f),
+                    back_off,
+                })
+            }
         };
         request.max_wait = plan.max_wait;
         request.limit = n.placement().limit(&node);
@@ -126,7 +139,10 @@
             }
         }
         if !may_retry || tried.len() >= MAX_TRIED_NODES {
-            return Err((f, back_off));
+            return Err(Rejection {
+                failure: f,
+                back_off,
+            });
         }
         last_failure = Some(f);
     }
--- a/src/sidecar/process/quota/bucket.rs
+++ b/src/sidecar/process/quota/bucket.rs
@@ -21,6 +21,15 @@
     pub depth: u32,
 }
 
+/// Units of a quota that requests at this node can take.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Available {
+    /// Units that can be taken now.
+    pub units: f64,
+    /// Rate at which units accrue, per second.
+    pub rate: f64,
+}
+
 /// Units of one tenant that a holder may issue.
 #[derive(Debug, Clone)]
 pub struct Bucket {
@@ -68,8 +77,11 @@
     }
 
     /// Units, as of the last [`Bucket::refill`], and the rate that is not lent.
-    pub fn left(&self, lent: Lent) -> (f64, f64) {
-        (self.level, (self.allotment.rate - lent.rate).max(0.0))
+    pub fn left(&self, lent: Lent) -> Available {
+        Available {
+            units: self.level,
+            rate: (self.allotment.rate - lent.rate).max(0.0),
+        }
     }
 
     /// Greatest rate that borrowers may have in sum.
--- a/src/sidecar/process/quota/driver.rs
+++ b/src/sidecar/process/quota/driver.rs
@@ -11,6 +11,7 @@
 use crate::request::reason::{Failure, Reason};
 use crate::sidecar::connection::frame::{Head, Message};
 use crate::sidecar::process::node::{lock, Node};
+use crate::sidecar::process::quota::bucket::Available;
 use crate::sidecar::process::quota::limits::{Quota, QuotaBounds};
 use crate::sidecar::process::quota::policy::Quotas;
 use crate::sidecar::process::quota::{UnitAsk, UnitGrant, Verdict};
@@ -219,6 +220,13 @@
     }
 }
 
+/// Result of a request that is tried on a copy of the state of a quota.
+pub(crate) struct QuotaTrial {
+    /// Units at this node before the request takes one.
+    pub(crate) available: Available,
+    pub(crate) verdict: Verdict,
+}
+
 impl Node {
     /// The quota policy.
     pub fn quotas(&self) -> MutexGuard<'_, Quotas> {
@@ -246,16 +254,15 @@
         policy.take(tenant, quota, |h| self.links.is_responsive(h), now)
     }
 
-    /// What [`take`] would find now: units and rate of the tenant at this node, and the verdict on a request. Nothing
-    /// changes, because all of it happens on a copy.
-    pub(crate) fn try_quota(&self, tenant: &TenantId, quota: Quota) -> ((f64, f64), Verdict) {
+    /// Tries on a copy of the state what [`take`] would decide now.
+    pub(crate) fn try_quota(&self, tenant: &TenantId, quota: Quota) -> QuotaTrial {
         let now = self.clock.boot_time();
         let mut copy = self.quotas().copy_of(tenant);
         copy.on_request(tenant, quota, now);
         self.refresh_nodes(&mut copy, now);
         let available = copy.available(tenant, quota, now);
         let verdict = copy.take(tenant, quota, |h| self.links.is_responsive(h), now);
-        (available, verdict)
+        QuotaTrial { available, verdict }
     }
 
     /// Tells the policy the known nodes and the settings, if those it has are old.
--- a/src/sidecar/process/quota/holder.rs
+++ b/src/sidecar/process/quota/holder.rs
@@ -1,7 +1,7 @@
 //! The holder's side: lends rate and units of the parts that this node owns. No I/O.
 
 use crate::prelude::*;
-use crate::sidecar::process::quota::bucket::{Bucket, Lent};
+use crate::sidecar::process::quota::bucket::{Available, Bucket, Lent};
 use crate::sidecar::process::quota::limits::{Allotment, Quota, QuotaBounds};
 use crate::sidecar::process::quota::roster::{Holders, Roster};
 use crate::sidecar::process::quota::{
@@ -238,7 +238,7 @@
     }
 
     /// Units of this node's own part, and the rate of it that is not lent; `None` if this node owns no part.
-    pub fn own(&mut self, c: &Context<'_>, tenant: &TenantId, quota: Quota) -> Option<(f64, f64)> {
+    pub fn own(&mut self, c: &Context<'_>, tenant: &TenantId, quota: Quota) -> Option<Available> {
         let part = self.part(c, tenant, quota)?;
         Some(part.bucket.left(part.lent()))
     }
--- a/src/sidecar/process/quota/policy.rs
+++ b/src/sidecar/process/quota/policy.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 use crate::sidecar::process::quota::borrower::Borrower;
+use crate::sidecar::process::quota::bucket::Available;
 use crate::sidecar::process::quota::holder::{BorrowerId, Context, Lender};
 use crate::sidecar::process::quota::limits::{Quota, QuotaBounds};
 use crate::sidecar::process::quota::roster::{by_preference, Nodes, Roster};
@@ -154,7 +155,7 @@
 
     /// Units of a tenant that requests at this node can take now, and the rate at which they grow: of the own part of the
     /// quota and of what was borrowed.
-    pub fn available(&mut self, tenant: &TenantId, quota: Quota, now: Now) -> (f64, f64) {
+    pub fn available(&mut self, tenant: &TenantId, quota: Quota, now: Now) -> Available {
         let context = Context {
             bounds: self.bounds,
             roster: &self.roster,
@@ -165,8 +166,11 @@
         if let Some(b) = self.borrowers.get_mut(tenant) {
             b.refresh(now);
         }
-        let held = self.held(tenant);
-        (own.0 + held.0, own.1 + held.1)
+        let (units, rate) = self.held(tenant);
+        Available {
+            units: own.units + units,
+            rate: own.rate + rate,
+        }
     }
 
     /// Verdict on a request that has waited for too long: the time after which it may come again.
--- a/src/sidecar/process/routing/az_load.rs
+++ b/src/sidecar/process/routing/az_load.rs
@@ -1,14 +1,14 @@
 //! Mean load of the targets of a service in each availability zone. No I/O.
 //!
-//! Answers demand that differs between zones: a node sends most requests to its own zone, so reports from the others are
-//! rare. A single mean for the service would make all zones look as loaded as its own, and no request would go elsewhere.
+//! Demand may differ between zones. A node sends most requests to its own zone, so reports from the others are rare. A
+//! single mean for the service would make all zones look as loaded as its own, and no request would go elsewhere.
 
 use crate::prelude::*;
 
-/// Weight of a new report in the mean load of a zone.
+/// Weight of a new report in the mean load of a zone and in that of the service.
 const REPORT_WEIGHT: f64 = 0.05;
-/// Mean load, in requests per slot, below which some of the targets have free slots.
-pub(crate) const FULL_LOAD: f64 = 1.0;
+/// Mean load, in requests per slot, below which some targets of a zone or a service have free slots.
+const FULL_LOAD: f64 = 1.0;
 /// Time constant with which the mean load of a zone without reports decays.
 const DECAY: Duration = Duration::from_secs(2);
 
@@ -17,6 +17,7 @@
     az: Az,
     /// Moving average of the running and waiting requests per slot.
     load: f64,
+    /// Time of the last report.
     reported_at: Now,
 }
 
@@ -25,7 +26,7 @@
 pub(super) struct AzLoads {
     /// One entry for each zone with a report; there are few.
     zones: Vec<AzLoad>,
-    /// Moving average over all zones.
+    /// Moving average over the reports of all zones.
     mean: f64,
 }
 
@@ -33,7 +34,7 @@
     /// Records the reported load of a target in a zone.
     pub(super) fn record(&mut self, az: &Az, load: f64, now: Now) {
         self.mean += REPORT_WEIGHT * (load - self.mean);
-        let expected = self.get(az, now);
+        let expected = self.expected(az, now);
         let load = expected + REPORT_WEIGHT * (load - expected);
         match self.zones.iter_mut().find(|z| z.az == *az) {
             Some(zone) => {
@@ -50,7 +51,7 @@
 
     /// Expected load of a zone. Without recent reports it is assumed to be no more than full, so that requests try it when
     /// other zones have queues.
-    pub(super) fn get(&self, az: &Az, now: Now) -> f64 {
+    pub(super) fn expected(&self, az: &Az, now: Now) -> f64 {
         let unknown = self.mean.min(FULL_LOAD);
         let zone = self.zones.iter().find(|z| z.az == *az);
         zone.map_or(unknown, |z| {
@@ -60,8 +61,12 @@
         })
     }
 
-    /// Whether targets of some zone have free slots on average.
+    /// Whether the targets of the service, or those of one of its zones, have free slots on average.
     pub(super) fn has_free_slots(&self, now: Now) -> bool {
-        self.mean < FULL_LOAD || self.zones.iter().any(|z| self.get(&z.az, now) < FULL_LOAD)
+        self.mean < FULL_LOAD
+            || self
+                .zones
+                .iter()
+                .any(|z| self.expected(&z.az, now) < FULL_LOAD)
     }
 }
--- a/src/sidecar/process/routing/budget.rs
+++ b/src/sidecar/process/routing/budget.rs
@@ -35,6 +35,14 @@
     retries: f64,
 }
 
+/// Retries of a service at this node within the window.
+struct Usage {
+    /// Retries of all ranks so far.
+    retries: f64,
+    /// Number that they may reach by a retry of the given rank.
+    allowed: f64,
+}
+
 /// Index of the bucket of a time.
 fn bucket_index(limits: &RetryLimits, now: Now) -> u128 {
     let width = (limits.window / BUCKETS).max(Duration::from_millis(1));
@@ -91,24 +99,17 @@
         now: Now,
     ) -> bool {
         self.bucket(limits, now);
-        let (retries, allowed) = self.use_and_limit(limits, rank, nodes, now);
-        retries + 1.0 <= allowed
+        let usage = self.usage(limits, rank, nodes, now);
+        usage.retries + 1.0 <= usage.allowed
     }
 
     /// Retries of this rank that this node's share of the budget, one of `nodes`, has left.
     pub fn left(&self, limits: &RetryLimits, rank: usize, nodes: usize, now: Now) -> f64 {
-        let (retries, allowed) = self.use_and_limit(limits, rank, nodes, now);
-        (allowed - retries).max(0.0)
+        let usage = self.usage(limits, rank, nodes, now);
+        (usage.allowed - usage.retries).max(0.0)
     }
 
-    /// Retries in the window, and how many of them this rank is allowed.
-    fn use_and_limit(
-        &self,
-        limits: &RetryLimits,
-        rank: usize,
-        nodes: usize,
-        now: Now,
-    ) -> (f64, f64) {
+    fn usage(&self, limits: &RetryLimits, rank: usize, nodes: usize, now: Now) -> Usage {
         let index = bucket_index(limits, now);
         let valid = |b: &&Bucket| b.index + u128::from(BUCKETS) >= index;
         let buckets = || self.buckets.iter().filter(valid);
@@ -119,7 +120,7 @@
         let kept = (urgent / requests.max(1.0)).min(URGENT_FRACTION);
         let min_retries = limits.min_retries / nodes.max(1) as f64;
         let allowed = (USABLE_FRACTION - kept) * (limits.ratio * requests + min_retries);
-        (retries, allowed)
+        Usage { retries, allowed }
     }
 
     /// Counts a retry of this rank if this node's share of the budget, one of `nodes`, allows it. Returns whether it
--- a/src/sidecar/process/routing/candidates.rs
+++ b/src/sidecar/process/routing/candidates.rs
@@ -7,9 +7,9 @@
 /// Minimum reduction of the expected cost for which a request goes to another availability zone, for the most urgent
 /// rank and for all others: traffic between zones is paid by the byte, and urgent responses are worth more of it.
 const CROSS_AZ_GAIN: (f64, f64) = (0.03, 0.1);
-/// Number of targets in the own availability zone at which a request failed or was rejected from which on no gain is
-/// required to go elsewhere. They are more recent evidence than load reports, which are old where there are many targets.
-const MAX_OWN_FAILURES: usize = 2;
+/// Number of targets in the own availability zone that failed or rejected a request, from which on no gain is required
+/// to send it to another zone. Failures are more recent than load reports, which are old where there are many targets.
+const MIN_FAILURES_TO_LEAVE_AZ: usize = 2;
 /// Difference of the expected cost within which targets count as equally good.
 const COST_TOLERANCE: f64 = 0.01;
 /// Relative random noise added to each load, so that nodes with the same reports do not all choose the same target.
@@ -90,12 +90,12 @@
     found.map(|(_, c)| c)
 }
 
-/// Selects a target in the availability zone of this node unless one in another zone is clearly better. `own_failures` is
+/// Selects a target in the availability zone of this node unless one in another zone is clearly better. `own_az_failures` is
 /// the number of targets in this zone where the request failed or was rejected.
 pub(crate) fn select<'u, 'a, T, R, F>(
     eligible: &'u [Eligible<'a, T>],
     rank: usize,
-    own_failures: usize,
+    own_az_failures: usize,
     rng: &mut R,
     evaluate: F,
 ) -> Option<Evaluated<'u, 'a, T>>
@@ -105,7 +105,7 @@
 {
     let own = cheapest(sample(eligible, true, rng), rng, &evaluate);
     let min_gain = match rank {
-        _ if own_failures >= MAX_OWN_FAILURES => 0.0,
+        _ if own_az_failures >= MIN_FAILURES_TO_LEAVE_AZ => 0.0,
         0 => CROSS_AZ_GAIN.0,
         _ => CROSS_AZ_GAIN.1,
     };
--- a/src/sidecar/process/routing/known_target.rs
+++ b/src/sidecar/process/routing/known_target.rs
@@ -93,7 +93,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceState {
     pub(super) nodes: Vec<NodeId>,
-    /// Mean loads of its targets.
+    /// Mean loads of its targets in each availability zone.
     pub(super) loads: AzLoads,
     /// Sum of the slowdowns of the targets that have reported one, in percent, and their number.
     pub(super) slowdowns: (u64, u64),
@@ -101,8 +101,8 @@
 
 impl Target {
     /// Expected number of running requests and of waiting ones ahead of a new request of this rank. As the last report
-    /// ages, the estimate moves to the mean of the target, and then to that of its service in its zone, `mean` requests per slot.
-    /// Requests that this node has sent since the report are added.
+    /// ages, the estimate moves to the mean of the target, and then to `mean`, the mean of its service in its zone in
+    /// requests per slot. Requests that this node has sent since the report are added.
     pub(super) fn requests(&self, rank: usize, mean: f64, now: Now) -> f64 {
         let decay = |t: Now, tau: f64| (-now.saturating_sub(t).as_secs_f64() / tau).exp();
         let requests = f64::from(self.load.running + self.load.waiting[rank.min(RANKS - 1)]);
@@ -193,7 +193,7 @@
         now: Now,
     ) -> Evaluation {
         let cold = self.cold_factor(now);
-        let mean = service.loads.get(&self.info.az, now);
+        let mean = service.loads.expected(&self.info.az, now);
         let requests = self.requests(req.rank, mean, now);
         let wait =
             (requests + 1.0 - self.slots(now)).max(0.0) * self.service_time() / self.slots(now);
--- a/src/sidecar/process/routing/observe.rs
+++ b/src/sidecar/process/routing/observe.rs
@@ -1,6 +1,4 @@
-//! What a choice of a target considers, for queries that explain it. No I/O.
-
-use serde::{Deserialize, Serialize};
+//! Read-only views of a choice among targets, for queries that explain it. No I/O.
 
 use crate::prelude::*;
 use crate::sidecar::process::routing::known_target::{Target, TargetInfo};
@@ -8,8 +6,7 @@
 use crate::sidecar::version::routes::RANKS;
 
 /// Why a target is not eligible for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exclusion {
     /// It does not accept requests.
     NotReady,
@@ -23,7 +20,7 @@
     BackOff,
 }
 
-/// Follows a choice. Requests use `()`, for which the calls compile to nothing.
+/// Is told which targets a choice excludes and compares. Requests use `()`, whose functions are empty.
 pub trait Observer {
     /// A target is not eligible.
     fn on_excluded(&self, _node: &NodeId, _why: Exclusion) {}
@@ -56,7 +53,7 @@
 }
 
 impl Target {
-    /// Why the target is not eligible for any request; `allowed` says whether a rollout allows it.
+    /// Why the target is not eligible, apart from a back-off; `allowed` says whether a rollout allows it.
     pub(super) fn exclusion<F>(&self, allowed: F) -> Option<Exclusion>
     where
         F: FnOnce(&TargetInfo) -> bool,
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -66,6 +66,13 @@
     pub(super) times: ServiceTimes,
 }
 
+/// Targets of a service for one request.
+struct Candidates<'a> {
+    eligible: Vec<Eligible<'a, Target>>,
+    /// Shortest back-off of the targets that are in back-off; `None` if there is none.
+    min_back_off: Option<Duration>,
+}
+
 impl Placement {
     /// Creates a placement without targets; `az` is the availability zone of this node.
     pub fn new(az: Az) -> Self {
@@ -187,7 +194,7 @@
         }
     }
 
-    /// Whether the targets of a service have free slots on average.
+    /// Whether the targets of a service, or those of one of its availability zones, have free slots on average.
     pub fn has_free_slots(&self, service: &str, now: Now) -> bool {
         let service = self.services.get(service);
         service.is_some_and(|s| s.loads.has_free_slots(now))
@@ -218,6 +225,42 @@
         let Some(service) = self.services.get(req.service) else {
             return Choice::None;
         };
+        let candidates = self.candidates(now, req, service, allowed, observer);
+        let eligible = candidates.eligible;
+        let evaluate = |e: &Eligible<'_, Target>| e.target.evaluate(req, service, &self.times, now);
+        let sampled = |e: &Eligible<'_, Target>| {
+            observer.on_sampled(e.node);
+            evaluate(e)
+        };
+        let own_az_failures = self.own_az_failures(req);
+        let selected = select(&eligible, req.rank, own_az_failures, rng, sampled);
+        let Some((selected, evaluation)) = selected else {
+            return candidates.min_back_off.map_or(Choice::None, Choice::Full);
+        };
+        let limit = MAX_WAIT_FACTOR * req.remaining.as_secs_f64();
+        if evaluation.wait > limit {
+            let waits = eligible.iter().map(|e| evaluate(e).wait);
+            let wait = waits.fold(f64::MAX, f64::min);
+            if wait > limit {
+                return Choice::Full(Duration::from_secs_f64(wait) - req.remaining);
+            }
+        }
+        Choice::Target(selected.node.clone())
+    }
+
+    /// Targets of a service that are eligible for a request; reports the others to `observer`.
+    fn candidates<'a, F, O>(
+        &'a self,
+        now: Now,
+        req: &Criteria<'_>,
+        service: &'a ServiceState,
+        allowed: F,
+        observer: &O,
+    ) -> Candidates<'a>
+    where
+        F: Fn(&NodeId, &TargetInfo) -> bool,
+        O: Observer,
+    {
         let mut min_back_off: Option<Duration> = None;
         let mut eligible = Vec::new();
         for node in service.nodes.iter().filter(|n| !req.excluded.contains(n)) {
@@ -241,29 +284,14 @@
                 capacity: t.capacity(now),
             });
         }
-        let evaluate = |e: &Eligible<'_, Target>| e.target.evaluate(req, service, &self.times, now);
-        let sampled = |e: &Eligible<'_, Target>| {
-            observer.on_sampled(e.node);
-            evaluate(e)
-        };
-        let own_failures = self.own_failures(req);
-        let selected = select(&eligible, req.rank, own_failures, rng, sampled);
-        let Some((selected, evaluation)) = selected else {
-            return min_back_off.map_or(Choice::None, Choice::Full);
-        };
-        let limit = MAX_WAIT_FACTOR * req.remaining.as_secs_f64();
-        if evaluation.wait > limit {
-            let waits = eligible.iter().map(|e| evaluate(e).wait);
-            let wait = waits.fold(f64::MAX, f64::min);
-            if wait > limit {
-                return Choice::Full(Duration::from_secs_f64(wait) - req.remaining);
-            }
+        Candidates {
+            eligible,
+            min_back_off,
         }
-        Choice::Target(selected.node.clone())
     }
 
-    /// Number of excluded targets in the availability zone of this node.
-    fn own_failures(&self, req: &Criteria<'_>) -> usize {
+    /// Number of targets in the availability zone of this node that the request avoids because they failed or rejected it.
+    fn own_az_failures(&self, req: &Criteria<'_>) -> usize {
         let excluded = req.excluded.iter();
         let targets = excluded.filter_map(|n| self.targets.get(n));
         targets.filter(|t| t.info.az == self.az).count()
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -157,11 +157,11 @@
 /// Whether [`run`] would admit a request now. Nothing changes.
 pub(crate) fn try_admission(n: &Node, request: &TargetRequest) -> Result<(), Failure> {
     check_target(n, request)?;
-    rejected(n.slots.try_arrival(arrival(n, request), request.limit))
+    rejection_result(n.slots.try_arrival(arrival(n, request), request.limit))
 }
 
-/// Failure of a request that the queue for slots rejects.
-pub(crate) fn rejected(rejection: Option<(Reason, Duration)>) -> Result<(), Failure> {
+/// Converts a rejection by the queue for slots, with its back-off, to the failure of the request.
+pub(crate) fn rejection_result(rejection: Option<(Reason, Duration)>) -> Result<(), Failure> {
     rejection.map_or(Ok(()), |(reason, back_off)| {
         Err(Failure {
             back_off,
--- a/src/sidecar/request/admit_upload.rs
+++ b/src/sidecar/request/admit_upload.rs
@@ -81,7 +81,7 @@
         Source::Link => n.inbound.backlog(),
         Source::Caller => Duration::ZERO,
     };
-    admit::rejected(n.slots.preview(&arrival(n, request), delay, arriving))
+    admit::rejection_result(n.slots.preview(&arrival(n, request), delay, arriving))
 }
 
 /// Whether a request with a large body would be admitted now, as far as that does not depend on the length of the body.
--- a/src/sidecar/request/attempt.rs
+++ b/src/sidecar/request/attempt.rs
@@ -55,21 +55,21 @@
     pub(crate) trace: String,
 }
 
-/// Where the next attempt of a request goes.
-pub(crate) struct Plan {
+/// Target and admission of the next attempt of a request.
+pub(crate) struct AttemptPlan {
     pub(crate) choice: Choice,
     /// Longest expected wait with which the attempt is admitted; `None` if it may wait.
     pub(crate) max_wait: Option<Duration>,
 }
 
-/// Nodes that the next attempt of a request avoids; see [`RequestState`].
+/// Nodes that the next attempt of a request avoids; see the fields of [`RequestState`].
 #[derive(Clone, Copy)]
 pub(crate) struct Avoided<'a> {
     pub(crate) tried: &'a [NodeId],
     pub(crate) full: &'a [NodeId],
 }
 
-/// What a target is chosen by for a request.
+/// Criteria by which a target is chosen for a request.
 pub(crate) fn criteria<'a>(
     request: &'a TargetRequest,
     upload: bool,
@@ -87,15 +87,15 @@
     }
 }
 
-/// Plans the next attempt of a request, without any effect. `choose` chooses a target by the criteria.
-pub(crate) fn plan<F>(
+/// Plans the next attempt of a request, and changes nothing. `choose` chooses a target by the criteria.
+pub(crate) fn plan_attempt<F>(
     n: &Node,
     request: &TargetRequest,
     upload: bool,
     avoided: Avoided<'_>,
     choose: F,
     now: Now,
-) -> Plan
+) -> AttemptPlan
 where
     F: Fn(&Criteria<'_>) -> Choice,
 {
@@ -115,18 +115,18 @@
     };
     let until_due = request.due.saturating_sub(now);
     let max_wait = until_due.mul_f64(IMMEDIATE_WAIT_FRACTION);
-    Plan {
+    AttemptPlan {
         choice,
         max_wait: (immediate && !all_full).then_some(max_wait),
     }
 }
 
-/// Node of a choice. `retry_after` is the shortest back-off of the request so far.
+/// Node of a choice. `retry_after` is the shortest back-off of the request so far; a back-off of the choice updates it.
 ///
 /// # Errors
 ///
 /// No target was chosen.
-pub(crate) fn chosen(choice: Choice, retry_after: &mut Duration) -> Result<NodeId, Failure> {
+pub(crate) fn chosen_node(choice: Choice, retry_after: &mut Duration) -> Result<NodeId, Failure> {
     match choice {
         Choice::Target(node) => Ok(node),
         Choice::Full(back_off) => {
@@ -159,8 +159,8 @@
         full: &state.full,
     };
     let upload = state.upload.is_some();
-    let plan = plan(n, &state.request, upload, avoided, |c| n.choose(c), now);
-    let node = chosen(plan.choice, &mut state.retry_after)?;
+    let plan = plan_attempt(n, &state.request, upload, avoided, |c| n.choose(c), now);
+    let node = chosen_node(plan.choice, &mut state.retry_after)?;
     state.tried.push(node.clone());
     state.request.max_wait = plan.max_wait;
     state.request.limit = n.placement().limit(&node);
--- a/src/sidecar/request/entry.rs
+++ b/src/sidecar/request/entry.rs
@@ -24,7 +24,7 @@
 use crate::sidecar::request::attempt::RequestState;
 use crate::sidecar::request::attempts::run_attempts;
 use crate::sidecar::request::authenticate::authenticate;
-use crate::sidecar::request::resolve::{self, early_back_off, time_limit, Resolved, Sent};
+use crate::sidecar::request::resolve::{self, early_back_off, time_limit, CallerRequest, Resolved};
 use crate::sidecar::request::upload::{self, upload_len, Upload};
 use crate::sidecar::version::routes::{CallerLimits, RouteTable};
 
@@ -119,7 +119,7 @@
 /// Counts, logs and answers a request that was rejected before a target was chosen.
 fn reject_early(n: &Node, id: &str, f: &Failure) -> Response<Body> {
     n.metrics.record_request("none", 0, Some(f), Duration::ZERO);
-    // Those of quotas are logged by tenant; there may be very many.
+    // Rejections by quotas are logged by tenant, because there may be very many.
     if f.reason != Reason::Quota {
         log_rejected(n, id, f);
     }
@@ -285,7 +285,7 @@
         remaining,
     };
     let path = parts.uri.path_and_query();
-    let sent = Sent {
+    let caller = CallerRequest {
         id: info.id.ok_or(Failure::not_run(Reason::BadRequest))?,
         method: parts.method,
         path: path.map_or("/", |p| p.as_str()).into(),
@@ -293,7 +293,7 @@
         body,
     };
     Ok(RequestState {
-        request: resolved.request(n, sent),
+        request: resolved.request(n, caller),
         upload,
         version: table.number,
         route,
--- a/src/sidecar/request/resolve.rs
+++ b/src/sidecar/request/resolve.rs
@@ -1,4 +1,4 @@
-//! What the route, the tenant and the time limit of a caller determine for a request.
+//! Properties of a request that follow from its route, its tenant and the time limit of its caller.
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -22,12 +22,12 @@
     pub(crate) rank: usize,
     /// Arrival of the request.
     pub(crate) start: Now,
-    /// Time limit of the request.
+    /// Time from the arrival to the deadline.
     pub(crate) remaining: Duration,
 }
 
-/// What the caller sent.
-pub(crate) struct Sent {
+/// Parts of a request that its caller determines.
+pub(crate) struct CallerRequest {
     pub(crate) id: SmolStr,
     pub(crate) method: Method,
     /// Path and query.
@@ -43,10 +43,10 @@
 
 impl Resolved<'_> {
     /// The request as it is sent to a target.
-    pub(crate) fn request(&self, n: &Node, sent: Sent) -> TargetRequest {
+    pub(crate) fn request(&self, n: &Node, caller: CallerRequest) -> TargetRequest {
         let (route, tenant) = (self.route, self.tenant);
         TargetRequest {
-            id: sent.id,
+            id: caller.id,
             route: route.name.clone(),
             service: self.service.clone(),
             caller: n.service.clone(),
@@ -60,10 +60,10 @@
             max_wait: None,
             limit: None,
             retry: false,
-            method: sent.method,
-            path: sent.path,
-            headers: sent.headers,
-            body: sent.body,
+            method: caller.method,
+            path: caller.path,
+            headers: caller.headers,
+            body: caller.body,
         }
     }
 }
@@ -84,7 +84,7 @@
 }
 
 /// Time after which a caller is told to retry, before jitter; `None` if the request may have run. `back_off` is the
-/// shortest one of the request.
+/// shortest back-off known for the request.
 pub(crate) fn retry_after(f: &Failure, back_off: Duration) -> Option<Duration> {
     let time = back_off.max(f.back_off).max(MIN_RETRY_AFTER);
     (f.outcome == Outcome::NotRun).then_some(time)
