--- a/tests/pace_site/mod.rs
+++ b/tests/pace_site/mod.rs
@@ -44,7 +44,7 @@
     pub times: Vec<f64>,
     /// Fraction of the requests that begin in each availability zone. Targets and entry nodes are spread evenly over them.
     pub zones: Vec<f64>,
-    /// Entry nodes; each knows only the load of the targets that it has sent requests to.
+    /// Number of entry nodes. Each knows only the load of the targets to which it has sent requests.
     pub entries: usize,
     /// Requests per second, as a fraction of what all targets can run.
     pub load: f64,
--- a/tests/sidecar_reuse.rs
+++ b/tests/sidecar_reuse.rs
@@ -30,7 +30,7 @@
 }
 
 /// Ends the target of a node and closes its connections. Another target starts at its address before the node can count
-/// the former one as dead for want of heartbeats.
+/// the former one as dead because of missing heartbeats.
 fn reuse_address(node: &Node, id: &str, service: &'static str) {
     node.target.end();
     node.target.start_another(id, service);
@@ -122,7 +122,8 @@
     site.nodes[0].target.received.lock().unwrap().len()
 }
 
-/// Guards against the same at a node that restarts when no other live node remembers the former target.
+/// Guards against requests that a target of another service gets at a node that restarts when no other live node
+/// remembers the former target.
 #[test]
 fn a_target_of_another_service_gets_no_requests_if_no_node_remembers_the_former_one() {
     let mut site = Site::start(2);
@@ -142,7 +143,8 @@
     assert_eq!(runs_by(&site, OTHER_TARGET).len(), 0);
 }
 
-/// Guards against the same at a restarted node that hears the other target before the store, other nodes and a probe.
+/// Guards against requests that a target of another service gets at a restarted node which receives its heartbeats before
+/// it reaches the store or other nodes, or probes the target.
 #[test]
 fn heartbeats_of_another_service_that_come_first_are_refused() {
     for nodes in [1, 2] {
--- a/tests/sidecar_zones.rs
+++ b/tests/sidecar_zones.rs
@@ -7,7 +7,8 @@
 
 use pace_site::{Plan, Sim};
 
-/// Greatest part of the requests in time that may be lost because demand is uneven, while all zones together have room.
+/// Maximum difference between the fractions of requests answered in time with even and with uneven demand. All zones
+/// together have enough slots for both.
 const MAX_LOSS: f64 = 0.03;
 
 /// Fraction of the requests answered in time, at a load that all targets together can carry, where this part of the
@@ -27,7 +28,7 @@
 }
 
 /// Guards against requests that are rejected or late in a zone with more demand than it can carry while other zones have
-/// free slots: its nodes hardly ever hear of these.
+/// free slots: its nodes rarely get load reports from these.
 #[test]
 fn requests_leave_a_full_zone() {
     let even = in_time_share(&[1.0 / 3.0; 3]);
--- a/tests/site_kit/explain.rs
+++ b/tests/site_kit/explain.rs
@@ -11,7 +11,7 @@
 
 /// A key that no other text contains.
 pub const KEY: &str = "key-4f1d9c";
-/// Another one, of a tenant with a small quota.
+/// Key of a tenant with a small quota, which no other text contains either.
 pub const SMALL_KEY: &str = "key-83ab02";
 
 /// Configuration with the tenants `t1` (no quota) and `t2` (a small one), a route `/open/` without a key, `/absent/` of a
--- a/tests/soak_kit/rollout.rs
+++ b/tests/soak_kit/rollout.rs
@@ -14,12 +14,13 @@
 pub const NEW_VERSION: &str = "v2";
 /// Time limit of the order. Most of it overlaps the faults of a run of 8 s.
 const LIMIT: Duration = Duration::from_secs(8);
-/// Default of `sidecar.rollback_ms`, and the time that is added while the store is disturbed.
+/// Default of `sidecar.rollback_ms`.
 const ROLLBACK_TIME: Duration = Duration::from_secs(5);
+/// Time that is added to the limits while the store is disturbed.
 const STORE_ALLOWANCE: Duration = Duration::from_secs(5);
 /// Time for which callers go on after a late request would be a violation.
 const OBSERVED_TIME: Duration = Duration::from_secs(1);
-/// Bad responses from which on the time to roll back counts.
+/// Number of bad responses after which the time to roll back begins.
 const BAD_RESPONSES: usize = 50;
 
 /// Percentages of the requests that the new version fails, of which the seed chooses one; 0 is a good version.
@@ -36,7 +37,7 @@
 
 impl Rollout {
     pub fn new(seed: u64) -> Self {
-        // Another sequence than that of the faults.
+        // The constant makes the sequence differ from that of the faults, which has the same seed.
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x0add);
         Self {
             bad_percent: BAD_PERCENTS[rng.random_range(0..BAD_PERCENTS.len())],
