Report unusable keys and eligible targets of explain as they are

A key on standard input beyond 8 KiB was cut off and then looked unknown, and an empty input was sent as an empty key; both are usage errors now. A target that only the first filter of a rollout excludes was shown as excluded by the rollout; it is shown as not sampled.

The new test of the command fails without the change; both test files of explain pass.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -109,8 +109,16 @@
         return Ok(value);
     }
     let mut text = String::new();
-    let input = std::io::stdin().lock().take(MAX_KEY_BYTES);
+    // One byte more shows that the key is too long.
+    let input = std::io::stdin().lock().take(MAX_KEY_BYTES + 1);
     match std::io::BufReader::new(input).read_to_string(&mut text) {
+        Ok(n) if n as u64 > MAX_KEY_BYTES => {
+            let message = format!("the key is longer than {MAX_KEY_BYTES} bytes; see --help");
+            fail(Exit::Usage, message)
+        }
+        Ok(_) if text.trim().is_empty() => {
+            fail(Exit::Usage, "standard input has no key; see --help")
+        }
         Ok(_) => Ok(text.trim().to_owned()),
         Err(_) => fail(
             Exit::Failed,
--- a/src/sidecar/process/explain/place.rs
+++ b/src/sidecar/process/explain/place.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    fn on_eligible(&self, node: &NodeId) {
+        if matches!(self.get(node), None | Some(TargetState::Rollout)) {
+            self.set(node, TargetState::NotSampled);
+        }
+    }
+
     fn on_sampled(&self, node: &NodeId) {
         if self.get(node) != Some(TargetState::NotAdmitted) {
             self.set(node, TargetState::Compared);
--- a/src/sidecar/process/routing/observe.rs
+++ b/src/sidecar/process/routing/observe.rs
@@ -25,6 +25,9 @@
     /// A target is not eligible.
     fn on_excluded(&self, _node: &NodeId, _why: Exclusion) {}
 
+    /// A target is eligible.
+    fn on_eligible(&self, _node: &NodeId) {}
+
     /// A target was sampled and is compared with others.
     fn on_sampled(&self, _node: &NodeId) {}
 }
--- a/src/sidecar/process/routing/placement.rs
+++ b/src/sidecar/process/routing/placement.rs
@@ -277,6 +277,7 @@
                 min_back_off = Some(min_back_off.map_or(back_off, |b| b.min(back_off)));
                 continue;
             }
+            observer.on_eligible(node);
             eligible.push(Eligible {
                 node,
                 target: t,
--- a/tests/sidecar_explain_command.rs
+++ b/tests/sidecar_explain_command.rs
@@ -46,6 +46,20 @@
     }
 }
 
+/// Guards against a key on standard input that is missing or cut off and then looks unknown.
+#[test]
+fn an_unusable_key_on_standard_input_is_a_usage_error() {
+    const MAX_KEY_BYTES: usize = 8 << 10;
+    let site = start(1);
+    let n = &site.nodes[0];
+    let args = ["--path", "/safe/a", "--key", "-"];
+    let long = "k".repeat(MAX_KEY_BYTES + 1);
+    for (input, code) in [("", 2), ("\n", 2), (&*long, 2), (KEY, 0)] {
+        let out = run(&site, n, &args, input);
+        assert_eq!(out.status.code(), Some(code), "{out:?}");
+    }
+}
+
 /// Guards against a command whose output lacks a part of the answer, or whose exit code is wrong.
 #[test]
 fn the_command_prints_the_answer() {
