Write the stops of successive targets of a node to the store

Callers would have seen requests at a target after its stop was acknowledged, if the process of its node and the nodes that kept the stop had ended before the next process asked them.

Cause: a node had room for one announced stop. A second one, while the store was away, took its place; the write of the first then ended, and the wait for its acknowledgement returned the state of the second. Ruled out: the store refusing the write; the second stop was written.

Change: a bounded list of stops, one for each target id. Each is written until it is in, or until a later incarnation of its id takes its place.

--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -108,8 +108,8 @@
     pub(crate) settings: ArcSwap<Settings>,
     pub(crate) own_record: Mutex<NodeRecord>,
     pub(crate) target: Mutex<OwnTarget>,
-    /// Last announced stop of this node's target.
-    pub(crate) departure: DepartureState,
+    /// Announced stops of the targets of this node.
+    pub(crate) departures: DepartureState,
     /// What other nodes have said about their targets.
     pub(crate) target_history: Mutex<TargetHistory>,
     pub(crate) members: Mutex<Members>,
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -37,7 +37,7 @@
 use crate::sidecar::process::settings_file::{wait_for_stop_signal, watch_settings_file};
 use crate::sidecar::process::stop;
 use crate::sidecar::process::target::control;
-use crate::sidecar::process::target::departure::OwnDeparture;
+use crate::sidecar::process::target::departure::OwnDepartures;
 use crate::sidecar::process::target::slots::Slots;
 use crate::sidecar::process::target::state::OwnTarget;
 use crate::sidecar::request::upload::MAX_KEPT_BYTES;
@@ -137,7 +137,7 @@
         version_adopted: watch::channel(0).0,
         own_record: Mutex::new(record),
         target: Mutex::new(target),
-        departure: watch::channel(OwnDeparture::default()).0,
+        departures: watch::channel(OwnDepartures::default()).0,
         target_history: Mutex::default(),
         members: Mutex::new(Members::new(settings.node.id.clone())),
         placement: Mutex::new(Placement::new(settings.node.az.clone())),
--- a/src/sidecar/process/target/departure.rs
+++ b/src/sidecar/process/target/departure.rs
@@ -23,9 +23,12 @@
 const WRITE_BACK_OFF: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1400));
 
-/// The last announced stop of the target, and who keeps it.
+/// Maximum number of stops whose writes are tried at the same time.
+const MAX_DEPARTURES: usize = 16;
+
+/// An announced stop of a target of this node, and who keeps it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct OwnDeparture {
+struct OwnDeparture {
     id: TargetId,
     incarnation: u64,
     stored: bool,
@@ -38,16 +41,56 @@
     }
 }
 
+/// Announced stops of the targets of this node, the latest last; one for each target id.
+#[derive(Debug, Default)]
+pub struct OwnDepartures(Vec<OwnDeparture>);
+
+impl OwnDepartures {
+    /// The stop of an incarnation or a later one of the same id.
+    fn find(&self, id: &TargetId, incarnation: u64) -> Option<&OwnDeparture> {
+        self.0.iter().find(|d| d.covers(id, incarnation))
+    }
+
+    fn find_mut(&mut self, id: &TargetId, incarnation: u64) -> Option<&mut OwnDeparture> {
+        self.0.iter_mut().find(|d| d.covers(id, incarnation))
+    }
+
+    /// Adds a stop in the place of that of an earlier incarnation. Returns whether it is new.
+    fn add(&mut self, id: &TargetId, incarnation: u64) -> bool {
+        if self.find(id, incarnation).is_some() {
+            return false;
+        }
+        self.0.retain(|d| d.id != *id);
+        if self.0.len() == MAX_DEPARTURES {
+            let stored = self.0.iter().position(|d| d.stored);
+            self.0.remove(stored.unwrap_or(0));
+        }
+        self.0.push(OwnDeparture {
+            id: id.clone(),
+            incarnation,
+            ..OwnDeparture::default()
+        });
+        true
+    }
+
+    /// Whether the write of a stop goes on: it is not in the store, and no later one has taken its place.
+    fn is_unwritten(&self, id: &TargetId, incarnation: u64) -> bool {
+        let d = self.find(id, incarnation);
+        d.is_some_and(|d| d.incarnation == incarnation && !d.stored)
+    }
+}
+
 /// State of [`keep`]; notifies of changes.
-pub type DepartureState = watch::Sender<OwnDeparture>;
+pub type DepartureState = watch::Sender<OwnDepartures>;
 
 /// Keeps the stop of a target. Returns whether it is kept; if not, the store is still tried in the background.
 pub(crate) async fn keep(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> bool {
     begin(n, id, incarnation);
-    let mut departure = n.departure.subscribe();
-    let stored = departure.wait_for(|d| d.stored || !d.covers(id, incarnation));
-    if let Ok(Ok(d)) = tokio::time::timeout(STORE_TIMEOUT, stored).await {
-        return d.stored;
+    let mut departures = n.departures.subscribe();
+    let is_stored = |d: &OwnDepartures| d.find(id, incarnation).is_some_and(|d| d.stored);
+    let stored = departures.wait_for(is_stored);
+    if let Ok(Ok(_)) = tokio::time::timeout(STORE_TIMEOUT, stored).await {
+        return true;
     }
     let linked = n
         .links
@@ -57,8 +100,11 @@
             departed: true,
         })));
     let needed = KEEPERS.min(linked);
-    let kept = |d: &OwnDeparture| d.stored || needed > 0 && d.keepers.len() >= needed;
-    let kept = departure.wait_for(kept);
+    let is_kept = |d: &OwnDepartures| {
+        let d = d.find(id, incarnation);
+        d.is_some_and(|d| d.stored || needed > 0 && d.keepers.len() >= needed)
+    };
+    let kept = departures.wait_for(is_kept);
     let kept = matches!(tokio::time::timeout(PEER_TIMEOUT, kept).await, Ok(Ok(_)));
     if !kept {
         n.log.event("departure_not_kept", &[("target", id)]);
@@ -68,51 +114,47 @@
 
 /// Begins to write the stop to the store, unless that has begun.
 pub(crate) fn begin(n: &Arc<Node>, id: &TargetId, incarnation: u64) {
-    let begun = n.departure.send_if_modified(|d| {
-        let new = !d.covers(id, incarnation);
-        if new {
-            *d = OwnDeparture {
-                id: id.clone(),
-                incarnation,
-                ..OwnDeparture::default()
-            };
-        }
-        new
-    });
-    if begun {
+    if n.departures.send_if_modified(|d| d.add(id, incarnation)) {
         n.log.event("target_leaving", &[("target", id)]);
         tokio::spawn(write(n.clone(), id.clone(), incarnation));
     }
 }
 
-/// Writes the stop to the store until it is in, or until a later one takes its place.
+/// Writes the stop to the store until it is in, or until a later one of the same id takes its place.
 async fn write(n: Arc<Node>, id: TargetId, incarnation: u64) {
     let mut back_off = WRITE_BACK_OFF.0;
-    while n.departure.borrow().covers(&id, incarnation) {
+    while n.departures.borrow().is_unwritten(&id, incarnation) {
         match discovery::record_departure(&n, &id, incarnation).await {
-            Ok(()) => {
-                n.departure.send_modify(|d| {
-                    d.stored |= d.covers(&id, incarnation) && d.incarnation == incarnation;
-                });
-                return;
+            Ok(()) => n.departures.send_modify(|d| {
+                let written = d.find_mut(&id, incarnation);
+                if let Some(d) = written.filter(|d| d.incarnation == incarnation) {
+                    d.stored = true;
+                }
+            }),
+            Err(e) => {
+                n.log.event("note_failed", &[("error", &e.to_string())]);
+                let wait = back_off.mul_f64(0.7 + 0.5 * rand::random::<f64>());
+                tokio::time::sleep(wait).await;
+                back_off = (back_off * 2).min(WRITE_BACK_OFF.1);
             }
-            Err(e) => n.log.event("note_failed", &[("error", &e.to_string())]),
         }
-        let wait = back_off.mul_f64(0.7 + 0.5 * rand::random::<f64>());
-        tokio::time::sleep(wait).await;
-        back_off = (back_off * 2).min(WRITE_BACK_OFF.1);
     }
 }
 
 impl Node {
     /// Records that another node keeps the stop of a target of this node.
     pub(crate) fn on_departure_kept(&self, node: &NodeId, known: &KnownTarget) {
-        self.departure.send_if_modified(|d| {
-            let new = d.covers(&known.id, known.incarnation) && !d.keepers.contains(node);
-            if new {
-                d.keepers.push(node.clone());
+        self.departures.send_if_modified(|d| {
+            let kept = d.find_mut(&known.id, known.incarnation);
+            // That a node keeps the stop of an earlier incarnation says nothing about a later one.
+            let kept = kept.filter(|d| d.incarnation == known.incarnation);
+            match kept.filter(|d| !d.keepers.contains(node)) {
+                Some(d) => {
+                    d.keepers.push(node.clone());
+                    true
+                }
+                None => false,
             }
-            new
         });
     }
 
--- a/tests/sidecar_departure.rs
+++ b/tests/sidecar_departure.rs
@@ -8,7 +8,7 @@
 
 use site_kit::store::Faults;
 use site_kit::target::Target;
-use site_kit::{Node, Site};
+use site_kit::{Node, Site, SERVICE};
 use workdir::{http_json, wait_until};
 
 const UNAVAILABLE: Faults = Faults {
@@ -115,6 +115,27 @@
     });
 }
 
+/// Guards against an acknowledged stop that is not written to the store, because another target of the same VM announces its
+/// stop before the store is back.
+#[test]
+fn the_stops_of_successive_targets_are_all_written() {
+    let site = Site::start(3);
+    site.store.set_faults(UNAVAILABLE);
+    assert_eq!(announce_stop(&site.nodes[0]), Some(200));
+    let target = &site.nodes[0].target;
+    target.end();
+    target.start_another("i-next", SERVICE);
+    wait_until("the next target", || {
+        site.nodes[0].status().contains("\"target\":\"i-next\"")
+    });
+    assert_eq!(announce_stop(&site.nodes[0]), Some(200));
+    assert!(site.store.keys("dq/left/").is_empty());
+    site.store.set_faults(Faults::default());
+    wait_until("both stops in the store", || {
+        site.store.keys("dq/left/") == ["dq/left/i-0", "dq/left/i-next"]
+    });
+}
+
 /// Guards against good targets that get no requests after a restart of their node, because it waits for a confirmation
 /// that they do not leave.
 #[test]
