Record the stops of targets that their node has not heard of

Cause: OwnTarget::on_stop took a stop of any target but the current one for that of an earlier target, recorded nothing, and the call still got 200. A target whose heartbeats are late is not known yet. Evidence: with the heartbeat in time, the case holds; the test below fails for a node that knows another target and passes for one that knows none, where the stop was recorded.

Change: every stop is recorded under the id and incarnation that it names and acknowledged once it is kept beyond the process. A late ready heartbeat of a departed target does not take the place of another one. The same cause for targets that only a health probe has told of: a stop without an incarnation was recorded for incarnation 0, and the next incarnation under the same id took over the end of the earlier one. A clock that is set back no longer lowers the bound of such a stop.

--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -65,6 +65,8 @@
     pub store: Arc<dyn Store>,
     /// Monotonic clock that starts with the process.
     pub clock: Arc<dyn Clock>,
+    /// Time of day at which the process started, in ms since 1970.
+    pub started_at: u64,
     /// Metrics that the admin API returns.
     pub metrics: Metrics,
     /// Times at which parts of the state were last confirmed.
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -72,9 +72,10 @@
     let (updates, config_updates) = mpsc::unbounded_channel();
     let (requests, config_requests) = mpsc::unbounded_channel();
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let started_at = since_epoch.unwrap_or_default().as_millis() as u64;
     let record = NodeRecord {
         node: settings.node.id.clone(),
-        incarnation: since_epoch.unwrap_or_default().as_millis() as u64,
+        incarnation: started_at,
         sequence: 1,
         az: settings.node.az.clone(),
         relay: s.advertise.unwrap_or(settings.listen.relay),
@@ -111,6 +112,7 @@
     let node = Node {
         id: settings.node.id.clone(),
         service: s.service.clone(),
+        started_at,
         adapter,
         store: Arc::new(store),
         metrics,
--- a/src/sidecar/process/target/change.rs
+++ b/src/sidecar/process/target/change.rs
@@ -1,5 +1,7 @@
 //! Reaction of a node to a change of the state of its target.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use crate::prelude::*;
 use crate::request::reason::Reason;
 use crate::sidecar::adapter::{NamedLimit, ResponseInfo};
@@ -55,6 +57,15 @@
         self.state_changed.send_modify(|n| *n += 1);
     }
 
+    /// Upper bound of the incarnation of any target that runs now, in ms since 1970. A clock that has been set back since
+    /// the start of this process does not lower it.
+    pub(super) fn latest_incarnation(&self) -> u64 {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let since_epoch = since_epoch.unwrap_or_default().as_millis() as u64;
+        let age = self.clock.now().as_millis() as u64;
+        since_epoch.max(self.started_at + age)
+    }
+
     /// Applies what a response of the target says about its rate limit and its stop.
     pub fn on_target_notices(self: &Arc<Self>, id: &TargetId, info: &ResponseInfo) {
         match info.limit {
@@ -70,7 +81,8 @@
         if !info.leaving {
             return;
         }
-        let incarnation = self.target().on_leaving_response(id, self.clock.now());
+        let (latest, now) = (self.latest_incarnation(), self.clock.now());
+        let incarnation = self.target().on_leaving_response(id, latest, now);
         if let Some(incarnation) = incarnation {
             self.apply_target_state();
             departure::begin(self, id, incarnation);
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -1,7 +1,5 @@
 //! Calls from the target, readiness checks, and monitoring of the target.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use http::{header, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -98,24 +96,26 @@
 }
 
 async fn handle_stop(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> Response<Body> {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let latest = since_epoch.unwrap_or_default().as_millis() as u64;
-    let result = n.target().on_stop(id, incarnation, latest, n.clock.now());
-    match result {
-        Ok(incarnation) => {
+    let result = n
+        .target()
+        .on_stop(id, incarnation, n.latest_incarnation(), n.clock.now());
+    let departed = match result {
+        Ok(departed) => {
             n.apply_target_state();
-            acknowledge_stop(n, id, incarnation).await
+            departed
         }
-        // The call is about another incarnation and changes nothing. It still succeeds, because its sender could not do
-        // anything about a failure.
         Err(e) => {
             n.metrics
                 .rejected_inputs
                 .with_label_values(&[e.as_str()])
                 .inc();
-            json_response(StatusCode::OK, "{}")
+            n.log
+                .event("stop_refused", &[("target", id), ("reason", e.as_str())]);
+            n.target().last_departed(id).unwrap_or(incarnation)
         }
-    }
+    };
+    // Its sender could do nothing about a failure, so a call that changes nothing succeeds too.
+    acknowledge_stop(n, id, departed).await
 }
 
 /// Acknowledges an announced stop once it is kept beyond this process. If it is not, the target may ask again.
--- a/src/sidecar/process/target/current.rs
+++ b/src/sidecar/process/target/current.rs
@@ -73,6 +73,16 @@
         self.incarnation > 0 && self.incarnation < h.incarnation
     }
 
+    /// Records that an incarnation of the target leaves: this one, or a later one that has not been heard of. It accepts
+    /// requests until a time, or until the one that was recorded before.
+    pub(super) fn leave(&mut self, incarnation: u64, accepts_until: Now) {
+        if self.incarnation < incarnation {
+            self.incarnation = incarnation;
+            self.seq = 0;
+        }
+        self.accepts_until.get_or_insert(accepts_until);
+    }
+
     /// Whether the target has been heard of lately.
     pub(super) fn is_alive(&self, heartbeat_interval: Duration, now: Now) -> bool {
         now < self.last_heard + heartbeat_interval * MAX_MISSED_HEARTBEATS
--- a/src/sidecar/process/target/heartbeat.rs
+++ b/src/sidecar/process/target/heartbeat.rs
@@ -47,6 +47,8 @@
     Foreign,
     /// It is from an earlier incarnation.
     Stale,
+    /// It is a late one of a target that has announced its stop.
+    Departed,
 }
 
 impl HeartbeatError {
@@ -55,6 +57,7 @@
         match self {
             Self::Foreign => "foreign",
             Self::Stale => "stale",
+            Self::Departed => "departed",
         }
     }
 }
--- a/src/sidecar/process/target/records.rs
+++ b/src/sidecar/process/target/records.rs
@@ -76,17 +76,23 @@
         if self.has_departed(&id, incarnation) {
             return;
         }
+        self.departed.retain(|(i, _)| *i != id);
         if self.departed.len() == MAX_DEPARTED {
             self.departed.remove(0);
         }
         self.departed.push((id, incarnation));
     }
 
+    /// Last incarnation of a target that has departed.
+    pub(super) fn last_departed(&self, id: &str) -> Option<u64> {
+        let known = self.departed.iter().find(|(i, _)| i == id);
+        known.map(|(_, last)| *last)
+    }
+
     /// Whether an incarnation of a target has departed.
     pub(super) fn has_departed(&self, id: &str, incarnation: u64) -> bool {
-        self.departed
-            .iter()
-            .any(|(i, last)| i == id && incarnation <= *last)
+        self.last_departed(id)
+            .is_some_and(|last| incarnation <= last)
     }
 
     /// Records a target that responded to a health probe.
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -118,7 +118,8 @@
     ///
     /// # Errors
     ///
-    /// The heartbeat is from another target or an earlier incarnation. The state is unchanged.
+    /// The heartbeat is from another target, from an earlier incarnation, or a late one of a target that has departed. The
+    /// state is unchanged.
     pub fn on_heartbeat(&mut self, h: &Heartbeat, now: Now) -> Result<bool, HeartbeatError> {
         if h.service != self.service || h.address != self.address {
             return Err(HeartbeatError::Foreign);
@@ -132,11 +133,19 @@
         if old.is_some_and(|c| c.includes(h)) {
             return Ok(false);
         }
-        let unconfirmed = self.unconfirmed_after(h, now);
         let departed = self.records.has_departed(&h.id, h.incarnation);
-        let leaving = h.state == ReportedState::Draining || departed;
+        let ready = h.state == ReportedState::Ready;
+        if departed && ready && old.is_some_and(|c| c.id != h.id) {
+            return Err(HeartbeatError::Departed);
+        }
+        let unconfirmed = self.unconfirmed_after(h, now);
+        let leaving = !ready || departed;
         let same = self.current.take().filter(|c| c.is_same(h));
-        let accepts_until = same.as_ref().and_then(|c| c.accepts_until);
+        // A target that only a probe has told of may have departed, and this may be a later incarnation of it.
+        let accepts_until = same
+            .as_ref()
+            .filter(|_| departed)
+            .and_then(|c| c.accepts_until);
         // A departure that is known without the target is from before the start of this process.
         let drain_end = match departed && same.is_none() {
             true => now,
@@ -174,12 +183,13 @@
         }
     }
 
-    /// Records that the target announced its stop. `incarnation` is 0 if the target did not tell it. If the target is not
-    /// known either, `latest` bounds it. Returns the last incarnation that departed.
+    /// Records that a target announced its stop. It may be another one than the current target, whose heartbeats are late
+    /// or have been lost. `incarnation` is 0 if the call did not tell it; if it is not known otherwise, `latest` bounds it.
+    /// Returns the last incarnation that departed.
     ///
     /// # Errors
     ///
-    /// The stop is that of another target or an earlier incarnation. The state is unchanged.
+    /// It is not the current target, and its stop was known. The state is unchanged.
     pub fn on_stop(
         &mut self,
         id: &TargetId,
@@ -187,36 +197,35 @@
         latest: u64,
         now: Now,
     ) -> Result<u64, HeartbeatError> {
-        match &mut self.current {
-            Some(c) if c.id == *id && (incarnation == 0 || incarnation >= c.incarnation) => {
-                c.accepts_until.get_or_insert(now + self.drain_delay);
-                let incarnation = c.incarnation.max(incarnation);
-                self.records.record_departure(id.clone(), incarnation);
-                Ok(incarnation)
-            }
-            Some(_) => Err(HeartbeatError::Stale),
-            None => {
-                let incarnation = match incarnation {
-                    0 => latest,
-                    known => known,
-                };
-                self.records.record_departure(id.clone(), incarnation);
-                Ok(incarnation)
-            }
+        let covers =
+            |c: &&mut Current| c.id == *id && (incarnation == 0 || incarnation >= c.incarnation);
+        let current = self.current.as_mut().filter(covers);
+        let known = current.as_ref().map_or(0, |c| c.incarnation);
+        let departed = match incarnation {
+            0 if known > 0 => known,
+            0 => latest,
+            named => named,
+        };
+        match current {
+            Some(c) => c.leave(incarnation, now + self.drain_delay),
+            None if self.records.has_departed(id, departed) => return Err(HeartbeatError::Stale),
+            None => {}
         }
+        self.records.record_departure(id.clone(), departed);
+        Ok(departed)
     }
 
-    /// Records that a response of the target said that it is about to stop. Returns the incarnation of the target unless
-    /// its stop was known.
-    pub fn on_leaving_response(&mut self, id: &TargetId, now: Now) -> Option<u64> {
-        let c = self.current.as_mut();
-        let c = c.filter(|c| c.id == *id && c.accepts_until.is_none())?;
-        c.accepts_until = Some(now + self.drain_delay);
-        let incarnation = c.incarnation;
-        if incarnation > 0 {
-            self.records.record_departure(id.clone(), incarnation);
-        }
-        Some(incarnation)
+    /// Last incarnation of a target that has announced its stop, if that is known.
+    pub fn last_departed(&self, id: &str) -> Option<u64> {
+        self.records.last_departed(id)
+    }
+
+    /// Records that a response of the target said that it is about to stop. `latest` bounds its incarnation if that is
+    /// not known. Returns the incarnation, unless its stop was known.
+    pub fn on_leaving_response(&mut self, id: &TargetId, latest: u64, now: Now) -> Option<u64> {
+        let c = self.current.as_ref();
+        c.filter(|c| c.id == *id && c.accepts_until.is_none())?;
+        self.on_stop(id, 0, latest, now).ok()
     }
 
     /// Records a target that responded to a health probe. It is used before its first heartbeat if it is known to run the
--- a/tests/sidecar_departure.rs
+++ b/tests/sidecar_departure.rs
@@ -136,6 +136,60 @@
     });
 }
 
+/// What a node knows of the targets of its VM when one of them announces its stop.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Known {
+    Nothing,
+    AnotherTarget,
+    EarlierIncarnation,
+}
+
+/// Starts a target in the place of that of the first node, which has received no heartbeat of it.
+fn start_unheard_target(site: &mut Site, known: Known) {
+    let target = site.nodes[0].target.clone();
+    site.nodes[0].stop_heartbeats();
+    // A heartbeat may be on its way.
+    std::thread::sleep(Duration::from_millis(400));
+    target.end();
+    match known {
+        Known::EarlierIncarnation => target.start_another("i-0", SERVICE),
+        Known::Nothing | Known::AnotherTarget => target.start_another("i-unheard", SERVICE),
+    }
+    if known == Known::Nothing {
+        site.nodes[0].process.kill();
+        site.nodes[0] = site.start_silent_node("n0", "az0", target);
+        site.nodes[0].wait_ready();
+    }
+}
+
+/// Guards against a stop that is acknowledged and forgotten, because the target's node has not received a heartbeat of it:
+/// a late heartbeat then brings the target requests.
+#[test]
+fn an_acknowledged_stop_binds_a_target_that_was_not_heard_of() {
+    for known in [
+        Known::Nothing,
+        Known::AnotherTarget,
+        Known::EarlierIncarnation,
+    ] {
+        let mut site = Site::start(2);
+        start_unheard_target(&mut site, known);
+        let target = site.nodes[0].target.clone();
+        assert_eq!(announce_stop(&site.nodes[0]), Some(200));
+        // An earlier incarnation, which the node took for the one that leaves, accepts requests for a moment.
+        std::thread::sleep(Duration::from_millis(1200));
+        target.send_heartbeat(site.nodes[0].control);
+        assert_eq!(requests_at(&site, &target), 0, "{known:?}");
+        restart(&mut site, 0);
+        site.nodes[0].wait_ready();
+        std::thread::sleep(Duration::from_secs(1));
+        assert_eq!(requests_at(&site, &target), 0, "{known:?}, restarted");
+        target.state.lock().unwrap().incarnation += 1000;
+        wait_until("requests at the new lifetime", || {
+            requests_at(&site, &target) > 0
+        });
+    }
+}
+
 /// Guards against good targets that get no requests after a restart of their node, because it waits for a confirmation
 /// that they do not leave.
 #[test]
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -166,6 +166,92 @@
     assert!(t.usable(ms(20)).is_some());
 }
 
+/// Guards against a stop that is forgotten because the node knows nothing of its target, or knows another one, an earlier
+/// incarnation, or what a health probe told; and against later incarnations that it covers.
+#[test]
+fn a_stop_binds_whatever_the_node_knows_of_its_target() {
+    let ready = |id: &str, incarnation| heartbeat(id, incarnation, 1, ReportedState::Ready);
+    let unknown = own_target();
+    let mut other = own_target();
+    other.on_heartbeat(&ready("h", 5), ms(0)).unwrap();
+    let mut earlier = own_target();
+    earlier.on_heartbeat(&ready("i", 5), ms(0)).unwrap();
+    let mut probed = own_target();
+    probed.on_known_targets(&[known("i", 5, false)], ms(0));
+    probed.on_probe("i".into(), 4, ms(0));
+    assert!(probed.usable(ms(0)).is_some());
+    for (what, mut t) in [
+        ("unknown", unknown),
+        ("other", other),
+        ("earlier", earlier),
+        ("probed", probed),
+    ] {
+        assert_eq!(t.on_stop(&"i".into(), 10, 99, ms(100)), Ok(10), "{what}");
+        assert_eq!(t.last_departed("i"), Some(10));
+        // A late heartbeat, and a late response to a probe.
+        let _ = t.on_heartbeat(&ready("i", 10), ms(2000));
+        t.on_probe("i".into(), 4, ms(2000));
+        assert_ne!(
+            t.usable(ms(2000)).map(|id| id.as_str()),
+            Some("i"),
+            "{what}"
+        );
+        t.on_heartbeat(&ready("i", 11), ms(2100)).unwrap();
+        assert!(t.usable(ms(2100)).is_some(), "{what}: a later incarnation");
+        assert_eq!(
+            t.on_stop(&"i".into(), 10, 99, ms(2200)),
+            Err(HeartbeatError::Stale)
+        );
+        assert!(t.usable(ms(9000)).is_none() && t.usable(ms(2200)).is_some());
+    }
+}
+
+/// Guards against a late heartbeat of a target that has departed, which takes the place of the present one.
+#[test]
+fn a_late_heartbeat_of_a_departed_target_is_refused() {
+    let mut t = own_target();
+    t.on_stop(&"i".into(), 20, 0, ms(0)).unwrap();
+    t.on_heartbeat(&heartbeat("j", 10, 1, ReportedState::Ready), ms(10))
+        .unwrap();
+    let late = t.on_heartbeat(&heartbeat("i", 20, 1, ReportedState::Ready), ms(20));
+    assert_eq!(late, Err(HeartbeatError::Departed));
+    assert_eq!(t.usable(ms(30)).map(|id| id.as_str()), Some("j"));
+}
+
+/// Guards against a stop without an incarnation that is forgotten, or that covers later incarnations, because only a health
+/// probe has told of its target.
+#[test]
+fn a_stop_without_an_incarnation_binds_a_probed_target() {
+    for by_response in [false, true] {
+        let mut t = own_target();
+        t.on_known_targets(&[known("i", 5, false)], ms(0));
+        t.on_probe("i".into(), 4, ms(0));
+        let stopped = match by_response {
+            true => t.on_leaving_response(&"i".into(), 1000, ms(10)),
+            false => t.on_stop(&"i".into(), 0, 1000, ms(10)).ok(),
+        };
+        assert_eq!(stopped, Some(1000));
+        let late = heartbeat("i", 900, 7, ReportedState::Ready);
+        t.on_heartbeat(&late, ms(2000)).unwrap();
+        assert!(t.usable(ms(2000)).is_none());
+        let draining = heartbeat("i", 900, 8, ReportedState::Draining);
+        assert!(
+            t.on_heartbeat(&draining, ms(2010)).is_ok(),
+            "it is acknowledged"
+        );
+        let next = heartbeat("i", 1001, 1, ReportedState::Ready);
+        t.on_heartbeat(&next, ms(2100)).unwrap();
+        assert!(t.usable(ms(2100)).is_some());
+    }
+    let mut t = own_target();
+    t.on_known_targets(&[known("i", 5, false)], ms(0));
+    t.on_probe("i".into(), 4, ms(0));
+    t.on_stop(&"i".into(), 0, 1000, ms(10)).unwrap();
+    let next = heartbeat("i", 1001, 1, ReportedState::Ready);
+    t.on_heartbeat(&next, ms(2100)).unwrap();
+    assert!(t.usable(ms(9000)).is_none() && t.usable(ms(2100)).is_some());
+}
+
 /// Guards against a stop that another node forgets or takes back, and against a memory that grows without bound.
 #[test]
 fn the_stops_of_other_targets_are_remembered() {
