Keep the stops of other nodes from displacing a node's own

Callers would have seen requests at a target that had acknowledged its stop, after a restart of its node while many targets were being replaced.

Cause: a listing of the store holds the stops of all nodes, and a node took all of them into its memory of 64. The last ones displaced its own, with each listing. Ruled out: an entry that is missing in the store; it was there.

Change: what the store lists is kept apart, and each listing replaces the one before.

--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -219,15 +219,13 @@
 async fn list_nodes(n: &Arc<Node>, registration: &mut Registration) -> Result<(), StoreError> {
     let listing = n.store.list_stale(ROOT_PREFIX).await?;
     let mut records = Vec::new();
+    let mut departed: HashMap<TargetId, u64> = HashMap::default();
     let mut own_found = false;
     for e in &listing.entries {
         if let Some(id) = e.key.strip_prefix(DEPARTED_PREFIX) {
             let incarnation = std::str::from_utf8(&e.value).ok();
             match incarnation.and_then(|t| t.parse().ok()) {
-                Some(incarnation) => {
-                    let now = n.clock.now();
-                    n.target().restore_departure(id.into(), incarnation, now);
-                }
+                Some(incarnation) => drop(departed.insert(id.into(), incarnation)),
                 None => n.log.event("record_rejected", &[("key", &e.key)]),
             }
         }
@@ -251,6 +249,7 @@
     if !own_found && registration.list_count > EARLY_LIST_AGES.len() {
         registration.written = false;
     }
+    n.target().on_departures_listed(departed, n.clock.now());
     n.apply_target_state();
     let changes = n.members().merge_listing(records, n.clock.now());
     changes.into_iter().for_each(|c| n.apply_change(c));
--- a/src/sidecar/process/target/records.rs
+++ b/src/sidecar/process/target/records.rs
@@ -1,5 +1,6 @@
 //! What is remembered of the targets of this node, those of its earlier processes too. No I/O.
 
+use crate::prelude::*;
 use crate::sidecar::process::target::state::TargetId;
 
 /// Maximum number of departed targets to remember, so that delayed heartbeats do not make them ready again.
@@ -19,6 +20,9 @@
     restarted: bool,
     /// Departed targets with their last incarnation.
     departed: Vec<(TargetId, u64)>,
+    /// Departed targets of all nodes with their last incarnation, as the store last listed them. They are apart from those
+    /// that this node knows otherwise, which must not make room for them.
+    listed: HashMap<TargetId, u64>,
 }
 
 impl Default for TargetRecords {
@@ -29,6 +33,7 @@
             probed: None,
             restarted: true,
             departed: Vec::new(),
+            listed: HashMap::default(),
         }
     }
 }
@@ -64,11 +69,13 @@
         // An earlier target than this one was the last of that process.
         let vouched =
             |(i, last): &(TargetId, u64)| *last < incarnation || *last == incarnation && i == id;
-        let departed = |(i, last): &(TargetId, u64)| i == id && *last < incarnation;
+        let departed = self
+            .last_departed(id)
+            .is_some_and(|last| last < incarnation);
         !self.restarted
             || self.probed.as_ref().is_some_and(|(probed, _)| probed == id)
             || self.vouched.iter().any(vouched)
-            || self.departed.iter().any(departed)
+            || departed
     }
 
     /// Records the departure of an incarnation of a target and of all earlier ones.
@@ -83,10 +90,16 @@
         self.departed.push((id, incarnation));
     }
 
+    /// Replaces the departed targets that the store lists.
+    pub(super) fn set_listed(&mut self, listed: HashMap<TargetId, u64>) {
+        self.listed = listed;
+    }
+
     /// Last incarnation of a target that has departed.
     pub(super) fn last_departed(&self, id: &str) -> Option<u64> {
         let known = self.departed.iter().find(|(i, _)| i == id);
-        known.map(|(_, last)| *last)
+        let listed = self.listed.get(id);
+        known.map(|(_, last)| *last).max(listed.copied())
     }
 
     /// Whether an incarnation of a target has departed.
@@ -108,8 +121,7 @@
     /// Target that responded to a health probe, if it is known to run the service of this node and not to have departed.
     pub(super) fn usable_probe(&self) -> Option<&(TargetId, u32)> {
         let usable = |(id, _): &&(TargetId, u32)| {
-            let departed = self.departed.iter().any(|(i, _)| i == id);
-            !departed && self.own_ids.contains(id)
+            self.last_departed(id).is_none() && self.own_ids.contains(id)
         };
         self.probed.as_ref().filter(usable)
     }
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -107,11 +107,22 @@
     /// Restores the record of a target that departed before this process started. It may have sent a heartbeat to this
     /// process already.
     pub fn restore_departure(&mut self, id: TargetId, incarnation: u64, now: Now) {
-        let departed = |c: &&mut Current| c.id == id && c.incarnation <= incarnation;
+        self.records.record_departure(id, incarnation);
+        self.end_departed(now);
+    }
+
+    /// Replaces the departed targets of all nodes, with their last incarnations, that the store lists.
+    pub fn on_departures_listed(&mut self, listed: HashMap<TargetId, u64>, now: Now) {
+        self.records.set_listed(listed);
+        self.end_departed(now);
+    }
+
+    /// Ends the requests for the current target if it has departed.
+    fn end_departed(&mut self, now: Now) {
+        let departed = |c: &&mut Current| self.records.has_departed(&c.id, c.incarnation);
         if let Some(c) = self.current.as_mut().filter(departed) {
             c.accepts_until.get_or_insert(now);
         }
-        self.records.record_departure(id, incarnation);
     }
 
     /// Processes a heartbeat. Returns whether the state that is sent to other nodes changed.
--- a/tests/sidecar_departure.rs
+++ b/tests/sidecar_departure.rs
@@ -190,6 +190,27 @@
     }
 }
 
+/// Guards against a stop that a new process of the node forgets, because the store lists more stops of other nodes than a node
+/// remembers.
+#[test]
+fn the_stops_of_many_other_nodes_displace_no_own_one() {
+    let mut site = Site::start(1);
+    let target = site.nodes[0].target.clone();
+    site.nodes[0].stop_heartbeats();
+    assert_eq!(announce_stop(&site.nodes[0]), Some(200));
+    for i in 0..200 {
+        site.store.put(&format!("dq/left/other-{i}"), b"1000");
+    }
+    restart(&mut site, 0);
+    site.nodes[0].wait_ready();
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(requests_at(&site, &target), 0);
+    target.state.lock().unwrap().incarnation += 1000;
+    wait_until("requests at the new lifetime", || {
+        requests_at(&site, &target) > 0
+    });
+}
+
 /// Guards against good targets that get no requests after a restart of their node, because it waits for a confirmation
 /// that they do not leave.
 #[test]
