Use targets that go on to send heartbeats whatever the clocks say

A true target would have got no requests at all after a clock was set back between two targets of a VM, or after a stop without an incarnation while the clock of its node was ahead.

Ruled out: the bound of a stop alone; a second target with a smaller incarnation and another id was shut out as well.

Change: a target that seems to be an earlier one and goes on to send heartbeats for 10 s while the current one is silent is ordered behind all earlier ones. A target whose stop named its incarnation never is.

--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -77,7 +77,10 @@
             n.on_own_heartbeat(h);
             n.apply_target_state();
             match h.state {
-                ReportedState::Draining => acknowledge_stop(n, &h.id, h.incarnation).await,
+                ReportedState::Draining => {
+                    let departed = n.target().last_departed(&h.id);
+                    acknowledge_stop(n, &h.id, departed.unwrap_or(h.incarnation)).await
+                }
                 ReportedState::Ready => json_response(StatusCode::OK, "{}"),
             }
         }
--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -17,4 +17,5 @@
 pub mod silence;
 pub mod slots;
 pub mod state;
+pub mod successor;
 pub mod tenant_shares;
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -9,6 +9,7 @@
 use crate::sidecar::process::target::current::Current;
 use crate::sidecar::process::target::heartbeat::{Heartbeat, HeartbeatError, ReportedState};
 use crate::sidecar::process::target::records::TargetRecords;
+use crate::sidecar::process::target::successor::Successors;
 
 /// Id of an incarnation of a target; several incarnations may share one.
 pub type TargetId = SmolStr;
@@ -47,6 +48,7 @@
     drain_delay: Duration,
     current: Option<Current>,
     records: TargetRecords,
+    successors: Successors,
 }
 
 impl OwnTarget {
@@ -64,6 +66,7 @@
             drain_delay,
             current: None,
             records: TargetRecords::default(),
+            successors: Successors::default(),
         }
     }
 
@@ -136,6 +139,44 @@
             return Err(HeartbeatError::Foreign);
         }
         self.records.record_own(&h.id);
+        let mut h = h.clone();
+        h.incarnation = self.successors.order(&h.id, h.incarnation);
+        if self.runs_now(&h, now) {
+            let incarnation = self.next_incarnation(&h);
+            self.successors.accept(&h, incarnation);
+            h.incarnation = incarnation;
+        }
+        self.apply_heartbeat(&h, now)
+    }
+
+    /// Whether the target of a heartbeat runs now, although it seems to be an earlier one.
+    fn runs_now(&mut self, h: &Heartbeat, now: Now) -> bool {
+        let departed = self.records.last_departed(&h.id);
+        let by_name = departed == Some(h.incarnation);
+        let ready = h.state == ReportedState::Ready;
+        let after = self.current.as_ref().is_some_and(|c| c.is_after(h));
+        let earlier = after || departed.is_some_and(|last| h.incarnation < last);
+        match earlier {
+            true if ready && h.incarnation > 0 && !by_name => {
+                let interval = self.heartbeat_interval;
+                self.successors.on_earlier(h, interval, now)
+            }
+            false if !(ready && by_name) => {
+                self.successors.reset();
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Incarnation that orders the target of a heartbeat behind all that are known.
+    fn next_incarnation(&self, h: &Heartbeat) -> u64 {
+        let current = self.current.as_ref().map_or(0, |c| c.incarnation);
+        let departed = self.records.last_departed(&h.id).unwrap_or_default();
+        current.max(departed) + 1
+    }
+
+    fn apply_heartbeat(&mut self, h: &Heartbeat, now: Now) -> Result<bool, HeartbeatError> {
         let before = self.state(now);
         let old = self.current.as_ref();
         if old.is_some_and(|c| c.is_after(h)) {
@@ -208,6 +249,8 @@
         latest: u64,
         now: Now,
     ) -> Result<u64, HeartbeatError> {
+        let incarnation = self.successors.order(id, incarnation);
+        self.successors.reset();
         let covers =
             |c: &&mut Current| c.id == *id && (incarnation == 0 || incarnation >= c.incarnation);
         let current = self.current.as_mut().filter(covers);
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -252,6 +252,83 @@
     assert!(t.usable(ms(9000)).is_none() && t.usable(ms(2100)).is_some());
 }
 
+/// Sends heartbeats of a target every 1.5 s from a time on. Returns the time of the first one after which it accepts requests.
+fn used_after(t: &mut OwnTarget, id: &str, incarnation: u64, from: u64, count: u64) -> Option<u64> {
+    let times = (0..count).map(|i| (i, from + 1500 * i));
+    let mut used = times.filter(|(i, at)| {
+        let _ = t.on_heartbeat(
+            &heartbeat(id, incarnation, 1 + i, ReportedState::Ready),
+            ms(*at),
+        );
+        t.usable(ms(*at)).is_some_and(|usable| usable == id)
+    });
+    used.next().map(|(_, at)| at - from)
+}
+
+/// Guards against a true target that is never used, because a clock was set back before its start, or was ahead when a stop
+/// that named no incarnation was announced.
+#[test]
+fn a_target_that_goes_on_to_send_heartbeats_is_used() {
+    // Its own earlier incarnation departed.
+    let mut t = own_target();
+    t.on_heartbeat(&heartbeat("i", 50, 1, ReportedState::Draining), ms(0))
+        .unwrap();
+    let used = used_after(&mut t, "i", 40, 5000, 10);
+    assert!(
+        used.is_some_and(|at| (10_000..13_000).contains(&at)),
+        "{used:?}"
+    );
+    // Other nodes take the later one for it, too.
+    assert!(t.state(ms(16_000)).unwrap().incarnation > 50);
+    // Its stop is that of the later one.
+    let departed = t.on_stop(&"i".into(), 40, 0, ms(18_000)).unwrap();
+    assert!(departed > 50);
+    assert_eq!(used_after(&mut t, "i", 40, 20_000, 20), None);
+    // The stop of an unknown target was bounded by a clock that was ahead.
+    let mut t = own_target();
+    t.on_stop(&"i".into(), 0, 5_000_000, ms(0)).unwrap();
+    assert!(used_after(&mut t, "i", 1000, 5000, 10).is_some());
+    // Another target was there before, and is silent.
+    let mut t = own_target();
+    t.on_heartbeat(&heartbeat("h", 50, 1, ReportedState::Ready), ms(0))
+        .unwrap();
+    assert!(used_after(&mut t, "i", 40, 5000, 10).is_some());
+    let earlier = heartbeat("i", 30, 1, ReportedState::Ready);
+    assert_eq!(
+        t.on_heartbeat(&earlier, ms(20_000)),
+        Err(HeartbeatError::Stale)
+    );
+}
+
+/// Guards against late heartbeats of earlier targets that count as those of a later one.
+#[test]
+fn late_heartbeats_show_no_later_target() {
+    // A target that has departed by name.
+    let mut t = own_target();
+    t.on_stop(&"i".into(), 40, 0, ms(0)).unwrap();
+    assert_eq!(used_after(&mut t, "i", 40, 1000, 40), None);
+    // Several that were late, and then one more, or the same ones again.
+    let mut t = own_target();
+    t.on_stop(&"i".into(), 0, 5_000_000, ms(0)).unwrap();
+    assert_eq!(used_after(&mut t, "i", 1000, 1000, 5), None);
+    assert_eq!(used_after(&mut t, "i", 1000, 30_000, 1), None);
+    assert_eq!(used_after(&mut t, "i", 1000, 31_500, 1), None);
+    // The current target goes on to send heartbeats.
+    let mut t = own_target();
+    for i in 0..40 {
+        t.on_heartbeat(
+            &heartbeat("h", 50, 1 + i, ReportedState::Ready),
+            ms(1500 * i),
+        )
+        .unwrap();
+        let _ = t.on_heartbeat(
+            &heartbeat("i", 40, 1 + i, ReportedState::Ready),
+            ms(1500 * i + 10),
+        );
+        assert_eq!(t.usable(ms(1500 * i + 10)).map(|id| id.as_str()), Some("h"));
+    }
+}
+
 /// Guards against a stop that another node forgets or takes back, and against a memory that grows without bound.
 #[test]
 fn the_stops_of_other_targets_are_remembered() {
