Hand over what is known of crashing requests when links open

Cause: what is known of such requests lived in each process and was told only to the nodes linked at the moment of a crash. A later process, or a node that was cut off then, never learned it. Evidence: without restarts the case holds, and right before them the same request is rejected, so it is recognized; after them it is retried at once.

Change: when a link opens, both nodes tell what they know, with ages as durations; a report makes no suspect younger, and one that is older than the news that the request was served does not count. A process that no other has told anything yet does not retry requests that were lost while they may have run. Culprits are the last to make room in the bounded memory, and news that a request was served also counts for those that were lost before at a target whose end is noticed later.

A link opens with 4 bytes more if there is nothing to tell.

--- a/src/sidecar/connection/accepted_link.rs
+++ b/src/sidecar/connection/accepted_link.rs
@@ -85,6 +85,7 @@
             }
             Head::Crash(crashed) => self.n.on_crash(crashed),
             Head::NoSuspect(fingerprint) => self.n.on_no_suspect(*fingerprint),
+            Head::Suspects(reports) => self.n.on_suspects(reports),
             Head::Departure(known) => self.on_departure(known),
             Head::QuotaAsk(process, asks) => {
                 let peer = self.peer.get();
@@ -117,6 +118,7 @@
         if let Some(known) = self.n.known_targets_message(&record.node) {
             let _ = self.tx.try_send(known);
         }
+        self.send(Head::Suspects(self.n.suspect_reports()));
         for news in self.n.rollout_messages() {
             let _ = self.tx.try_send(news);
         }
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -14,7 +14,9 @@
 use crate::sidecar::process::quota::{UnitAsk, UnitGrant};
 use crate::sidecar::process::rollout::order::News;
 use crate::sidecar::process::rollout::samples::Report;
-use crate::sidecar::process::routing::crash_suspects::{CrashedRequest, Fingerprint};
+use crate::sidecar::process::routing::crash_suspects::{
+    CrashedRequest, Fingerprint, SuspectReport,
+};
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
 
@@ -195,6 +197,10 @@
     /// A request that other nodes may suspect of crashing targets was served.
     #[serde(rename = "n")]
     NoSuspect(Fingerprint),
+    /// What the sender knows of requests that crash targets, when a link opens: its receiver may have started again or have
+    /// been cut off. The node that accepted the link sends it also if that is nothing.
+    #[serde(rename = "s")]
+    Suspects(Vec<SuspectReport>),
     /// Requests a [`Head::Pong`]; carries the version of the sender.
     #[serde(rename = "p")]
     Ping(VersionNumber),
@@ -254,7 +260,8 @@
             | Self::Crash(_)
             | Self::Rollout(_)
             | Self::RolloutReport(_)
-            | Self::NoSuspect(_) => "state",
+            | Self::NoSuspect(_)
+            | Self::Suspects(_) => "state",
             Self::QuotaAsk(..) | Self::QuotaGrant(..) => "quota",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
         }
--- a/src/sidecar/connection/link_messages.rs
+++ b/src/sidecar/connection/link_messages.rs
@@ -46,6 +46,7 @@
         Head::Pong(version) => n.on_peer_version(&link.node, *version),
         Head::Freshness(version, age_ms) => on_freshness(n, link, *version, *age_ms),
         Head::KnownTargets(known) => n.on_known_targets(known),
+        Head::Suspects(reports) => n.on_suspects(reports),
         Head::QuotaGrant(process, grants) => n.on_quota_grants(&link.node, *process, grants),
         Head::Rollout(news) => n.on_rollout_news(news, &link.node),
         Head::DepartureKept(known) => n.on_departure_kept(&link.node, known),
--- a/src/sidecar/connection/link_task.rs
+++ b/src/sidecar/connection/link_task.rs
@@ -41,6 +41,11 @@
         // The queue is empty.
         let _ = link.outgoing.try_send((0, known));
     }
+    let reports = n.suspect_reports();
+    if !reports.is_empty() {
+        let suspects = Message::without_payload(Head::Suspects(reports));
+        let _ = link.outgoing.try_send((0, suspects));
+    }
     for news in n.rollout_messages() {
         let _ = link.outgoing.try_send((0, news));
     }
--- a/src/sidecar/process/routing/crash_suspects.rs
+++ b/src/sidecar/process/routing/crash_suspects.rs
@@ -3,6 +3,9 @@
 //! Every request that a target was running when it ended is a suspect. One that was running at several ends and has
 //! never been served in between counts as the cause: it is rejected for a while, and not retried after that until it is
 //! served. Ends at the same time have one cause, which is none of the requests.
+//!
+//! Nodes tell each other what they know when a link opens, since one of them may have started again or have been cut off
+//! meanwhile. Ages are durations, because the clocks of nodes differ.
 
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +26,10 @@
 const KEPT_FOR: Duration = Duration::from_secs(3600);
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 1024;
+/// Number of ends from which on other nodes are told of a suspect, also that it was served.
+const SHARED_CRASHES: u32 = 2;
+/// Maximum numbers of suspects and of served requests in the reports for one node, which many others send to it at its start.
+const MAX_REPORTS: usize = 32;
 
 /// A request that a target was running when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +40,20 @@
     pub retry: bool,
 }
 
+/// What a node knows of a request that may crash targets, for another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// What makes it the same request when it comes again.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// Number of ends of targets that were running it; 0 if it was served.
+    #[serde(rename = "c")]
+    pub crashes: u32,
+    /// Time since the last of these ends, or since it was served, in ms.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
 /// Returns the fingerprint of a request.
 pub fn fingerprint(request: &TargetRequest) -> Fingerprint {
     let text = [
@@ -57,16 +78,35 @@
     Rejected(Duration),
 }
 
+/// Time on the clock of the process, later by [`KEPT_FOR`], so that all times of what is remembered can be expressed, also
+/// those before the start of the process.
+type ShiftedTime = Duration;
+
+fn shifted(now: Now) -> ShiftedTime {
+    now + KEPT_FOR
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Suspect {
     crashes: u32,
-    last_crash: Now,
+    last_crash: ShiftedTime,
+}
+
+impl Suspect {
+    /// Order in which suspects are kept if there are too many.
+    fn order(&self) -> (bool, ShiftedTime) {
+        (self.crashes >= MAX_CRASHES, self.last_crash)
+    }
 }
 
 /// The suspects that a node knows of.
 #[derive(Debug, Default)]
 pub struct CrashSuspects {
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Requests that were served although they had been suspected, with the time of that; older suspicions do not count.
+    served: HashMap<Fingerprint, ShiftedTime>,
+    /// Whether another node has told what it knows.
+    informed: bool,
 }
 
 impl CrashSuspects {
@@ -75,18 +115,17 @@
         self.suspects.is_empty()
     }
 
+    /// Whether another node has told this one what it knows. A process that has just started may not know a culprit before.
+    pub fn is_informed(&self) -> bool {
+        self.informed
+    }
+
     /// Records that a target ended while it was running a request. Returns whether the request now counts as the cause.
     pub fn record_crash(&mut self, crashed: CrashedRequest, now: Now) -> bool {
-        if !self.suspects.contains_key(&crashed.fingerprint) {
-            self.make_room(now);
-        }
-        let suspect = self.suspects.entry(crashed.fingerprint);
-        let suspect = suspect.or_insert(Suspect {
-            crashes: 0,
-            last_crash: now,
-        });
-        let simultaneous = suspect.crashes > 0 && now < suspect.last_crash + SIMULTANEOUS;
-        suspect.last_crash = now;
+        let at = shifted(now);
+        let suspect = self.suspect(crashed.fingerprint, at);
+        let simultaneous = suspect.crashes > 0 && at < suspect.last_crash + SIMULTANEOUS;
+        suspect.last_crash = at;
         if simultaneous && !crashed.retry {
             return false;
         }
@@ -94,28 +133,96 @@
         suspect.crashes == MAX_CRASHES
     }
 
-    fn make_room(&mut self, now: Now) {
-        if self.suspects.len() < MAX_SUSPECTS {
-            return;
-        }
-        self.suspects.retain(|_, s| now < s.last_crash + KEPT_FOR);
-        while self.suspects.len() >= MAX_SUSPECTS {
-            let oldest = self.suspects.iter().min_by_key(|(_, s)| s.last_crash);
-            let Some(oldest) = oldest.map(|(f, _)| *f) else {
-                return;
-            };
-            self.suspects.remove(&oldest);
+    /// The suspect with this fingerprint; a new one has no crashes.
+    fn suspect(&mut self, fingerprint: Fingerprint, at: ShiftedTime) -> &mut Suspect {
+        if !self.suspects.contains_key(&fingerprint) {
+            make_room(&mut self.suspects, Suspect::order, at);
         }
+        self.suspects.entry(fingerprint).or_insert(Suspect {
+            crashes: 0,
+            last_crash: at,
+        })
     }
 
     /// Records that a request was served, so that it is no suspect. Returns whether other nodes may suspect it too.
-    pub fn record_served(&mut self, fingerprint: Fingerprint) -> bool {
+    pub fn record_served(&mut self, fingerprint: Fingerprint, now: Now) -> bool {
         let removed = self.suspects.remove(&fingerprint);
-        removed.is_some_and(|s| s.crashes > 1)
+        let shared = removed.is_some_and(|s| s.crashes >= SHARED_CRASHES);
+        if shared {
+            self.add_served(fingerprint, shifted(now));
+        }
+        shared
+    }
+
+    /// Records that another node served a request, so that it is no suspect.
+    pub fn record_served_elsewhere(&mut self, fingerprint: Fingerprint, now: Now) {
+        self.add_served(fingerprint, shifted(now));
+    }
+
+    fn add_served(&mut self, fingerprint: Fingerprint, at: ShiftedTime) {
+        if !self.served.contains_key(&fingerprint) {
+            make_room(&mut self.served, |t| (false, *t), at);
+        }
+        let served = self.served.entry(fingerprint).or_insert(at);
+        *served = at.max(*served);
+        let suspect = self.suspects.get(&fingerprint);
+        if suspect.is_some_and(|s| s.last_crash <= at) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// What to tell another node: the worst suspects, and the requests that were served last.
+    pub fn reports(&self, now: Now) -> Vec<SuspectReport> {
+        let at = shifted(now);
+        let report = |fingerprint, crashes, time| SuspectReport {
+            fingerprint,
+            crashes,
+            age_ms: at.saturating_sub(time).as_millis() as u64,
+        };
+        let shared = self.suspects.iter();
+        let shared = shared.filter(|(_, s)| s.crashes >= SHARED_CRASHES);
+        let mut out = latest(
+            shared.map(|(f, s)| (s.last_crash, report(*f, s.crashes, s.last_crash))),
+            at,
+        );
+        out.extend(latest(
+            self.served.iter().map(|(f, t)| (*t, report(*f, 0, *t))),
+            at,
+        ));
+        out
+    }
+
+    /// Merges what another node knows. A suspect does not become younger by it, and one that was served since is none.
+    pub fn merge(&mut self, reports: &[SuspectReport], now: Now) {
+        self.informed = true;
+        for r in reports.iter().take(2 * MAX_REPORTS) {
+            let age = Duration::from_millis(r.age_ms);
+            let Some(at) = shifted(now).checked_sub(age).filter(|_| age < KEPT_FOR) else {
+                continue;
+            };
+            match self.served.get(&r.fingerprint) {
+                _ if r.crashes == 0 => self.add_served(r.fingerprint, at),
+                Some(served) if *served >= at => {}
+                _ => self.merge_suspect(r, at),
+            }
+        }
+    }
+
+    fn merge_suspect(&mut self, r: &SuspectReport, at: ShiftedTime) {
+        let known = self.suspects.get(&r.fingerprint);
+        if known.is_some_and(|s| s.crashes >= r.crashes) {
+            return;
+        }
+        let last_crash = known.map_or(at, |s| s.last_crash.max(at));
+        *self.suspect(r.fingerprint, at) = Suspect {
+            crashes: r.crashes,
+            last_crash,
+        };
     }
 
     /// How a request may be sent.
     pub fn verdict(&self, fingerprint: Fingerprint, now: Now) -> CrashVerdict {
+        let now = shifted(now);
         let suspect = self.suspects.get(&fingerprint);
         match suspect.map(|s| (s.crashes, s.last_crash)) {
             Some((crashes, last)) if crashes >= MAX_CRASHES && now < last + REJECTED_FOR => {
@@ -128,3 +235,32 @@
         }
     }
 }
+
+/// Makes room for an entry: removes those that are too old, then those with the lowest priority, the oldest first.
+/// `order` returns the priority and the time of an entry.
+fn make_room<V, F>(entries: &mut HashMap<Fingerprint, V>, order: F, now: ShiftedTime)
+where
+    F: Fn(&V) -> (bool, ShiftedTime),
+{
+    if entries.len() < MAX_SUSPECTS {
+        return;
+    }
+    entries.retain(|_, v| now < order(v).1 + KEPT_FOR);
+    while entries.len() >= MAX_SUSPECTS {
+        let last = entries.iter().min_by_key(|(_, v)| order(v));
+        let Some(last) = last.map(|(f, _)| *f) else {
+            return;
+        };
+        entries.remove(&last);
+    }
+}
+
+/// The reports with the latest times, as many as one node gets, without those that are too old.
+fn latest<I>(reports: I, now: ShiftedTime) -> Vec<SuspectReport>
+where
+    I: Iterator<Item = (ShiftedTime, SuspectReport)>,
+{
+    let mut kept: Vec<_> = reports.filter(|(t, _)| now < *t + KEPT_FOR).collect();
+    kept.sort_by_key(|(t, r)| (r.crashes < MAX_CRASHES, std::cmp::Reverse(*t)));
+    kept.into_iter().map(|(_, r)| r).take(MAX_REPORTS).collect()
+}
--- a/src/sidecar/process/target/crash.rs
+++ b/src/sidecar/process/target/crash.rs
@@ -6,7 +6,7 @@
 use crate::sidecar::connection::frame::{Head, Message};
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::routing::crash_suspects::{
-    fingerprint, CrashVerdict, CrashedRequest, Fingerprint,
+    fingerprint, CrashVerdict, CrashedRequest, Fingerprint, SuspectReport,
 };
 use crate::sidecar::request::admit::TargetRequest;
 
@@ -57,6 +57,11 @@
         out
     }
 
+    /// Forgets a request that was served elsewhere after it had been lost.
+    pub fn forget(&mut self, fingerprint: Fingerprint) {
+        self.lost.retain(|(r, _)| r.fingerprint != fingerprint);
+    }
+
     /// Forgets the lost requests, because the target did not end.
     pub fn clear(&mut self) {
         self.lost.clear();
@@ -125,8 +130,8 @@
         if lock(&self.crash_suspects).is_empty() {
             return;
         }
-        let fingerprint = fingerprint(request);
-        if lock(&self.crash_suspects).record_served(fingerprint) {
+        let (fingerprint, now) = (fingerprint(request), self.clock.now());
+        if lock(&self.crash_suspects).record_served(fingerprint, now) {
             let message = Message::without_payload(Head::NoSuspect(fingerprint));
             self.links.send_to_all(&message);
         }
@@ -134,7 +139,28 @@
 
     /// Records that another node served a request.
     pub(crate) fn on_no_suspect(&self, fingerprint: Fingerprint) {
-        lock(&self.crash_suspects).record_served(fingerprint);
+        lock(&self.lost_requests).forget(fingerprint);
+        let now = self.clock.now();
+        lock(&self.crash_suspects).record_served_elsewhere(fingerprint, now);
+    }
+
+    /// What to tell another node of requests that crash targets.
+    pub(crate) fn suspect_reports(&self) -> Vec<SuspectReport> {
+        lock(&self.crash_suspects).reports(self.clock.now())
+    }
+
+    /// Merges what another node knows of requests that crash targets.
+    pub(crate) fn on_suspects(&self, reports: &[SuspectReport]) {
+        lock(&self.crash_suspects).merge(reports, self.clock.now());
+        if !reports.is_empty() {
+            let count = reports.len().to_string();
+            self.log.event("suspects_learned", &[("reports", &count)]);
+        }
+    }
+
+    /// Whether this process knows which requests crash targets, as far as other nodes do.
+    pub(crate) fn knows_suspects(&self) -> bool {
+        lock(&self.crash_suspects).is_informed()
     }
 
     /// How a request may be sent, if it is one that crashes targets.
--- a/src/sidecar/request/attempts.rs
+++ b/src/sidecar/request/attempts.rs
@@ -142,6 +142,8 @@
         Reason::BadRequest | Reason::TooLarge | Reason::SlowCaller | Reason::Quarantined => false,
         _ if !state.is_replayable() => false,
         _ if n.crash_verdict(&state.request) != CrashVerdict::Allowed => false,
+        // It may have crashed its target, and this process does not know yet whether it has crashed others.
+        Reason::Lost if may_have_run && !n.knows_suspects() => false,
         _ if state.tried.len() >= MAX_TRIED_NODES => false,
         _ if state.possible_runs >= state.route.max_attempts.max(1) => false,
         _ => state.sent == 0 || n.take_retry(&state.request.service, state.rank, now),
--- a/tests/sidecar_crash.rs
+++ b/tests/sidecar_crash.rs
@@ -1,10 +1,12 @@
 //! Requests that crash the targets that run them, at nodes of the `sidecar` command.
 
+mod peer_kit;
 mod site_kit;
 mod workdir;
 
 use std::time::Duration;
 
+use peer_kit::{Behavior, Peer};
 use site_kit::{Node, Site};
 use workdir::{http, wait_until};
 
@@ -104,3 +106,96 @@
         }
     }
 }
+
+/// Crashes targets with a request until it counts as the cause.
+fn crash_until_known(site: &Site) {
+    for n in &site.nodes {
+        n.send("GET", "/safe/poison?q=1");
+        wait_up(site);
+    }
+    let crashes = runs(site, "poison");
+    assert!(crashes >= MAX_CRASHES, "{crashes} crashes");
+}
+
+/// Sends the crashing request at all nodes: it is rejected, or runs at one target if the time of that has passed.
+fn assert_not_retried(site: &Site) {
+    for n in &site.nodes {
+        let before = runs(site, "poison");
+        let res = n.send("GET", "/safe/poison?q=1").unwrap();
+        match runs(site, "poison") - before {
+            0 => assert_eq!(res.status, 503),
+            1 => assert_eq!(res.status, 502),
+            more => panic!("{more} targets"),
+        }
+        wait_up(site);
+    }
+}
+
+/// Ends the process of a node, by a planned stop or not, and starts it again beside its target.
+fn restart(site: &mut Site, i: usize, planned: bool) {
+    let target = site.nodes[i].target.clone();
+    site.nodes[i].stop_heartbeats();
+    if planned {
+        site.nodes[i].process.signal("TERM");
+        site.nodes[i].process.wait();
+    } else {
+        site.nodes[i].process.kill();
+    }
+    site.nodes[i] = site.start_node(&format!("n{i}"), &format!("az{i}"), target);
+    site.nodes[i].wait_ready();
+    site.wait_linked();
+}
+
+/// Guards against a crashing request that is retried again when all nodes have been restarted in turn, or at a node that was
+/// added later.
+#[test]
+fn a_crashing_request_is_known_after_restarts_of_all_nodes() {
+    for planned in [false, true] {
+        let mut site = Site::start(3);
+        crash_until_known(&site);
+        for i in 0..3 {
+            restart(&mut site, i, planned);
+        }
+        site.add_node(3).wait_ready();
+        site.wait_linked();
+        assert_not_retried(&site);
+        serve_healthy(&site);
+    }
+}
+
+/// Guards against a node that has just started, and sends a request that was lost at one target to another before it knows
+/// whether it is one that crashes targets.
+#[test]
+fn lost_requests_are_not_retried_before_other_nodes_have_told_what_they_know() {
+    let mut site = Site::empty();
+    site.store.put_config(&site_kit::config(1, ""));
+    let behavior = Behavior {
+        status: None,
+        informs: false,
+    };
+    let peers = ["a", "b"].map(|name| Peer::start(&site, name, behavior));
+    let sent = || peers.iter().map(Peer::request_count).sum::<usize>();
+    site.add_node(0);
+    let n = &site.nodes[0];
+    // Only the targets of the peers take requests.
+    n.target.state.lock().unwrap().reported = "draining";
+    n.wait_ready();
+    wait_until("requests at the peers", || {
+        n.send("GET", "/safe/x");
+        sent() > 0
+    });
+    for _ in 0..5 {
+        let before = sent();
+        assert_eq!(n.send("GET", "/safe/x").unwrap().status, 502);
+        assert_eq!(sent() - before, 1);
+    }
+    peers[0].set_behavior(Behavior {
+        informs: true,
+        ..behavior
+    });
+    wait_until("a retry", || {
+        let before = sent();
+        n.send("GET", "/safe/x");
+        sent() - before == 2
+    });
+}
