Take statuses outside of 200 to 599 for invalid responses

Cause: the HTTP library takes all numbers from 100 to 999, and an unasked 101, for the status of a response, and the code checked the id, signature and coding of responses, not their status. Ruled out: a different way through links; the own target and another node gave the same.

Change: a response has a status from 200 to 599, in the pool of the sidecar, on links and in the client of node. Any other is an invalid response of a request that may have run, and its connection is closed. On a link it fails its request only; the link was closed before.

--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -48,6 +48,28 @@
 
 impl std::error::Error for SendError {}
 
+/// Status of a response to a request, from its number: the protocol has none outside of 200 to 599, and an informational
+/// one is not the response. `None` for any other number; whoever sent it may have run the request.
+pub fn final_status(code: u16) -> Option<StatusCode> {
+    let status = StatusCode::from_u16(code).ok();
+    status.filter(|_| (200..600).contains(&code))
+}
+
+/// Checks that the status of a response is a [`final_status`].
+///
+/// # Errors
+///
+/// [`SendError::BadResponse`] if it is not.
+pub fn check_status(status: StatusCode) -> Result<(), SendError> {
+    match final_status(status.as_u16()) {
+        Some(_) => Ok(()),
+        None => Err(SendError::BadResponse(format!(
+            "status {}",
+            status.as_str()
+        ))),
+    }
+}
+
 /// Sends a request to another process.
 ///
 /// Dropping the returned future or an unfinished response body closes the connection, so that a late response cannot
@@ -108,7 +130,11 @@
 impl Upstream for HttpUpstream {
     async fn send(&self, req: Request<Body>) -> Result<Response<Body>, SendError> {
         let is_head = req.method() == Method::HEAD;
-        match self.client.request(req).await {
+        let result = self.client.request(req).await;
+        if let Ok(res) = &result {
+            check_status(res.status())?;
+        }
+        match result {
             Ok(res) if is_head || is_delimited(&res) => {
                 Ok(res.map(|b| b.map_err(Into::into).boxed_unsync()))
             }
--- a/src/sidecar/connection/link_messages.rs
+++ b/src/sidecar/connection/link_messages.rs
@@ -1,10 +1,10 @@
 //! Handles the messages that arrive on a link that this node opened.
 
 use bytes::Bytes;
-use http::StatusCode;
 
+use crate::connection::upstream::final_status;
 use crate::prelude::*;
-use crate::request::reason::Reason;
+use crate::request::reason::{Failure, Reason};
 use crate::sidecar::connection::frame::{FailureHead, Head, Message, ResponseHead};
 use crate::sidecar::connection::link::{lock, Link};
 use crate::sidecar::connection::link_task::hello_message;
@@ -59,7 +59,11 @@
 
 fn on_response(link: &Link, r: &ResponseHead, message: &Message) -> Result<(), String> {
     let (headers, rest) = message.split_payload(r.header_len)?;
-    let status = StatusCode::from_u16(r.status).map_err(|e| e.to_string())?;
+    let Some(status) = final_status(r.status) else {
+        let failure = Failure::unknown(Reason::BadResponse);
+        link.finish(r.seq, AttemptResult::failed_at_target(failure));
+        return Ok(());
+    };
     let body = join_parts(link, r, rest)?;
     let response = TargetResponse {
         status,
--- a/src/sidecar/connection/pool.rs
+++ b/src/sidecar/connection/pool.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::task::AbortHandle;
 
-use crate::connection::upstream::SendError;
+use crate::connection::upstream::{check_status, SendError};
 use crate::prelude::*;
 use crate::sidecar::connection::ending::{self, Occupancy, Occupied};
 use crate::sidecar::connection::metered::{Allowance, MeteredStream};
@@ -272,6 +272,7 @@
         // Chunked encoding adds to the size of a body.
         conn.allowance.set(2 * MAX_RESPONSE_BYTES);
         let (parts, body) = res.into_parts();
+        check_status(parts.status)?;
         let body = self.read_body(body).await?;
         let idle_timeout = parse_idle_timeout(&parts.headers);
         let response = TargetResponse {
--- a/src/sidecar/request/admit.rs
+++ b/src/sidecar/request/admit.rs
@@ -92,7 +92,8 @@
         }
     }
 
-    fn failed_at_target(failure: Failure) -> Self {
+    /// A failure after the request reached the target.
+    pub(crate) fn failed_at_target(failure: Failure) -> Self {
         Self::Failed {
             failure,
             delivered: true,
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -25,6 +25,9 @@
                 b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 4\r\n\r\nhalf"
             }
             "/put/other" => b"HTTP/1.1 200 OK\r\ndq-request-id: x\r\ncontent-length: 4\r\n\r\nhalf",
+            "/put/status-000" => b"HTTP/1.1 000 No\r\ncontent-length: 4\r\n\r\nhalf",
+            "/put/status-101" => b"HTTP/1.1 101 No\r\ncontent-length: 4\r\n\r\nhalf",
+            "/put/status-600" => b"HTTP/1.1 600 No\r\ncontent-length: 4\r\n\r\nhalf",
             "/put/nothing" => b"",
             "/put/head" => b"HTTP/1.1 200 OK\r\ncontent-le",
             _ => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
@@ -38,6 +41,9 @@
         ("garbage", 502, "bad-answer"),
         ("two-lengths", 502, "bad-answer"),
         ("other", 502, "bad-answer"),
+        ("status-000", 502, "bad-answer"),
+        ("status-101", 502, "bad-answer"),
+        ("status-600", 502, "bad-answer"),
         ("nothing", 504, "lost"),
         ("head", 504, "lost"),
     ];
--- a/tests/site_kit/target.rs
+++ b/tests/site_kit/target.rs
@@ -48,6 +48,8 @@
     pub reported: &'static str,
     /// Additional header lines of all responses, each with its line end.
     pub headers: String,
+    /// Status line of the responses to requests with `status-line` in their path, without its end.
+    pub status_line: String,
     /// Whether requests with `hold` in their path wait.
     pub held: bool,
     /// Whether the target has crashed and has not started again.
@@ -82,6 +84,7 @@
             incarnation: 1000,
             reported: "ready",
             headers: String::new(),
+            status_line: "HTTP/1.1 200 OK".into(),
             held: false,
             down: false,
             ended: false,
@@ -346,6 +349,13 @@
     let valid = valid_response(id, &s.headers);
     let text = match path {
         _ if s.failing => valid.replacen("200 OK", "500 No", 1),
+        p if p.contains("status-line") => {
+            let text = match p.contains("plain") {
+                true => valid.replace("response-signature", "other"),
+                false => valid,
+            };
+            text.replacen("HTTP/1.1 200 OK", &s.status_line, 1)
+        }
         p if p.contains("slow") => {
             std::thread::sleep(Duration::from_millis(600));
             let mut probe = [0];
