Keep requests that crash targets in the store

What callers would have seen: after all processes had ended together, a request that was known to crash targets was retried again.

Cause: the hand-over when links open needs a process that is left to tell. Ruled out: a hand-over that comes too late; the new processes had told each other that they knew nothing.

Change: the node of a target writes a request that counts as the cause to the store when it has crashed the target, under a lease of ten minutes, and removes it when it is served. A process reads it with its first list of the nodes, before it is ready, and does not retry it. Suspects that are too old end on their own and cost requests no hash any more.

Result: a_crashing_request_is_known_after_all_nodes_ended_together failed before (2 targets for one arrival; its wait for the entry left out) and passes.

--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::Ordering;
 
 use crate::prelude::*;
+use crate::sidecar::process::fleet::culprits;
 use crate::sidecar::process::fleet::members::NodeRecord;
-use crate::sidecar::process::node::Node;
+use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::state::TargetId;
 use crate::store::{LeaseId, StoreError, Swap};
@@ -249,6 +250,12 @@
     if !own_found && registration.list_count > EARLY_LIST_AGES.len() {
         registration.written = false;
     }
+    // Later listings may be older than the news that a request was served, and other nodes tell of culprits by then.
+    if registration.list_count == 0 {
+        let keys = listing.entries.iter().map(|e| culprits::parse_key(&e.key));
+        let stored: Vec<_> = keys.flatten().collect();
+        lock(&n.crash_suspects).record_stored(&stored, n.clock.now());
+    }
     n.target().on_departures_listed(departed, n.clock.now());
     n.apply_target_state();
     let changes = n.members().merge_listing(records, n.clock.now());
--- a/src/sidecar/process/routing/crash_suspects.rs
+++ b/src/sidecar/process/routing/crash_suspects.rs
@@ -105,6 +105,9 @@
     suspects: HashMap<Fingerprint, Suspect>,
     /// Requests that were served although they had been suspected, with the time of that; older suspicions do not count.
     served: HashMap<Fingerprint, ShiftedTime>,
+    /// Culprits that the store listed when the process started, with the time of that; when they last crashed a target is not
+    /// known.
+    stored: HashMap<Fingerprint, ShiftedTime>,
     /// Whether another node has told what it knows.
     informed: bool,
 }
@@ -112,7 +115,28 @@
 impl CrashSuspects {
     /// Whether there are no suspects.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.suspects.is_empty() && self.stored.is_empty()
+    }
+
+    /// Whether a request counts as the cause of ends of targets.
+    pub fn is_culprit(&self, fingerprint: Fingerprint) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        self.stored.contains_key(&fingerprint) || suspect.is_some_and(|s| s.crashes >= MAX_CRASHES)
+    }
+
+    /// Records the culprits that the store lists when the process starts.
+    pub fn record_stored(&mut self, fingerprints: &[Fingerprint], now: Now) {
+        let stored = fingerprints.iter().take(MAX_SUSPECTS);
+        let unserved = stored.filter(|f| !self.served.contains_key(*f));
+        self.stored.extend(unserved.map(|f| (*f, shifted(now))));
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Now) {
+        let is_kept = |t: ShiftedTime| shifted(now) < t + KEPT_FOR;
+        self.suspects.retain(|_, s| is_kept(s.last_crash));
+        self.served.retain(|_, t| is_kept(*t));
+        self.stored.retain(|_, t| is_kept(*t));
     }
 
     /// Whether another node has told this one what it knows. A process that has just started may not know a culprit before.
@@ -133,21 +157,26 @@
         suspect.crashes == MAX_CRASHES
     }
 
-    /// The suspect with this fingerprint; a new one has no crashes.
+    /// The suspect with this fingerprint; a new one has no crashes, unless the store knows it.
     fn suspect(&mut self, fingerprint: Fingerprint, at: ShiftedTime) -> &mut Suspect {
         if !self.suspects.contains_key(&fingerprint) {
             make_room(&mut self.suspects, Suspect::order, at);
         }
+        let crashes = match self.stored.contains_key(&fingerprint) {
+            true => MAX_CRASHES,
+            false => 0,
+        };
         self.suspects.entry(fingerprint).or_insert(Suspect {
-            crashes: 0,
+            crashes,
             last_crash: at,
         })
     }
 
     /// Records that a request was served, so that it is no suspect. Returns whether other nodes may suspect it too.
     pub fn record_served(&mut self, fingerprint: Fingerprint, now: Now) -> bool {
+        let stored = self.stored.remove(&fingerprint).is_some();
         let removed = self.suspects.remove(&fingerprint);
-        let shared = removed.is_some_and(|s| s.crashes >= SHARED_CRASHES);
+        let shared = stored || removed.is_some_and(|s| s.crashes >= SHARED_CRASHES);
         if shared {
             self.add_served(fingerprint, shifted(now));
         }
@@ -160,6 +189,7 @@
     }
 
     fn add_served(&mut self, fingerprint: Fingerprint, at: ShiftedTime) {
+        self.stored.remove(&fingerprint);
         if !self.served.contains_key(&fingerprint) {
             make_room(&mut self.served, |t| (false, *t), at);
         }
@@ -231,6 +261,7 @@
             Some((crashes, last)) if crashes >= MAX_CRASHES && now < last + KEPT_FOR => {
                 CrashVerdict::NoRetry
             }
+            _ if self.stored.contains_key(&fingerprint) => CrashVerdict::NoRetry,
             _ => CrashVerdict::Allowed,
         }
     }
--- a/src/sidecar/process/target/control.rs
+++ b/src/sidecar/process/target/control.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::request::body::{full, Body};
 use crate::sidecar::adapter::{TargetCall, TargetHeaders};
-use crate::sidecar::process::node::Node;
+use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::departure;
 use crate::sidecar::process::target::heartbeat::{Heartbeat, ReportedState};
@@ -143,6 +143,7 @@
         }
         n.apply_target_state();
         n.report_pace(&mut falls);
+        lock(&n.crash_suspects).expire(n.clock.now());
         let changes = n.members().expire(n.clock.now());
         changes.into_iter().for_each(|c| n.apply_change(c));
         let delay = match probed || !n.target().is_unknown() {
--- a/src/sidecar/process/target/crash.rs
+++ b/src/sidecar/process/target/crash.rs
@@ -4,6 +4,7 @@
 
 use crate::prelude::*;
 use crate::sidecar::connection::frame::{Head, Message};
+use crate::sidecar::process::fleet::culprits;
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::routing::crash_suspects::{
     fingerprint, CrashVerdict, CrashedRequest, Fingerprint, SuspectReport,
@@ -100,7 +101,7 @@
     }
 
     /// Handles that the target has ended: all nodes learn which requests it was running.
-    pub(crate) fn on_target_ended(&self) {
+    pub(crate) fn on_target_ended(self: &Arc<Self>) {
         let crashed = lock(&self.lost_requests).take(self.clock.now());
         if crashed.is_empty() {
             return;
@@ -108,6 +109,11 @@
         self.log
             .event("target_ended", &[("running", &crashed.len().to_string())]);
         self.on_crash(&crashed);
+        for r in &crashed {
+            if lock(&self.crash_suspects).is_culprit(r.fingerprint) {
+                culprits::keep(self, r.fingerprint);
+            }
+        }
         let message = Message::without_payload(Head::Crash(crashed));
         self.links.send_to_all(&message);
     }
@@ -126,12 +132,19 @@
     }
 
     /// Records that a request was served. Other nodes learn that it is no suspect.
-    pub(crate) fn on_request_served(&self, request: &TargetRequest) {
+    pub(crate) fn on_request_served(self: &Arc<Self>, request: &TargetRequest) {
         if lock(&self.crash_suspects).is_empty() {
             return;
         }
         let (fingerprint, now) = (fingerprint(request), self.clock.now());
-        if lock(&self.crash_suspects).record_served(fingerprint, now) {
+        let mut suspects = lock(&self.crash_suspects);
+        let culprit = suspects.is_culprit(fingerprint);
+        let shared = suspects.record_served(fingerprint, now);
+        drop(suspects);
+        if culprit {
+            culprits::forget(self, fingerprint);
+        }
+        if shared {
             let message = Message::without_payload(Head::NoSuspect(fingerprint));
             self.links.send_to_all(&message);
         }
--- a/tests/sidecar_crash.rs
+++ b/tests/sidecar_crash.rs
@@ -163,6 +163,44 @@
     }
 }
 
+/// Guards against a crashing request that nobody knows any more after all nodes have ended together, and against one that
+/// stays known although it was served since.
+#[test]
+fn a_crashing_request_is_known_after_all_nodes_ended_together() {
+    let mut site = Site::start(2);
+    crash_until_known(&site);
+    let stored = |site: &Site| !site.store.keys("dq/crash/").is_empty();
+    wait_until("the request in the store", || stored(&site));
+    let targets: Vec<_> = site.nodes.iter().map(|n| n.target.clone()).collect();
+    for n in &mut site.nodes {
+        n.stop_heartbeats();
+        n.process.kill();
+    }
+    site.nodes.clear();
+    for (i, target) in targets.into_iter().enumerate() {
+        let node = site.start_node(&format!("n{i}"), &format!("az{i}"), target);
+        site.nodes.push(node);
+    }
+    site.nodes.iter().for_each(Node::wait_ready);
+    site.wait_linked();
+    assert_not_retried(&site);
+    let set_failing = |failing| {
+        for n in &site.nodes {
+            n.target.state.lock().unwrap().failing = failing;
+        }
+    };
+    // A response of a target shows that it does not crash it any more.
+    set_failing(true);
+    wait_until("the request is served", || {
+        site.nodes[0]
+            .send("GET", "/safe/poison?q=1")
+            .unwrap()
+            .status
+            == 500
+    });
+    wait_until("the request is not in the store", || !stored(&site));
+}
+
 /// Guards against a node that has just started, and sends a request that was lost at one target to another before it knows
 /// whether it is one that crashes targets.
 #[test]
--- a/tests/sidecar_crash_suspects.rs
+++ b/tests/sidecar_crash_suspects.rs
@@ -252,6 +252,38 @@
     assert!(s.reports(ms(0)).len() <= 100);
 }
 
+/// Guards against a culprit that only the store remembers and that is retried, or that stays one although it is served, and
+/// against a memory of it without end.
+#[test]
+fn a_stored_culprit_is_not_retried() {
+    let mut s = CrashSuspects::default();
+    s.record_stored(&[CULPRIT], ms(100));
+    assert!(!s.is_empty() && s.is_culprit(CULPRIT));
+    assert_eq!(s.verdict(CULPRIT, ms(100)), CrashVerdict::NoRetry);
+    // Another node knows of fewer ends.
+    s.merge(&[report(CULPRIT, 2, ms(0))], ms(200));
+    assert_eq!(s.verdict(CULPRIT, ms(200)), CrashVerdict::NoRetry);
+    assert!(s.record_served(CULPRIT, ms(300)), "other nodes know of it");
+    assert!(s.is_empty() && !s.is_culprit(CULPRIT));
+    s.record_stored(&[CULPRIT], ms(400));
+    assert!(s.is_empty(), "an old listing");
+    let mut s = CrashSuspects::default();
+    s.record_stored(&[CULPRIT], ms(100));
+    s.record_crash(first(CULPRIT), ms(200));
+    assert_eq!(
+        s.verdict(CULPRIT, ms(200)),
+        CrashVerdict::Rejected(REJECTED_FOR)
+    );
+    s.record_served_elsewhere(CULPRIT, ms(300));
+    assert_eq!(s.verdict(CULPRIT, ms(300)), CrashVerdict::Allowed);
+    let mut s = after_three_crashes();
+    s.record_stored(&[CULPRIT + 1], ms(100));
+    s.expire(ms(3_600_000));
+    assert!(s.is_culprit(CULPRIT) && s.is_culprit(CULPRIT + 1));
+    s.expire(ms(3_600_100));
+    assert!(s.is_empty());
+}
+
 /// Guards against a request that counts as lost at the end of a target, although another one has served it in between.
 #[test]
 fn a_request_that_was_served_elsewhere_is_not_lost() {
