Write the first line of each event in a second to the log

Refused inputs could not be found in the log under load.

Cause: one limit of 40 lines a second for all events. Requests that fail at once, again and again, use it up at the start of each second.

Change: beyond the limit the first line of each event in a second is written.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -14,8 +14,9 @@
 
 /// Maximum number of lines that are queued for a slow reader of standard output.
 const MAX_QUEUED_LINES: usize = 512;
-/// Maximum number of lines that an [`EventLog`] writes per second; limits the CPU time spent on logging.
-const MAX_LINES_PER_SECOND: u32 = 40;
+/// Number of lines that an [`EventLog`] writes per second, apart from the first ones of each event; limits the CPU time spent
+/// on logging.
+pub const MAX_LINES_PER_SECOND: u32 = 40;
 
 /// Appends ` key=value`. The value is quoted if it is empty or contains a character that would break the line format.
 pub fn write_pair<W>(out: &mut W, key: &str, value: &str) -> std::fmt::Result
@@ -138,52 +139,73 @@
 /// Event log with a limited rate. Lines above the limit are dropped, and the next line reports their number.
 #[derive(Default)]
 pub struct EventLog {
-    rate: Mutex<RateState>,
+    rate: Mutex<LineRate>,
 }
 
-#[derive(Default)]
-struct RateState {
-    /// Second to which `lines` belongs, in Unix time.
+/// Limit on the rate of log lines: a number of lines a second, and beyond that the first line of each event in it, so that a
+/// flood of one event does not hide the others. No I/O.
+#[derive(Debug, Default)]
+pub struct LineRate {
+    /// Second to which `lines` and `events` belong, in Unix time.
     second: u64,
     /// Lines written in this second.
     lines: u32,
+    /// Events that were written in this second.
+    events: HashSet<SmolStr>,
     /// Dropped lines that have not been reported yet.
     unreported: u64,
     /// Dropped lines since the start.
     dropped: u64,
 }
 
+impl LineRate {
+    /// Decides on a line about an event. Returns `None` if it has to be dropped, otherwise the number of dropped lines that
+    /// it has to report.
+    pub fn admit(&mut self, event: &str, second: u64) -> Option<u64> {
+        if self.second != second {
+            self.second = second;
+            self.lines = 0;
+            self.events.clear();
+        }
+        let first = !self.events.contains(event);
+        if !first && self.lines >= MAX_LINES_PER_SECOND {
+            self.unreported += 1;
+            self.dropped += 1;
+            return None;
+        }
+        if first {
+            self.events.insert(event.into());
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.unreported))
+    }
+
+    /// Number of lines dropped since the start.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
+
 impl EventLog {
     /// Number of lines dropped since the start.
     pub fn dropped(&self) -> u64 {
-        self.rate().dropped
+        self.rate().dropped()
     }
 
-    fn rate(&self) -> MutexGuard<'_, RateState> {
+    fn rate(&self) -> MutexGuard<'_, LineRate> {
         self.rate.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns `None` if the line has to be dropped, otherwise the number of dropped lines that it has to report.
-    fn admit(&self) -> Option<u64> {
+    fn admit(&self, event: &str) -> Option<u64> {
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let second = now.unwrap_or_default().as_secs();
-        let mut rate = self.rate();
-        if rate.second != second {
-            rate.second = second;
-            rate.lines = 0;
-        }
-        if rate.lines >= MAX_LINES_PER_SECOND {
-            rate.unreported += 1;
-            rate.dropped += 1;
-            return None;
-        }
-        rate.lines += 1;
-        Some(std::mem::take(&mut rate.unreported))
+        self.rate().admit(event, now.unwrap_or_default().as_secs())
     }
 
     /// Writes an event with its pairs, unless the rate is exceeded.
     pub fn event(&self, name: &str, pairs: &[(&str, &str)]) {
-        let Some(dropped) = self.admit() else { return };
+        let Some(dropped) = self.admit(name) else {
+            return;
+        };
         let mut line = format!("event={name}");
         for (key, value) in pairs {
             // Writing to a `String` cannot fail.
