Keep the age of suspects in processes that have just started

Cause: the time of a suspect's first crash was kept on the clock of the process, and one before its start became its start. Ruled out: the merge at nodes that know the suspect; it takes the earlier time.

Change: the time at which the entry ends is kept.

--- a/src/process/target/quarantine.rs
+++ b/src/process/target/quarantine.rs
@@ -41,7 +41,8 @@
 #[derive(Debug)]
 struct SuspectEntry {
     suspect: Suspect,
-    created: Now,
+    /// Time at which it is removed, [`SUSPECT_TTL`] after the first crash, which may have been before this process started.
+    ends: Now,
 }
 
 /// Table of suspects of one node.
@@ -57,12 +58,12 @@
         if age > MAX_NOTICE_AGE || s.crashes.len() > 2 * QUARANTINE_CRASHES {
             return None;
         }
-        let created = now.saturating_sub(age);
+        let ends = now + SUSPECT_TTL - age;
         let fingerprint = s.fingerprint;
         match self.entries.get_mut(&fingerprint) {
             Some(e) if e.suspect.epoch > s.epoch => return None,
             Some(e) if e.suspect.epoch == s.epoch => {
-                e.created = e.created.min(created);
+                e.ends = e.ends.min(ends);
                 let old_count = e.suspect.crashes.len();
                 e.suspect.crashes.extend(s.crashes);
                 e.suspect.crashes.sort();
@@ -73,13 +74,8 @@
                 }
             }
             _ => {
-                self.entries.insert(
-                    fingerprint,
-                    SuspectEntry {
-                        suspect: s,
-                        created,
-                    },
-                );
+                self.entries
+                    .insert(fingerprint, SuspectEntry { suspect: s, ends });
                 self.evict_oldest();
             }
         }
@@ -90,7 +86,7 @@
         if self.entries.len() <= MAX_SUSPECTS {
             return;
         }
-        let eviction_key = |e: &SuspectEntry| (is_quarantined(&e.suspect), e.created);
+        let eviction_key = |e: &SuspectEntry| (is_quarantined(&e.suspect), e.ends);
         let oldest = self.entries.iter().min_by_key(|(_, e)| eviction_key(e));
         if let Some(f) = oldest.map(|(f, _)| *f) {
             self.entries.remove(&f);
@@ -99,15 +95,13 @@
 
     /// Removes suspects that have reached [`SUSPECT_TTL`].
     pub fn expire(&mut self, now: Now) {
-        self.entries.retain(|_, e| now < e.created + SUSPECT_TTL);
+        self.entries.retain(|_, e| now < e.ends);
     }
 
     /// Classifies a request; cleared and expired suspects are clean.
     pub fn verdict(&self, fingerprint: &Digest, now: Now) -> Verdict {
         match self.entries.get(fingerprint) {
-            Some(e) if e.suspect.crashes.is_empty() || now >= e.created + SUSPECT_TTL => {
-                Verdict::Clean
-            }
+            Some(e) if e.suspect.crashes.is_empty() || now >= e.ends => Verdict::Clean,
             Some(e) if is_quarantined(&e.suspect) => Verdict::Quarantined,
             Some(_) => Verdict::Suspect,
             None => Verdict::Clean,
@@ -169,7 +163,7 @@
 impl SuspectEntry {
     fn to_notice(&self, now: Now) -> Suspect {
         Suspect {
-            age_ms: now.saturating_sub(self.created).as_millis() as u64,
+            age_ms: (now + SUSPECT_TTL).saturating_sub(self.ends).as_millis() as u64,
             ..self.suspect.clone()
         }
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -132,6 +132,34 @@
     }
 }
 
+/// Guards against a suspect that never expires, because each process that learns of it soon after its own start takes it for
+/// younger than it is.
+#[test]
+fn a_suspect_gets_no_younger_in_new_processes() {
+    let start = Duration::from_secs(3);
+    let mut suspect = suspect(CRASHING_REQUEST, 0, &[1, 2, 3], 0);
+    for _ in 0..5 {
+        let mut table = Suspects::default();
+        table.merge(suspect, start);
+        suspect = table
+            .get(
+                &fingerprint(CRASHING_REQUEST),
+                start + Duration::from_secs(100),
+            )
+            .unwrap();
+    }
+    assert_eq!(suspect.age_ms, 500_000);
+    let mut table = Suspects::default();
+    table.merge(suspect, start);
+    let end = start + SUSPECT_TTL - Duration::from_secs(500);
+    let verdict = |now| table.verdict(&fingerprint(CRASHING_REQUEST), now);
+    assert_eq!(
+        verdict(end - Duration::from_millis(1)),
+        Verdict::Quarantined
+    );
+    assert_eq!(verdict(end), Verdict::Clean);
+}
+
 /// Guards against entries that never expire because nodes keep sending them to each other, and against an unbounded
 /// table.
 #[test]
