Tell other nodes of the stops of targets not heard of

Callers would have seen requests at a target after its stop was acknowledged, if its node had not heard of it, had started again while the store was away, and had then got several late heartbeats.

Cause: other nodes know of a stop from the state of the current target, and are asked to keep one only while the store does not take it. Neither holds for a target that was not heard of while the store is there. Ruled out: the record of the store; it is there, and the new process cannot read it.

Change: a new stop that the state does not tell of goes to all linked nodes as well, which tell the next process. A stop that other nodes told this one of does not.

The test kit can start a node again at the same address.

--- a/src/sidecar/process/target/departure.rs
+++ b/src/sidecar/process/target/departure.rs
@@ -1,7 +1,8 @@
 //! Keeps the announced stop of the target, so that the next process of this node knows of it too.
 //!
 //! It is written to the store, however long that takes. While the store does not take it, other nodes keep it: they tell
-//! the next process when their links to it open. Only what is kept is acknowledged to the target.
+//! the next process when their links to it open. Only what is kept is acknowledged to the target. Other nodes also keep the
+//! stop of a target that was not heard of, since the state of the current target does not tell them of it.
 
 use tokio::sync::watch;
 
@@ -85,20 +86,17 @@
 
 /// Keeps the stop of a target. Returns whether it is kept; if not, the store is still tried in the background.
 pub(crate) async fn keep(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> bool {
-    begin(n, id, incarnation);
+    let new = begin(n, id, incarnation);
+    if new && !is_in_state(n, id, incarnation) {
+        tell_all(n, id, incarnation);
+    }
     let mut departures = n.departures.subscribe();
     let is_stored = |d: &OwnDepartures| d.find(id, incarnation).is_some_and(|d| d.stored);
     let stored = departures.wait_for(is_stored);
     if let Ok(Ok(_)) = tokio::time::timeout(STORE_TIMEOUT, stored).await {
         return true;
     }
-    let linked = n
-        .links
-        .send_to_all(&Message::without_payload(Head::Departure(KnownTarget {
-            id: id.clone(),
-            incarnation,
-            departed: true,
-        })));
+    let linked = tell_all(n, id, incarnation);
     let needed = KEEPERS.min(linked);
     let is_kept = |d: &OwnDepartures| {
         let d = d.find(id, incarnation);
@@ -112,12 +110,31 @@
     kept
 }
 
-/// Begins to write the stop to the store, unless that has begun.
-pub(crate) fn begin(n: &Arc<Node>, id: &TargetId, incarnation: u64) {
-    if n.departures.send_if_modified(|d| d.add(id, incarnation)) {
+/// Asks all linked nodes to keep the stop of a target. Returns their number.
+fn tell_all(n: &Node, id: &TargetId, incarnation: u64) -> usize {
+    let known = KnownTarget {
+        id: id.clone(),
+        incarnation,
+        departed: true,
+    };
+    let message = Message::without_payload(Head::Departure(known));
+    n.links.send_to_all(&message)
+}
+
+/// Whether the state of the current target, which all nodes get, tells of the stop.
+fn is_in_state(n: &Node, id: &TargetId, incarnation: u64) -> bool {
+    let state = n.target().state(n.clock.now());
+    state.is_some_and(|t| t.leaving && t.id == *id && t.incarnation == incarnation)
+}
+
+/// Begins to write the stop to the store. Returns false if that has begun.
+pub(crate) fn begin(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> bool {
+    let new = n.departures.send_if_modified(|d| d.add(id, incarnation));
+    if new {
         n.log.event("target_leaving", &[("target", id)]);
         tokio::spawn(write(n.clone(), id.clone(), incarnation));
     }
+    new
 }
 
 /// Writes the stop to the store until it is in, or until a later one of the same id takes its place.
--- a/tests/sidecar_departure.rs
+++ b/tests/sidecar_departure.rs
@@ -190,6 +190,27 @@
     }
 }
 
+/// Guards against such a stop that only the store knows of, and that a new process of the node does not while the store is
+/// away.
+#[test]
+fn other_nodes_remember_the_stop_of_a_target_that_was_not_heard_of() {
+    let mut site = Site::start(2);
+    start_unheard_target(&mut site, Known::AnotherTarget);
+    let target = site.nodes[0].target.clone();
+    assert_eq!(announce_stop(&site.nodes[0]), Some(200));
+    site.store.set_faults(UNAVAILABLE);
+    site.nodes[0].process.kill();
+    site.nodes[0] = site.start_silent_again("n0", "az0", &site.nodes[0]);
+    wait_until("the link to the new process", || {
+        site.nodes[1].status().contains("\"links\":1")
+    });
+    // Several heartbeats are late.
+    for _ in 0..10 {
+        target.send_heartbeat(site.nodes[0].control);
+        assert_eq!(requests_at(&site, &target), 0);
+    }
+}
+
 /// Guards against a stop that a new process of the node forgets, because the store lists more stops of other nodes than a node
 /// remembers.
 #[test]
--- a/tests/site_kit/mod.rs
+++ b/tests/site_kit/mod.rs
@@ -20,6 +20,8 @@
 pub const SERVICE: &str = "svc";
 /// Host of the routes.
 pub const HOST: &str = "h.example";
+/// An address with a free port.
+const ANY_PORT: &str = "127.0.0.1:0";
 /// Interval of heartbeats; short, so that tests take little time.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -142,7 +144,13 @@
 
     /// Starts a node whose target sends no heartbeats.
     pub fn start_silent_node(&self, id: &str, az: &str, target: Arc<Target>) -> Node {
-        self.start_process(id, az, target, "", self.store.address)
+        self.start_process(id, az, target, "", self.store.address, ANY_PORT)
+    }
+
+    /// Starts a node process again, at the same address for links and beside the same target, which sends no heartbeats.
+    pub fn start_silent_again(&self, id: &str, az: &str, former: &Node) -> Node {
+        let (target, relay) = (former.target.clone(), former.relay.to_string());
+        self.start_process(id, az, target, "", self.store.address, &relay)
     }
 
     fn start_node_at(
@@ -153,7 +161,7 @@
         extra: &str,
         store: SocketAddr,
     ) -> Node {
-        let node = self.start_process(id, az, target.clone(), extra, store);
+        let node = self.start_process(id, az, target.clone(), extra, store, ANY_PORT);
         let (control, on) = (node.control, node.heartbeats_on.clone());
         std::thread::spawn(move || {
             while on.load(Ordering::SeqCst) {
@@ -171,11 +179,12 @@
         target: Arc<Target>,
         extra: &str,
         store: SocketAddr,
+        relay: &str,
     ) -> Node {
-        let any_port = "\"127.0.0.1:0\"";
+        let any_port = format!("\"{ANY_PORT}\"");
         let text = format!(
             "[node]\nid = \"{id}\"\naz = \"{az}\"\nthreads = 1\n\
-             [listen]\ncaller = {any_port}\nrelay = {any_port}\nadmin = {any_port}\n\
+             [listen]\ncaller = {any_port}\nrelay = \"{relay}\"\nadmin = {any_port}\n\
              [store]\naddress = \"{}\"\ntimeout_ms = 500\n\
              [sidecar]\ntarget = \"{}\"\nservice = \"{SERVICE}\"\ncontrol = {any_port}\nready = {any_port}\n\
              heartbeat_ms = {}\nbudget_least = 1000.0\n{extra}",
