Bind stops without an incarnation to the latest one

Callers would have seen requests at a target after the acknowledgement of its stop, if the stop named no incarnation and the node knew an earlier one under the same id, because the heartbeats of the later one were late.

Cause: such a stop was recorded for the incarnation that the node knew. Ruled out: the record of the stop; it was there, for the earlier incarnation.

Change: a stop without an incarnation is bounded by the time of day whatever the node knows. A stop that a response tells of is that of the known incarnation, as before.

Result: a_stop_without_an_incarnation_binds_a_later_one failed before and passes.

--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -236,7 +236,7 @@
     }
 
     /// Records that a target announced its stop. It may be another one than the current target, whose heartbeats are late
-    /// or have been lost. `incarnation` is 0 if the call did not tell it; if it is not known otherwise, `latest` bounds it.
+    /// or have been lost. `incarnation` is 0 if the call did not tell it; `latest` bounds it then.
     /// Returns the last incarnation that departed.
     ///
     /// # Errors
@@ -256,8 +256,8 @@
         let current = self.current.as_mut().filter(covers);
         let known = current.as_ref().map_or(0, |c| c.incarnation);
         let departed = match incarnation {
-            0 if known > 0 => known,
-            0 => latest,
+            // It may be that of a later incarnation, which has not been heard of.
+            0 => latest.max(known),
             named => named,
         };
         match current {
@@ -278,8 +278,8 @@
     /// not known. Returns the incarnation, unless its stop was known.
     pub fn on_leaving_response(&mut self, id: &TargetId, latest: u64, now: Now) -> Option<u64> {
         let c = self.current.as_ref();
-        c.filter(|c| c.id == *id && c.accepts_until.is_none())?;
-        self.on_stop(id, 0, latest, now).ok()
+        let c = c.filter(|c| c.id == *id && c.accepts_until.is_none())?;
+        self.on_stop(id, c.incarnation, latest, now).ok()
     }
 
     /// Records a target that responded to a health probe. It is used before its first heartbeat if it is known to run the
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -329,6 +329,21 @@
     }
 }
 
+/// Guards against a stop without an incarnation that binds only the earlier incarnation that the node knows, while it is that of
+/// a later one whose heartbeats are late.
+#[test]
+fn a_stop_without_an_incarnation_binds_a_later_one() {
+    let mut t = own_target();
+    t.on_heartbeat(&heartbeat("i", 10, 1, ReportedState::Ready), ms(0))
+        .unwrap();
+    assert_eq!(t.on_stop(&"i".into(), 0, 1000, ms(100)), Ok(1000));
+    let _ = t.on_heartbeat(&heartbeat("i", 900, 1, ReportedState::Ready), ms(2000));
+    assert!(t.usable(ms(2000)).is_none());
+    t.on_heartbeat(&heartbeat("i", 1001, 1, ReportedState::Ready), ms(2100))
+        .unwrap();
+    assert!(t.usable(ms(2100)).is_some());
+}
+
 /// Guards against a stop that another node forgets or takes back, and against a memory that grows without bound.
 #[test]
 fn the_stops_of_other_targets_are_remembered() {
