Bind the stop of a target that runs after a clock was set back

Callers would have seen requests at a target after the acknowledgement of its stop, if a clock had been set back since an earlier target with its id started; a report that it drains got no acknowledgement.

Cause: such a stop was taken for a late one of an earlier incarnation, and the node went on with the target that it took for the present one. Requests name the id only, which is the same. Ruled out: the ten seconds after which such a target is used; a stop within them did not bind either.

Change: if heartbeats of the target arrive and those of the present one have ceased, its stop is that of the present one. The next heartbeat of that shows if it was a late one. A report that a target drains ends its wait for use.

--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -141,6 +141,12 @@
         self.records.record_own(&h.id);
         let mut h = h.clone();
         h.incarnation = self.successors.order(&h.id, h.incarnation);
+        let leaves = h.state == ReportedState::Draining;
+        if leaves && self.successors.is_candidate(&h.id, h.incarnation) {
+            let before = self.state(now);
+            self.on_stop(&h.id, h.incarnation, h.incarnation, now)?;
+            return Ok(self.state(now) != before);
+        }
         if self.runs_now(&h, now) {
             let incarnation = self.next_incarnation(&h);
             self.successors.accept(&h, incarnation);
@@ -153,19 +159,19 @@
     fn runs_now(&mut self, h: &Heartbeat, now: Now) -> bool {
         let departed = self.records.last_departed(&h.id);
         let by_name = departed == Some(h.incarnation);
-        let ready = h.state == ReportedState::Ready;
         let after = self.current.as_ref().is_some_and(|c| c.is_after(h));
         let earlier = after || departed.is_some_and(|last| h.incarnation < last);
-        match earlier {
-            true if ready && h.incarnation > 0 && !by_name => {
+        match h.state {
+            ReportedState::Ready if earlier && h.incarnation > 0 && !by_name => {
                 let interval = self.heartbeat_interval;
                 self.successors.on_earlier(h, interval, now)
             }
-            false if !(ready && by_name) => {
+            ReportedState::Ready if earlier || by_name => false,
+            // The current target runs, or a target leaves.
+            _ => {
                 self.successors.reset();
                 false
             }
-            _ => false,
         }
     }
 
@@ -250,9 +256,12 @@
         now: Now,
     ) -> Result<u64, HeartbeatError> {
         let incarnation = self.successors.order(id, incarnation);
+        // The current target has the same id and is silent. If it runs after all, its next heartbeat shows that.
+        let runs = self.successors.is_candidate(id, incarnation);
         self.successors.reset();
-        let covers =
-            |c: &&mut Current| c.id == *id && (incarnation == 0 || incarnation >= c.incarnation);
+        let covers = |c: &&mut Current| {
+            c.id == *id && (incarnation == 0 || incarnation >= c.incarnation || runs)
+        };
         let current = self.current.as_mut().filter(covers);
         let known = current.as_ref().map_or(0, |c| c.incarnation);
         let departed = match incarnation {
--- a/src/sidecar/process/target/successor.rs
+++ b/src/sidecar/process/target/successor.rs
@@ -46,6 +46,12 @@
         accepted.map_or(incarnation, |s| s.incarnation)
     }
 
+    /// Whether a target may run now, because its heartbeats arrive and those of the current one do not.
+    pub(super) fn is_candidate(&self, id: &str, incarnation: u64) -> bool {
+        let c = self.candidate.as_ref();
+        c.is_some_and(|c| c.id == id && c.incarnation == incarnation)
+    }
+
     /// Records a heartbeat that seems to be of an earlier target. Returns whether its target has gone on to send heartbeats for
     /// so long that it runs now.
     pub(super) fn on_earlier(&mut self, h: &Heartbeat, interval: Duration, now: Now) -> bool {
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -344,6 +344,31 @@
     assert!(t.usable(ms(2100)).is_some());
 }
 
+/// Guards against a stop of a target that is taken for a late one of an earlier incarnation, because the clock was set back
+/// between them, although its heartbeats arrive and those of the other do not; and against the end of a target that runs.
+#[test]
+fn a_stop_after_a_clock_was_set_back_binds() {
+    for draining in [false, true] {
+        let mut t = own_target();
+        t.on_heartbeat(&heartbeat("i", 50, 1, ReportedState::Ready), ms(0))
+            .unwrap();
+        let early = t.on_heartbeat(&heartbeat("i", 40, 1, ReportedState::Ready), ms(2000));
+        assert_eq!(early, Err(HeartbeatError::Stale));
+        let acknowledged = match draining {
+            true => t
+                .on_heartbeat(&heartbeat("i", 40, 2, ReportedState::Draining), ms(2500))
+                .is_ok(),
+            false => t.on_stop(&"i".into(), 40, 0, ms(2500)).is_ok(),
+        };
+        assert!(acknowledged);
+        assert!(t.usable(ms(3500)).is_none());
+        // It was a late one after all.
+        t.on_heartbeat(&heartbeat("i", 50, 2, ReportedState::Ready), ms(3600))
+            .unwrap();
+        assert!(t.usable(ms(3600)).is_some());
+    }
+}
+
 /// Guards against a stop that another node forgets or takes back, and against a memory that grows without bound.
 #[test]
 fn the_stops_of_other_targets_are_remembered() {
