Suspend a target whose stop may be a late one, without telling others

Other nodes would have shut out a true target for good, if a late heartbeat and then a late stop of a crashed earlier one with its id had come between two of its heartbeats.

Cause: took the stop for that of the present target and told the other nodes that it leaves, which is final for them. Found when reading the change. Ruled out for this process: the next heartbeat of the target makes it usable again here.

Change: the target gets no requests until its next heartbeat, and its state does not say that it leaves.

--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -270,6 +270,7 @@
             named => named,
         };
         match current {
+            Some(c) if incarnation > 0 && incarnation < c.incarnation => c.unconfirmed = 1,
             Some(c) => c.leave(incarnation, now + self.drain_delay),
             None if self.records.has_departed(id, departed) => return Err(HeartbeatError::Stale),
             None => {}
