--- a/tests/sidecar_target_random.rs
+++ b/tests/sidecar_target_random.rs
@@ -17,8 +17,7 @@
 /// Time of day at the start, in ms since 1970.
 const EPOCH_MS: u64 = 1_000_000_000;
 
-/// Incarnation of a target that starts at a time of day. The bound of a stop without one is greater by one than the incarnation
-/// of that time, so that none is just that bound: it would count as the one that the stop named.
+/// Incarnation of a target that starts at a time of day; see [`Cases::bound_gap`].
 fn incarnation_at(time_ms: u64) -> u64 {
     2 * time_ms
 }
@@ -115,8 +114,8 @@
     ambiguous: bool,
     /// Whether its heartbeats arrive in time.
     calm: bool,
-    /// Whether the clock had been set back before it started.
-    clock_set: bool,
+    /// Whether an earlier target had the same id, and the clock was set back.
+    follows_set_clock: bool,
 }
 
 fn ms(n: u64) -> Duration {
@@ -179,7 +178,8 @@
         let calm = life.delays_ms == [0];
         let same_id: Vec<&Running> = targets.iter().filter(|t| t.id == life.id).collect();
         let on_time = calm && same_id.iter().all(|t| t.calm);
-        let ambiguous = clock_back > 0 && !same_id.is_empty() && !on_time;
+        let follows_set_clock = clock_back > 0 && !same_id.is_empty();
+        let ambiguous = follows_set_clock && !on_time;
         targets.push(Running {
             id: life.id,
             incarnation,
@@ -189,7 +189,7 @@
             left: None,
             ambiguous,
             calm,
-            clock_set: clock_back > 0,
+            follows_set_clock,
         });
         now = end + 1 + life.pause_ms;
     }
@@ -206,8 +206,26 @@
     )
 }
 
+/// Cases that a test checks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Cases {
+    All,
+    /// All but those of incident 028 that are left.
+    Mended,
+}
+
+impl Cases {
+    /// By how much the bound of a stop without an incarnation is greater than the incarnation of its time.
+    fn bound_gap(self) -> u64 {
+        match self {
+            Self::All => 0,
+            Self::Mended => 1,
+        }
+    }
+}
+
 /// Plays the lives and checks the node every 100 ms.
-fn check(lives: &[Life]) -> Result<(), TestCaseError> {
+fn check(lives: &[Life], cases: Cases) -> Result<(), TestCaseError> {
     let (events, mut targets) = schedule(lives);
     let end = targets.last().map_or(0, |t| t.end);
     let mut events = events.into_iter().peekable();
@@ -229,7 +247,7 @@
                     }
                 }
                 Event::Stop(id, incarnation) => {
-                    let latest = incarnation_at(EPOCH_MS + at) + 1;
+                    let latest = incarnation_at(EPOCH_MS + at) + cases.bound_gap();
                     let _ = node.on_stop(&id.into(), incarnation, latest, ms(at));
                     kept.extend(node.last_departed(id).map(|last| (id, last)));
                     let running = targets.iter_mut().find(|t| (t.start..=t.end).contains(&at));
@@ -254,8 +272,9 @@
         let used = node.usable(ms(now)).is_some_and(|id| *id == t.id);
         let left = t.left.is_some_and(|left| now > left + DRAIN_MS + 100);
         // A new process has not heard of this one before that.
-        let ambiguous = t.ambiguous || t.clock_set && started >= t.start;
-        prop_assert!(!(used && left) || ambiguous, "{t:?} is used at {now}");
+        let ambiguous = t.ambiguous || t.follows_set_clock && started >= t.start;
+        let exempt = cases == Cases::Mended && ambiguous;
+        prop_assert!(!(used && left) || exempt, "{t:?} is used at {now}");
         let found = t.calm && now < t.leaves && now >= t.start.max(started) + FOUND_WITHIN_MS;
         prop_assert!(used || !found, "{t:?} is not used at {now}");
     }
@@ -267,6 +286,15 @@
 #[test]
 fn stops_bind_and_later_targets_are_used() {
     property::run(500, &prop::collection::vec(life(), 1..6), |lives| {
-        check(&lives)
+        check(&lives, Cases::Mended)
+    });
+}
+
+/// Guards against the same in the cases that incident 028 leaves: targets with the id of an earlier one after a clock was set
+/// back.
+#[test]
+fn stops_bind_and_later_targets_are_used_after_any_clock_step() {
+    property::run(500, &prop::collection::vec(life(), 1..6), |lives| {
+        check(&lives, Cases::All)
     });
 }
