--- a/review/kit-3/site.rs
+++ b/review/kit-3/site.rs
@@ -68,9 +68,18 @@
     format!("{:08x}{:08x}", std::process::id(), NEXT_ID.fetch_add(1, Ordering::SeqCst))
 }
 
+/// A free loopback address. Its port lies below those that the system gives to clients, and is given out once.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+    const FIRST: u64 = 20_000;
+    const COUNT: u64 = 12_000;
+    let start = u64::from(std::process::id()) * 131;
+    loop {
+        let port = FIRST + (start + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % COUNT;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// Sends a signal to a process that this program started.
