Show that bodies announced far over the limit end a process (review case 11)

Cause, as far as it is known: the rest of a rejected body is discarded in the background, for which its connection counts as running and does not give way. Each of them keeps about 100 KB in use, of which the budget counts 16 KB and what has not been read on.

--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 1 the rule was broken, 0 it held, 2 the case could not run.
 #![allow(dead_code, clippy::too_many_arguments)]
 
+mod crowd;
 mod http;
 mod json;
 mod record;
@@ -10,6 +11,8 @@
 mod store;
 mod target;
 
+#[path = "../11/case.rs"]
+mod case_11;
 #[path = "../12/case.rs"]
 mod case_12;
 
@@ -58,6 +61,7 @@
     }));
     record.say(if trouble { "with the disruption" } else { "without the disruption" });
     let verdict = match case.as_str() {
+        "11" => case_11::play(&record, trouble),
         "12" => case_12::play(&record, trouble),
         other => Verdict::Failed(format!("there is no case {other}")),
     };
