Show that requests sent ahead end a process (review case 13)

Cause, as far as it is known: up to 64 KB a connection are read ahead. Without room in the budget they are kept uncharged where a request of the connection runs, and such a connection does not give way.

--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -15,6 +15,8 @@
 mod case_11;
 #[path = "../12/case.rs"]
 mod case_12;
+#[path = "../13/case.rs"]
+mod case_13;
 
 use std::path::Path;
 use std::process::exit;
@@ -63,6 +65,7 @@
     let verdict = match case.as_str() {
         "11" => case_11::play(&record, trouble),
         "12" => case_12::play(&record, trouble),
+        "13" => case_13::play(&record, trouble),
         other => Verdict::Failed(format!("there is no case {other}")),
     };
     site::end_all();
