--- a/review/kit-3/main.rs
+++ b/review/kit-3/main.rs
@@ -17,6 +17,8 @@
 mod case_12;
 #[path = "../13/case.rs"]
 mod case_13;
+#[path = "../14/case.rs"]
+mod case_14;
 
 use std::path::Path;
 use std::process::exit;
@@ -66,6 +68,7 @@
         "11" => case_11::play(&record, trouble),
         "12" => case_12::play(&record, trouble),
         "13" => case_13::play(&record, trouble),
+        "14" => case_14::play(&record, trouble),
         other => Verdict::Failed(format!("there is no case {other}")),
     };
     site::end_all();
