--- a/review/kit-3/crowd.rs
+++ b/review/kit-3/crowd.rs
@@ -202,8 +202,22 @@
 /// Makes the bytes that a client sends, with ids of their own.
 pub type Bytes<'a> = dyn Fn() -> Vec<u8> + Sync + 'a;
 
+/// Descriptors that a process may have open at least.
+const DESCRIPTORS: u64 = 4096;
+
+/// Number of descriptors that this process and those that it starts may have open.
+fn descriptors() -> u64 {
+    let limits = std::fs::read_to_string("/proc/self/limits").unwrap_or_default();
+    let line = limits.lines().find_map(|l| l.strip_prefix("Max open files"));
+    let soft = line.and_then(|l| l.split_whitespace().next());
+    soft.and_then(|n| n.parse().ok()).unwrap_or(u64::MAX)
+}
+
 /// Plays a crowd.
 pub fn play(record: &Arc<Record>, clients: usize, bytes: &Bytes<'_>) -> Verdict {
+    if descriptors() < DESCRIPTORS {
+        return Verdict::Failed(format!("a process needs {DESCRIPTORS} descriptors"));
+    }
     let site = start_site(record);
     let verdict = match site.wait_ready(Duration::from_secs(15)) {
         true => judge(&site, record, clients, bytes),
