Let the stand-ins of the store come back from an older copy

The in-memory store now counts its restores and gives lease ids out again. The stand-in of the platform's store sends the era in all responses, and `drill` closes all connections.

--- a/src/store/mem.rs
+++ b/src/store/mem.rs
@@ -34,6 +34,8 @@
     history: std::collections::VecDeque<Event>,
     revision: Revision,
     next_lease: LeaseId,
+    /// Number of times that the store came back from a copy.
+    era: u64,
 }
 
 impl State {
@@ -130,17 +132,21 @@
         SavedState(self.with_state(|s| s.clone()))
     }
 
-    /// Replaces the state, including the revision, by a saved one. Lease ids are not reused, so that the holder of a
-    /// lease that the restore discards cannot renew the lease of another holder.
+    /// Replaces the state by a saved one and raises the era. Revisions and lease ids since then are given out again.
     pub fn restore(&self, saved: SavedState) {
         self.with_state(|s| {
-            let next_lease = s.next_lease.max(saved.0.next_lease);
+            let era = s.era + 1;
             *s = saved.0;
-            s.next_lease = next_lease;
+            s.era = era;
         });
         self.changed.notify_waiters();
     }
 
+    /// Number of times that the store came back from a copy.
+    pub fn era(&self) -> u64 {
+        self.with_state(|s| s.era)
+    }
+
     /// Runs `f` on the state after ending expired leases, and wakes the watches if the revision changed.
     fn with_state<T, F>(&self, f: F) -> T
     where
--- a/tests/site_kit/store.rs
+++ b/tests/site_kit/store.rs
@@ -8,13 +8,17 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use bytes::Bytes;
-use dragonflyquay::store::mem::MemStore;
+use dragonflyquay::store::mem::{MemStore, SavedState};
 use dragonflyquay::store::{Entry, Event, Store, StoreError, Swap};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
+use tokio::sync::watch;
+
+/// Era that the stand-in names in its responses before its first drill.
+const FIRST_ERA: u64 = 1;
 
 /// Faults of the store.
 #[derive(Debug, Clone, Default)]
@@ -48,6 +52,8 @@
     pub store: Arc<MemStore>,
     pub faults: Arc<Mutex<Faults>>,
     calls: Arc<Mutex<Vec<String>>>,
+    /// Closes all connections when it changes.
+    cut: watch::Sender<()>,
     runtime: tokio::runtime::Runtime,
 }
 
@@ -59,19 +65,28 @@
             .build()
             .unwrap();
         let (store, calls) = (Arc::default(), Arc::default());
-        let entrance = open_entrance(&runtime, &store, &calls);
+        let cut = watch::channel(()).0;
+        let entrance = open_entrance(&runtime, &store, &calls, &cut);
         Self {
             address: entrance.address,
             store,
             faults: entrance.faults,
             calls,
+            cut,
             runtime,
         }
     }
 
     /// Opens another address of the same store.
     pub fn add_entrance(&self) -> Entrance {
-        open_entrance(&self.runtime, &self.store, &self.calls)
+        open_entrance(&self.runtime, &self.store, &self.calls, &self.cut)
+    }
+
+    /// Comes back from an older copy, as in a drill: the connections are closed, the era rises, and revisions and lease
+    /// ids are given out again.
+    pub fn drill(&self, copy: SavedState) {
+        self.store.restore(copy);
+        self.cut.send_replace(());
     }
 
     /// Writes the operator's configuration.
@@ -113,6 +128,7 @@
     runtime: &tokio::runtime::Runtime,
     store: &Arc<MemStore>,
     calls: &Arc<Mutex<Vec<String>>>,
+    cut: &watch::Sender<()>,
 ) -> Entrance {
     let listener = runtime
         .block_on(tokio::net::TcpListener::bind("127.0.0.1:0"))
@@ -122,24 +138,31 @@
         faults: Arc::default(),
     };
     let (store, calls) = (store.clone(), calls.clone());
-    let faults = entrance.faults.clone();
+    let (faults, cut) = (entrance.faults.clone(), cut.clone());
     runtime.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
+            let mut cut = cut.subscribe();
             tokio::spawn(async move {
                 let service = service_fn(move |req| {
                     let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
                     async move {
+                        let era = store.era();
                         let res = respond(&store, &faults, &calls, req).await;
                         // A call that gets no response never finishes, also after the fault has ended.
-                        if res.is_none() {
-                            std::future::pending::<()>().await;
-                        }
-                        Ok::<_, Infallible>(res.unwrap_or_default())
+                        let Some(mut res) = res.filter(|_| store.era() == era) else {
+                            return std::future::pending().await;
+                        };
+                        let headers = res.headers_mut();
+                        headers.insert("store-era", (FIRST_ERA + era).into());
+                        Ok::<_, Infallible>(res)
                     }
                 });
                 let http = hyper::server::conn::http1::Builder::new();
-                let _ = http.serve_connection(TokioIo::new(stream), service).await;
+                tokio::select! {
+                    _ = http.serve_connection(TokioIo::new(stream), service) => {}
+                    _ = cut.changed() => {}
+                }
             });
         }
     });
