--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,19 +4,24 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
+use tokio::sync::watch;
 
 use crate::platform::store_messages::{
     decode, encode_query, new_write, unknown_outcome, ConflictResponse, Item, LeaseRequest,
     LeaseResponse, Precondition, RangeResponse, Transaction, WatchResponse, WriteResponse,
 };
 use crate::prelude::*;
-use crate::store::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+use crate::store::era::EraTracker;
+use crate::store::{Changes, Entry, Era, LeaseId, Listing, Revision, Store, StoreError, Swap};
+
+/// Response header with the era of the store.
+const ERA_HEADER: &str = "store-era";
 
 /// Maximum size of a response, in bytes; a watch may deliver a series of whole configuration documents.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
@@ -28,6 +33,21 @@
     client: Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
     timeout: Duration,
+    era: EraTracker,
+}
+
+/// Response of the store to a call that it processed.
+struct Answer {
+    status: StatusCode,
+    data: Bytes,
+    /// Era in which the store processed the call.
+    era: Era,
+}
+
+impl Answer {
+    fn unexpected(&self) -> StoreError {
+        StoreError::Invalid(format!("status {}", self.status))
+    }
 }
 
 impl PlatformStore {
@@ -45,6 +65,7 @@
                 .build(connector),
             address,
             timeout,
+            era: EraTracker::default(),
         }
     }
 
@@ -56,7 +77,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Answer, StoreError> {
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
@@ -73,33 +94,44 @@
                     false => unknown_outcome(e),
                 })?;
             let status = res.status();
+            let era = self.observe_era(res.headers())?;
             let body = Limited::new(res.into_body(), MAX_RESPONSE_BYTES);
             let body = body.collect().await.map_err(unknown_outcome)?;
-            Ok((status, body.to_bytes()))
+            let data = body.to_bytes();
+            Ok(Answer { status, data, era })
         };
         let result = tokio::time::timeout(timeout, exchange).await;
         let timed_out =
             || StoreError::Unknown(format!("no response within {} ms", timeout.as_millis()));
-        let (status, data) = result.map_err(|_| timed_out())??;
-        match status {
+        let answer = result.map_err(|_| timed_out())??;
+        match answer.status {
             // The store did not process the call.
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                Err(StoreError::Unavailable(format!("status {status}")))
+                Err(StoreError::Unavailable(format!("status {}", answer.status)))
             }
             s if s.is_server_error() => Err(unknown_outcome(format!("status {s}"))),
-            s => Ok((s, data)),
+            _ => Ok(answer),
         }
     }
 
-    async fn call_get(
-        &self,
-        path: &str,
-        timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    /// Records the era that a response names. One that names none is of the latest era.
+    fn observe_era(&self, headers: &HeaderMap) -> Result<Era, StoreError> {
+        let Some(value) = headers.get(ERA_HEADER) else {
+            return Ok(self.era.latest());
+        };
+        let number = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+        let era = number
+            .map(Era)
+            .ok_or_else(|| unknown_outcome(format!("{ERA_HEADER} {value:?} is not a number")))?;
+        self.era.observe(era)?;
+        Ok(era)
+    }
+
+    async fn call_get(&self, path: &str, timeout: Duration) -> Result<Answer, StoreError> {
         self.call(Method::GET, path, Bytes::new(), timeout).await
     }
 
-    async fn call_post<T>(&self, path: &str, body: &T) -> Result<(StatusCode, Bytes), StoreError>
+    async fn call_post<T>(&self, path: &str, body: &T) -> Result<Answer, StoreError>
     where
         T: Serialize + Sync,
     {
@@ -117,20 +149,25 @@
             if !after.is_empty() {
                 path.push_str(&format!("&after={}", encode_query(&after)));
             }
-            let page: RangeResponse = match self.call_get(&path, self.timeout).await? {
-                (StatusCode::OK, data) => decode(&data)?,
-                (s, _) => return Err(StoreError::Invalid(format!("status {s}"))),
+            let answer = self.call_get(&path, self.timeout).await?;
+            let page: RangeResponse = match answer.status {
+                StatusCode::OK => decode(&answer.data)?,
+                _ => return Err(answer.unexpected()),
             };
             // The pages are not one snapshot. A watch from the revision of the first page also delivers the changes
             // that later pages may already contain.
             let listing = out.get_or_insert_with(|| Listing {
                 entries: Vec::new(),
-                revision: page.at,
+                revision: Revision::new(answer.era, page.at),
             });
+            if listing.revision.era() != answer.era {
+                return Err(unknown_outcome("the store began a new era between pages"));
+            }
             let has_next = page.has_more && !page.items.is_empty();
             for item in page.items {
                 after.clone_from(&item.key);
-                listing.entries.extend(item.readable(Item::entry));
+                let entry = item.readable(|i| i.entry(answer.era));
+                listing.entries.extend(entry);
             }
             if !has_next {
                 return Ok(out.unwrap_or_default());
@@ -139,28 +176,37 @@
     }
 
     async fn run_transaction(&self, txn: &Transaction<'_>) -> Result<Swap, StoreError> {
-        match self.call_post("/api/kv-txn", txn).await? {
-            (StatusCode::OK, data) => Ok(Swap::Done(decode::<WriteResponse>(&data)?.revision)),
-            (StatusCode::PRECONDITION_FAILED, data) => {
+        let Answer { status, data, era } = self.call_post("/api/kv-txn", txn).await?;
+        match status {
+            StatusCode::OK => {
+                let written: WriteResponse = decode(&data)?;
+                Ok(Swap::Done(Revision::new(era, written.revision)))
+            }
+            StatusCode::PRECONDITION_FAILED => {
                 let found = decode::<ConflictResponse>(&data)?.items;
                 // The response also lists keys that do not exist, with revision 0 or as deleted.
                 let found = found.into_iter().find(|i| i.revision > 0 && !i.deleted);
-                Ok(Swap::Conflict(found.map(Item::entry).transpose()?))
+                Ok(Swap::Conflict(found.map(|i| i.entry(era)).transpose()?))
             }
-            (StatusCode::NOT_FOUND, _) => Err(StoreError::NoLease),
-            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+            StatusCode::NOT_FOUND => Err(StoreError::NoLease),
+            s => Err(StoreError::Invalid(format!("status {s}"))),
         }
     }
 }
 
 #[async_trait]
 impl Store for PlatformStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         let path = format!("/api/kv-key?key={}", encode_query(key));
-        match self.call_get(&path, self.timeout).await? {
-            (StatusCode::OK, data) => decode::<Item>(&data)?.entry().map(Some),
-            (StatusCode::NOT_FOUND, _) => Ok(None),
-            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        let answer = self.call_get(&path, self.timeout).await?;
+        match answer.status {
+            StatusCode::OK => decode::<Item>(&answer.data)?.entry(answer.era).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(answer.unexpected()),
         }
     }
 
@@ -182,12 +228,14 @@
         let mut txn = Transaction {
             precondition: vec![Precondition {
                 key,
-                revision: expect,
+                revision: expect.number(),
             }],
             ..Transaction::default()
         };
         match &value {
-            Some(value) => txn.writes.push(new_write(key, value, lease)?),
+            Some(value) => txn
+                .writes
+                .push(new_write(key, value, lease.map(LeaseId::number))?),
             None => txn.remove.push(key),
         }
         self.run_transaction(&txn).await
@@ -200,7 +248,7 @@
         lease: Option<LeaseId>,
     ) -> Result<Revision, StoreError> {
         let txn = Transaction {
-            writes: vec![new_write(key, &value, lease)?],
+            writes: vec![new_write(key, &value, lease.map(LeaseId::number))?],
             ..Transaction::default()
         };
         match self.run_transaction(&txn).await? {
@@ -223,23 +271,28 @@
         let grant = LeaseRequest {
             ttl_ms: ttl.as_millis() as u64,
         };
-        match self.call_post("/api/kv-lease", &grant).await? {
-            (s, data) if s.is_success() => Ok(decode::<LeaseResponse>(&data)?.lease),
-            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        let answer = self.call_post("/api/kv-lease", &grant).await?;
+        match answer.status {
+            s if s.is_success() => {
+                let granted: LeaseResponse = decode(&answer.data)?;
+                Ok(LeaseId::new(answer.era, granted.lease))
+            }
+            _ => Err(answer.unexpected()),
         }
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/api/kv-keep/{lease}");
-        match self.call_post(&path, &serde_json::json!({})).await? {
-            (s, _) if s.is_success() => Ok(()),
-            (StatusCode::NOT_FOUND, _) => Err(StoreError::NoLease),
-            (s, _) => Err(StoreError::Invalid(format!("status {s}"))),
+        let path = format!("/api/kv-keep/{}", lease.number());
+        let answer = self.call_post(&path, &serde_json::json!({})).await?;
+        match answer.status {
+            s if s.is_success() => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::NoLease),
+            _ => Err(answer.unexpected()),
         }
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/api/kv-lease-end/{lease}");
+        let path = format!("/api/kv-lease-end/{}", lease.number());
         let out = self.call(Method::DELETE, &path, Bytes::new(), self.timeout);
         out.await.map(drop)
     }
@@ -250,23 +303,31 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
-        let ms = wait.as_millis();
+        if from.era() != self.era.latest() {
+            return Err(StoreError::Compacted);
+        }
         let path = format!(
-            "/api/kv-watch?prefix={}&after={from}&wait_ms={ms}",
-            encode_query(prefix)
+            "/api/kv-watch?prefix={}&after={}&wait_ms={}",
+            encode_query(prefix),
+            from.number(),
+            wait.as_millis()
         );
-        let (status, data) = self.call_get(&path, wait + self.timeout).await?;
-        match status {
+        let answer = self.call_get(&path, wait + self.timeout).await?;
+        let era = answer.era;
+        match answer.status {
+            _ if era != from.era() => Err(StoreError::Compacted),
             StatusCode::OK => {
-                let w: WatchResponse = decode(&data)?;
+                let w: WatchResponse = decode(&answer.data)?;
                 let events = w.events.into_iter();
                 Ok(Changes {
-                    events: events.filter_map(|i| i.readable(Item::event)).collect(),
-                    revision: w.at,
+                    events: events
+                        .filter_map(|i| i.readable(|i| i.event(era)))
+                        .collect(),
+                    revision: Revision::new(era, w.at),
                 })
             }
             StatusCode::GONE => Err(StoreError::Compacted),
-            s => Err(StoreError::Invalid(format!("status {s}"))),
+            _ => Err(answer.unexpected()),
         }
     }
 }
--- a/src/platform/store_messages.rs
+++ b/src/platform/store_messages.rs
@@ -4,7 +4,7 @@
 use base64::Engine;
 use serde::{Deserialize, Serialize};
 
-use crate::store::{Entry, Event, LeaseId, Revision, StoreError, MAX_VALUE_BYTES};
+use crate::store::{Entry, Era, Event, Revision, StoreError, MAX_VALUE_BYTES};
 
 /// A key with its value, or an event about it.
 #[derive(Debug, Deserialize)]
@@ -13,7 +13,7 @@
     /// Encoded in base64; absent if the item is an event about a deleted key.
     #[serde(default)]
     pub(super) value: Option<String>,
-    pub(super) revision: Revision,
+    pub(super) revision: u64,
     #[serde(default)]
     pub(super) deleted: bool,
 }
@@ -24,7 +24,7 @@
     pub(super) items: Vec<Item>,
     pub(super) has_more: bool,
     /// Revision of the store when the page was read.
-    pub(super) at: Revision,
+    pub(super) at: u64,
 }
 
 /// Changes since the revision of a watch.
@@ -32,7 +32,7 @@
 pub(super) struct WatchResponse {
     pub(super) events: Vec<Item>,
     /// Revision from which to watch next.
-    pub(super) at: Revision,
+    pub(super) at: u64,
 }
 
 /// Condition on which a transaction is applied.
@@ -40,7 +40,7 @@
 pub(super) struct Precondition<'a> {
     pub(super) key: &'a str,
     /// Required revision of the key; 0 if it must not exist.
-    pub(super) revision: Revision,
+    pub(super) revision: u64,
 }
 
 /// Key that a transaction writes.
@@ -50,7 +50,7 @@
     /// Encoded in base64.
     pub(super) value: String,
     /// 0 if the key has no lease.
-    pub(super) lease: LeaseId,
+    pub(super) lease: u64,
 }
 
 /// Body of a transaction.
@@ -64,7 +64,7 @@
 /// Response to a transaction that was applied.
 #[derive(Debug, Deserialize)]
 pub(super) struct WriteResponse {
-    pub(super) revision: Revision,
+    pub(super) revision: u64,
 }
 
 /// Response to a transaction whose precondition failed.
@@ -84,7 +84,7 @@
 /// Granted lease.
 #[derive(Debug, Deserialize)]
 pub(super) struct LeaseResponse {
-    pub(super) lease: LeaseId,
+    pub(super) lease: u64,
 }
 
 /// Error of a call that the store may have processed.
@@ -122,24 +122,24 @@
         decoded.ok()
     }
 
-    /// The entry of a listing.
-    pub(super) fn entry(self) -> Result<Entry, StoreError> {
+    /// The entry of a listing, as it is in an era.
+    pub(super) fn entry(self, era: Era) -> Result<Entry, StoreError> {
         Ok(Entry {
             value: self.bytes()?,
             key: self.key,
-            revision: self.revision,
+            revision: Revision::new(era, self.revision),
         })
     }
 
-    /// The event of a watch.
-    pub(super) fn event(self) -> Result<Event, StoreError> {
+    /// The event of a watch in an era.
+    pub(super) fn event(self, era: Era) -> Result<Event, StoreError> {
         Ok(Event {
             value: match self.deleted {
                 true => None,
                 false => Some(self.bytes()?),
             },
             key: self.key,
-            revision: self.revision,
+            revision: Revision::new(era, self.revision),
         })
     }
 }
@@ -164,7 +164,7 @@
 pub(super) fn new_write<'a>(
     key: &'a str,
     value: &[u8],
-    lease: Option<LeaseId>,
+    lease: Option<u64>,
 ) -> Result<Write<'a>, StoreError> {
     if value.len() > MAX_VALUE_BYTES {
         return Err(StoreError::Invalid("value is too large".into()));
--- a/src/process/at_most_once/ownership.rs
+++ b/src/process/at_most_once/ownership.rs
@@ -227,7 +227,7 @@
     found: Result<Option<crate::store::Entry>, StoreError>,
 ) -> Option<(Revision, Option<Grant>)> {
     match found {
-        Ok(None) => Some((0, None)),
+        Ok(None) => Some((Revision::ABSENT, None)),
         Ok(Some(e)) => match serde_json::from_slice(&e.value) {
             Ok(g) => Some((e.revision, Some(g))),
             Err(error) => {
--- a/src/process/lifecycle/faults.rs
+++ b/src/process/lifecycle/faults.rs
@@ -6,9 +6,10 @@
 use async_trait::async_trait;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::prelude::*;
-use crate::store::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+use crate::store::{Changes, Entry, Era, LeaseId, Listing, Revision, Store, StoreError, Swap};
 
 /// Faults to inject.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -77,6 +78,10 @@
 
 #[async_trait]
 impl Store for BlockableStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.store.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         self.available()?.get(key).await
     }
--- a/src/process/lifecycle/stop.rs
+++ b/src/process/lifecycle/stop.rs
@@ -96,7 +96,7 @@
 
 async fn read(p: &Process, key: &str) -> Result<(Revision, PlannedStops), StoreError> {
     match p.store.get(key).await? {
-        None => Ok((0, PlannedStops::new())),
+        None => Ok((Revision::ABSENT, PlannedStops::new())),
         Some(e) => serde_json::from_slice(&e.value)
             .map(|stops| (e.revision, stops))
             .map_err(|e| StoreError::Invalid(e.to_string())),
--- a/src/process/versions/watch_calls.rs
+++ b/src/process/versions/watch_calls.rs
@@ -1,5 +1,6 @@
 //! Store calls that a [`Watcher`](super::watch::Watcher) requests.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 
 use crate::prelude::*;
@@ -81,7 +82,11 @@
     let lease = p.store.grant_lease(LEASE_TTL).await?;
     for key in free {
         let value = p.settings.node.id.as_bytes().to_vec();
-        if let Swap::Done(_) = p.store.swap(&key, 0, Some(value), Some(lease)).await? {
+        if let Swap::Done(_) = p
+            .store
+            .swap(&key, Revision::ABSENT, Some(value), Some(lease))
+            .await?
+        {
             return Ok(CallResult::ClaimSlot(Some(lease)));
         }
     }
@@ -99,7 +104,7 @@
         // A revision below `from` means that the store was restored from an older state.
         Ok(c) => Ok(CallResult::WatchHead(
             c.revision,
-            !c.events.is_empty() || c.revision < from,
+            !c.events.is_empty() || c.revision.compare(from).is_none_or(Ordering::is_lt),
         )),
         Err(StoreError::Compacted) => Ok(CallResult::WatchHead(from, true)),
         Err(e) => Err(e),
@@ -131,7 +136,7 @@
 ) -> Result<(), StoreError> {
     let key = keys.rendezvous(&p.settings.node.az);
     let entry = p.store.get(&key).await?;
-    let revision = entry.as_ref().map_or(0, |e| e.revision);
+    let revision = entry.as_ref().map_or(Revision::ABSENT, |e| e.revision);
     let list = entry.map_or_else(Vec::new, |e| decode_list(&e.value));
     let own = p.own_record().addresses.peer;
     if let Some(list) = repaired_list(&list, own, zone_peers) {
--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -9,7 +9,7 @@
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::state::TargetId;
-use crate::store::{LeaseId, StoreError, Swap};
+use crate::store::{LeaseId, Revision, StoreError, Swap};
 
 /// Prefix of all keys of this program.
 const ROOT_PREFIX: &str = "dq/";
@@ -186,7 +186,7 @@
     if !std::mem::replace(&mut registration.created, true) {
         let written = n
             .store
-            .swap(&key, 0, Some(value.clone()), Some(lease))
+            .swap(&key, Revision::ABSENT, Some(value.clone()), Some(lease))
             .await?;
         if matches!(written, Swap::Done(_)) {
             n.target().on_first_process();
--- a/src/sidecar/process/metrics.rs
+++ b/src/sidecar/process/metrics.rs
@@ -76,6 +76,8 @@
     rollout_samples: IntGaugeVec,
     /// Number of the version in force; 0 if there is none.
     pub version: IntGauge,
+    /// Latest era that the store has named; 0 if it names none.
+    pub store_era: IntGauge,
     gauges: SampledGauges,
 }
 
@@ -175,6 +177,11 @@
                 "Requests and responses that the decider knows of",
                 &["service", "kind"],
             ),
+            store_era: gauge(
+                r,
+                "dq_sidecar_store_era",
+                "Era of the store, which it raises when it comes back from an older copy",
+            ),
             version: gauge(
                 r,
                 "dq_sidecar_version_number",
--- a/src/sidecar/process/rollout/calls.rs
+++ b/src/sidecar/process/rollout/calls.rs
@@ -92,7 +92,7 @@
     let key = record_key(service);
     let found = n.store.get(&key).await?;
     let record = found.as_ref().and_then(decode);
-    let at = found.as_ref().map_or(0, |e| e.revision);
+    let at = found.as_ref().map_or(Revision::ABSENT, |e| e.revision);
     let decision = {
         let now = n.clock.now();
         let mut table = n.rollout_table();
@@ -113,7 +113,10 @@
         }
         Claim::Swap(expect, news) => {
             // A record that cannot be read is replaced at its revision.
-            let expect = expect.max(at);
+            let expect = match expect {
+                Revision::ABSENT => at,
+                expect => expect,
+            };
             let sent_at = n.clock.now();
             let news = *news;
             let value = encode(news.clone());
@@ -142,7 +145,7 @@
     let status = found
         .as_ref()
         .and_then(|e| n.adapter.parse_rollout_status(&e.value));
-    let status_at = found.map_or(0, |e| e.revision);
+    let status_at = found.map_or(Revision::ABSENT, |e| e.revision);
     let ended = status.filter(|s| s.to == news.order.to && resumes);
     let step = match ended.map(|s| s.state) {
         Some(RolloutState::Completed) => Some(Step::Completed),
--- a/src/sidecar/process/rollout/election.rs
+++ b/src/sidecar/process/rollout/election.rs
@@ -92,7 +92,7 @@
             ..known.clone()
         };
         let Some((at, record)) = found else {
-            return Claim::Swap(0, Box::new(first));
+            return Claim::Swap(Revision::ABSENT, Box::new(first));
         };
         let last = &record.news;
         let next = News {
@@ -101,7 +101,7 @@
         };
         let same = match last.order == known.order {
             true => !repeated || last.revision == known.revision,
-            false if last.revision > known.revision => return Claim::Wait,
+            false if last.revision.is_later_than(known.revision) => return Claim::Wait,
             false => false,
         };
         if !same {
--- a/src/sidecar/process/rollout/table.rs
+++ b/src/sidecar/process/rollout/table.rs
@@ -164,14 +164,14 @@
         let over = current.step.is_final()
             && now >= started_at + current.order.limit + REPEAT_MARGIN
             && news.step != Step::Listed;
-        let newer = news.revision > current.revision;
+        let newer = news.revision.is_later_than(current.revision);
         let same = news.order == current.order;
         if newer && (!same || over) {
             *entry = Entry::new(news.clone(), bound, random, same, now);
             entry.note_end(now);
             return true;
         }
-        if !same || news.revision < current.revision && entry.repeated {
+        if !same || current.revision.is_later_than(news.revision) && entry.repeated {
             return false;
         }
         let applied = entry.view.on_news(news.clone(), now);
--- a/src/sidecar/version/config.rs
+++ b/src/sidecar/version/config.rs
@@ -80,11 +80,12 @@
     }
 }
 
-/// Reads the configuration and watches it until a call fails, a restart of the watch is requested, or other nodes watch
-/// instead.
+/// Reads the configuration and watches it until a call fails, the store begins a new era, a restart of the watch is
+/// requested, or other nodes watch instead.
 async fn read_and_watch(n: &Arc<Node>, back_off: &mut Duration) -> Result<(), StoreError> {
     let prefix = n.adapter.operator_prefix();
     let mut restart = n.restart_watch.subscribe();
+    let mut era = n.store.era();
     let watching = n.must_watch();
     let start = n.clock.now();
     let listing = list_documents(n, *back_off).await?;
@@ -102,6 +103,9 @@
         let changes = tokio::select! {
             changes = n.store.watch(prefix, from, wait) => changes?,
             _ = restart.changed() => return Ok(()),
+            // Another call has shown that the store came back from an older copy. It may have `from` all the same, and
+            // no change of its new history up to there would be delivered.
+            _ = era.wait_for(|era| *era != from.era()) => return Err(StoreError::Compacted),
         };
         *back_off = RETRY_BACK_OFF.0;
         from = changes.revision;
--- a/src/store/counted.rs
+++ b/src/store/counted.rs
@@ -2,8 +2,9 @@
 
 use async_trait::async_trait;
 use prometheus::{IntCounterVec, IntGauge};
+use tokio::sync::watch;
 
-use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+use super::{Changes, Entry, Era, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
 
 /// Wraps another store and records the calls to it in the metrics of the process.
@@ -44,6 +45,10 @@
 
 #[async_trait]
 impl Store for CountedStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.inner.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         self.count("get", self.inner.get(key).await)
     }
--- a/src/store/faults.rs
+++ b/src/store/faults.rs
@@ -5,9 +5,10 @@
 use async_trait::async_trait;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use super::mem::{MemStore, SavedState};
-use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+use super::{Changes, Entry, Era, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
 
 /// Error text for which the stand-in server closes the connection instead of sending a response.
@@ -159,6 +160,10 @@
 
 #[async_trait]
 impl Store for FaultyStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.inner.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         self.run_call(self.inner.get(key)).await
     }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -8,9 +8,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use tokio::sync::watch;
 
-use super::server::{Call, CallResponse};
-use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
+use super::era::EraTracker;
+use super::server::{Call, CallResponse, ERA_HEADER};
+use super::{Changes, Entry, Era, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
 
 /// Maximum size of a response body, in bytes. In JSON, each byte of a value takes up to four characters.
@@ -21,6 +23,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     url: String,
     timeout: Duration,
+    era: EraTracker,
 }
 
 impl HttpStore {
@@ -37,6 +40,7 @@
                 .build(connector),
             url: format!("http://{address}/v1/call"),
             timeout,
+            era: EraTracker::default(),
         }
     }
 
@@ -67,6 +71,11 @@
                 false => StoreError::Unknown(error_chain(&e)),
             })?;
         let status = res.status();
+        let era = res.headers().get(ERA_HEADER);
+        let era = era.and_then(|h| h.to_str().ok()?.parse().ok());
+        if let Some(era) = era {
+            self.era.observe(Era(era))?;
+        }
         let data = Limited::new(res.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await
@@ -105,6 +114,10 @@
 
 #[async_trait]
 impl Store for HttpStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         match self.call(&Call::Get(key.into()), self.timeout).await? {
             CallResponse::Entry(e) => Ok(e),
--- a/src/store/mem.rs
+++ b/src/store/mem.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
+use super::era::EraTracker;
 use super::{
-    Changes, Entry, Event, LeaseId, Listing, Revision, Store, StoreError, Swap, MAX_VALUE_BYTES,
+    Changes, Entry, Era, Event, LeaseId, Listing, Revision, Store, StoreError, Swap,
+    MAX_VALUE_BYTES,
 };
 use crate::prelude::*;
 
@@ -17,8 +19,17 @@
 #[derive(Clone)]
 struct Item {
     value: Vec<u8>,
-    revision: Revision,
-    lease: Option<LeaseId>,
+    /// Number of its revision; the same number in all eras that still hold this write.
+    number: u64,
+    /// Number of its lease.
+    lease: Option<u64>,
+}
+
+#[derive(Clone)]
+struct Change {
+    key: String,
+    value: Option<Vec<u8>>,
+    number: u64,
 }
 
 #[derive(Clone)]
@@ -30,20 +41,21 @@
 #[derive(Clone, Default)]
 struct State {
     items: BTreeMap<String, Item>,
-    leases: BTreeMap<LeaseId, Lease>,
-    history: std::collections::VecDeque<Event>,
-    revision: Revision,
-    next_lease: LeaseId,
-    /// Number of times that the store came back from a copy.
-    era: u64,
+    leases: BTreeMap<u64, Lease>,
+    history: std::collections::VecDeque<Change>,
+    /// Number of the latest revision.
+    number: u64,
+    last_lease: u64,
+    /// Raised each time that the store comes back from a copy.
+    era: Era,
 }
 
 impl State {
     fn record(&mut self, key: &str, value: Option<Vec<u8>>) {
-        self.history.push_back(Event {
+        self.history.push_back(Change {
             key: key.to_owned(),
             value,
-            revision: self.revision,
+            number: self.number,
         });
         if self.history.len() > MAX_HISTORY {
             self.history.pop_front();
@@ -62,7 +74,7 @@
         }
     }
 
-    fn end_lease(&mut self, id: LeaseId) {
+    fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
         let keys: Vec<_> = self
             .items
@@ -72,7 +84,7 @@
             .collect();
         for key in keys {
             self.items.remove(&key);
-            self.revision += 1;
+            self.number += 1;
             self.record(&key, None);
         }
     }
@@ -81,28 +93,37 @@
         self.items.get(key).map(|i| Entry {
             key: key.to_owned(),
             value: i.value.clone(),
-            revision: i.revision,
+            revision: self.revision(i.number),
         })
     }
 
+    fn revision(&self, number: u64) -> Revision {
+        Revision::new(self.era, number)
+    }
+
+    /// Number of a lease; `None` if it is of another era or has ended.
+    fn live_lease(&self, lease: LeaseId) -> Option<u64> {
+        let live = lease.era() == self.era && self.leases.contains_key(&lease.number());
+        live.then(|| lease.number())
+    }
+
     /// Changes after revision `from` to keys that begin with `prefix`.
     fn changes(&self, prefix: &str, from: Revision) -> Result<Changes, StoreError> {
-        let oldest = self
-            .history
-            .front()
-            .map_or(self.revision + 1, |e| e.revision);
-        if from > self.revision || from + 1 < oldest {
+        let oldest = self.history.front().map_or(self.number + 1, |c| c.number);
+        let after = from.number();
+        if from.era() != self.era || after > self.number || after + 1 < oldest {
             return Err(StoreError::Compacted);
         }
-        let events = self
-            .history
-            .iter()
-            .filter(|e| e.revision > from && e.key.starts_with(prefix))
-            .cloned()
-            .collect();
+        let changes = self.history.iter();
+        let changes = changes.filter(|c| c.number > after && c.key.starts_with(prefix));
+        let event = |c: &Change| Event {
+            key: c.key.clone(),
+            value: c.value.clone(),
+            revision: self.revision(c.number),
+        };
         Ok(Changes {
-            events,
-            revision: self.revision,
+            events: changes.map(event).collect(),
+            revision: self.revision(self.number),
         })
     }
 }
@@ -112,6 +133,7 @@
 pub struct MemStore {
     state: Mutex<State>,
     changed: Notify,
+    era: EraTracker,
 }
 
 /// A copy of the state of a [`MemStore`].
@@ -135,28 +157,25 @@
     /// Replaces the state by a saved one and raises the era. Revisions and lease ids since then are given out again.
     pub fn restore(&self, saved: SavedState) {
         self.with_state(|s| {
-            let era = s.era + 1;
+            let era = Era(s.era.0 + 1);
             *s = saved.0;
             s.era = era;
+            // Eras only rise here.
+            let _ = self.era.observe(era);
         });
         self.changed.notify_waiters();
     }
 
-    /// Number of times that the store came back from a copy.
-    pub fn era(&self) -> u64 {
-        self.with_state(|s| s.era)
-    }
-
     /// Runs `f` on the state after ending expired leases, and wakes the watches if the revision changed.
     fn with_state<T, F>(&self, f: F) -> T
     where
         F: FnOnce(&mut State) -> T,
     {
         let mut s = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        let before = s.revision;
+        let before = s.number;
         s.end_expired(Instant::now());
         let out = f(&mut s);
-        if s.revision != before {
+        if s.number != before {
             self.changed.notify_waiters();
         }
         out
@@ -165,6 +184,10 @@
 
 #[async_trait]
 impl Store for MemStore {
+    fn era(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         Ok(self.with_state(|s| s.entry(key)))
     }
@@ -179,7 +202,7 @@
                 .collect();
             Listing {
                 entries: keys.iter().filter_map(|k| s.entry(k)).collect(),
-                revision: s.revision,
+                revision: s.revision(s.number),
             }
         }))
     }
@@ -197,48 +220,57 @@
             )));
         }
         self.with_state(|s| {
-            let current = s.items.get(key).map_or(0, |i| i.revision);
-            match lease {
-                _ if current != expect => return Ok(Swap::Conflict(s.entry(key))),
-                Some(id) if !s.leases.contains_key(&id) => return Err(StoreError::NoLease),
-                _ => s.revision += 1,
+            let current = s.entry(key);
+            if current.as_ref().map_or(Revision::ABSENT, |e| e.revision) != expect {
+                return Ok(Swap::Conflict(current));
             }
-            let revision = s.revision;
+            let lease = match lease.map(|l| s.live_lease(l)) {
+                Some(None) => return Err(StoreError::NoLease),
+                lease => lease.flatten(),
+            };
+            s.number += 1;
+            let number = s.number;
             match value.clone() {
                 Some(value) => s.items.insert(
                     key.to_owned(),
                     Item {
                         value,
-                        revision,
+                        number,
                         lease,
                     },
                 ),
                 None => s.items.remove(key),
             };
             s.record(key, value);
-            Ok(Swap::Done(revision))
+            Ok(Swap::Done(s.revision(number)))
         })
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         Ok(self.with_state(|s| {
-            s.next_lease += 1;
+            s.last_lease += 1;
             let expires_at = Instant::now() + ttl;
-            s.leases.insert(s.next_lease, Lease { ttl, expires_at });
-            s.next_lease
+            s.leases.insert(s.last_lease, Lease { ttl, expires_at });
+            LeaseId::new(s.era, s.last_lease)
         }))
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.with_state(|s| {
-            let l = s.leases.get_mut(&lease).ok_or(StoreError::NoLease)?;
+            let lease = s.live_lease(lease);
+            let lease = lease.and_then(|id| s.leases.get_mut(&id));
+            let l = lease.ok_or(StoreError::NoLease)?;
             l.expires_at = Instant::now() + l.ttl;
             Ok(())
         })
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.with_state(|s| s.end_lease(lease));
+        self.with_state(|s| {
+            if let Some(id) = s.live_lease(lease) {
+                s.end_lease(id);
+            }
+        });
         Ok(())
     }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value store: compare-and-swap, leases and watches.
 
 pub mod counted;
+pub mod era;
 pub mod faults;
 pub mod http;
 pub mod mem;
@@ -10,17 +11,14 @@
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
+pub use self::era::{Era, LeaseId, Revision};
 use crate::prelude::*;
 
 /// Maximum size of a value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
-/// Revision of the whole store, which increases with each write. An expected revision of 0 means an absent key.
-pub type Revision = u64;
-/// Id of a lease, which the store assigns.
-pub type LeaseId = u64;
-
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
 pub struct Entry {
@@ -82,8 +80,8 @@
     Invalid(String),
     /// The lease does not exist or has expired.
     NoLease,
-    /// The watch starts before the oldest revision in the store's history, or after the current one because the store
-    /// was restored from an older state. List again and watch from the revision of the listing.
+    /// The watch starts before the oldest revision in the store's history, or at one of an earlier era. List again and
+    /// watch from the revision of the listing.
     Compacted,
 }
 
@@ -115,8 +113,14 @@
 impl std::error::Error for StoreError {}
 
 /// The platform's key-value store. Each call fails with a [`StoreError`].
+///
+/// Revisions and leases of an earlier era are of no use in a later one. A call with one of them changes nothing: a swap
+/// ends with a conflict, a watch with [`StoreError::Compacted`], and other calls as if the lease had expired. If only the
+/// response shows that the store has begun a new era, the outcome of a write is [`StoreError::Unknown`].
 #[async_trait]
 pub trait Store: Send + Sync {
+    /// Follows the latest era that the store has named in a response.
+    fn era(&self) -> watch::Receiver<Era>;
     /// Reads one key; `None` if it is absent.
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError>;
     /// Reads all keys that begin with `prefix`.
@@ -125,7 +129,7 @@
     async fn list_stale(&self, prefix: &str) -> Result<Listing, StoreError> {
         self.list(prefix).await
     }
-    /// Compare-and-swap: if the key is at revision `expect` (0: absent), writes `value`, or deletes the key for `None`.
+    /// Compare-and-swap: if the key is at revision `expect` ([`Revision::ABSENT`]: absent), writes `value`, or deletes the key for `None`.
     /// A key written with a lease is deleted when the lease ends.
     async fn swap(
         &self,
@@ -141,11 +145,14 @@
         value: Vec<u8>,
         lease: Option<LeaseId>,
     ) -> Result<Revision, StoreError> {
-        let mut expect = self.get(key).await?.map_or(0, |e| e.revision);
+        let mut expect = self
+            .get(key)
+            .await?
+            .map_or(Revision::ABSENT, |e| e.revision);
         loop {
             match self.swap(key, expect, Some(value.clone()), lease).await? {
                 Swap::Done(r) => return Ok(r),
-                Swap::Conflict(e) => expect = e.map_or(0, |e| e.revision),
+                Swap::Conflict(e) => expect = e.map_or(Revision::ABSENT, |e| e.revision),
             }
         }
     }
--- a/src/store/server.rs
+++ b/src/store/server.rs
@@ -21,6 +21,9 @@
 use super::{Changes, Entry, LeaseId, Listing, Revision, Store, StoreError, Swap};
 use crate::prelude::*;
 
+/// Response header with the era of the store.
+pub const ERA_HEADER: &str = "dq-store-era";
+
 /// A call to the store, the body of a request.
 #[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
 pub enum Call {
@@ -191,12 +194,14 @@
 #[endpoint { method = POST, path = "/v1/call", request_body_max_bytes = 8 * 1024 * 1024 }]
 async fn post_call(ctx: Ctx, body: TypedBody<Call>) -> Result<Response<Body>, HttpError> {
     let response = ctx.context().serve(body.into_inner()).await;
+    let era = *ctx.context().store.era().borrow();
     let body = match &response {
         CallResponse::Error(StoreError::Unknown(m)) if m == CLOSE_ERROR => Body::wrap(FailingBody),
         r => serde_json::to_vec(r).unwrap_or_default().into(),
     };
     Response::builder()
         .header("content-type", "application/json")
+        .header(ERA_HEADER, era.0)
         .body(body)
         .map_err(|e| HttpError::for_internal_error(e.to_string()))
 }
--- a/src/version/gc.rs
+++ b/src/version/gc.rs
@@ -42,7 +42,7 @@
             decode::<VersionNumber>(&keys.lowest_kept(), &e.value)?,
             e.revision,
         ),
-        None => (1, 0),
+        None => (1, Revision::ABSENT),
     };
     let end = head.version.number.saturating_sub(KEPT_VERSIONS);
     if end.saturating_sub(from) < BATCH_VERSIONS {
@@ -100,7 +100,7 @@
     let value = serde_json::to_vec(&Removal(chunks.collect())).unwrap_or_default();
     // An announcement that already exists stays as it is and is completed.
     store
-        .swap(&keys.removal(hash), 0, Some(value), None)
+        .swap(&keys.removal(hash), Revision::ABSENT, Some(value), None)
         .await
         .map(drop)
 }
--- a/src/version/publish.rs
+++ b/src/version/publish.rs
@@ -206,7 +206,9 @@
         let chunks = self.store_chunks().await?;
         if record && head.version.number > 0 {
             let key = self.keys.accepted(head.version.number);
-            self.store.swap(&key, 0, Some(encode(head)), None).await?;
+            self.store
+                .swap(&key, Revision::ABSENT, Some(encode(head)), None)
+                .await?;
         }
         let base = VersionRef {
             number: next.number - 1,
@@ -230,7 +232,10 @@
         let mut n = 0;
         for part in self.compressed.chunks(CHUNK_BYTES) {
             let key = self.keys.chunk(&self.hash, n);
-            let out = self.store.swap(&key, 0, Some(part.to_vec()), None).await?;
+            let out = self
+                .store
+                .swap(&key, Revision::ABSENT, Some(part.to_vec()), None)
+                .await?;
             if matches!(out, Swap::Conflict(Some(e)) if e.value != part) {
                 let message = format!(
                     "{key} already holds different bytes, perhaps from another compressor version; change the manifest"
--- a/src/version/stored.rs
+++ b/src/version/stored.rs
@@ -120,7 +120,7 @@
     let key = keys.head();
     match store.get(&key).await? {
         Some(e) => Ok((decode(&key, &e.value)?, e.revision)),
-        None => Ok((Head::default(), 0)),
+        None => Ok((Head::default(), Revision::ABSENT)),
     }
 }
 
--- a/tests/commit.rs
+++ b/tests/commit.rs
@@ -7,7 +7,7 @@
 
 use dragonflyquay::digest::Digest;
 use dragonflyquay::store::faults::{Faults, FaultyStore};
-use dragonflyquay::store::{Store, StoreError, Swap, MAX_VALUE_BYTES};
+use dragonflyquay::store::{Revision, Store, StoreError, Swap, MAX_VALUE_BYTES};
 use dragonflyquay::version::gc::{remove_old_content, BATCH_VERSIONS, KEPT_VERSIONS};
 use dragonflyquay::version::manifest::{self, Manifest, Route, Service};
 use dragonflyquay::version::publish::*;
@@ -300,7 +300,9 @@
     let s = FaultyStore::default();
     accept(&s, 0, 1).await;
     for i in 0..5000 {
-        s.swap(&format!("other/{i}"), 0, None, None).await.unwrap();
+        s.swap(&format!("other/{i}"), Revision::ABSENT, None, None)
+            .await
+            .unwrap();
     }
     let keys = StoreKeys::new(SITE);
     let (head, from) = read_head_for_watch(&s, &keys).await.unwrap();
--- a/tests/dedup.rs
+++ b/tests/dedup.rs
@@ -14,6 +14,7 @@
 use dragonflyquay::process::members::notices::Grant;
 use dragonflyquay::request::key::IdempotencyKey;
 use dragonflyquay::request::reason::Reason;
+use dragonflyquay::store::{Era, Revision};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -148,7 +149,9 @@
         match action {
             Action::Read(shard) => {
                 let entry = store.get(&shard);
-                let found = entry.map_or((0, None), |e| (e.0, Some(e.1.clone())));
+                let found = entry.map_or((Revision::ABSENT, None), |e| {
+                    (Revision::new(Era::default(), e.0), Some(e.1.clone()))
+                });
                 actions.extend(g.on_read(shard, Some(found), env));
             }
             Action::Swap(_, next) if down => {
@@ -157,7 +160,7 @@
             }
             Action::Swap(revision, next) => {
                 writes += 1;
-                store.insert(next.shard, (revision + 1, next.clone()));
+                store.insert(next.shard, (revision.number() + 1, next.clone()));
                 actions.extend(g.on_swap_result(next.shard, SwapResult::Applied));
             }
             Action::Publish(g) => published.push(g),
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -11,6 +11,7 @@
 use dragonflyquay::process::members::notices::{Grant, Notice, Notices};
 use dragonflyquay::request::key::IdempotencyKey;
 use dragonflyquay::request::reason::Reason;
+use dragonflyquay::store::{Era, Revision};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -233,18 +234,22 @@
             }
             Action::Read(shard) => {
                 let entry = self.store.get(&shard);
-                let found = entry.map_or((0, None), |e| (e.0, Some(e.1.clone())));
+                let found = entry.map_or((Revision::ABSENT, None), |e| {
+                    (Revision::new(Era::default(), e.0), Some(e.1.clone()))
+                });
                 let found = Some(found).filter(|_| !down);
                 self.nodes[n].grants.on_read(shard, found, env)
             }
             Action::Swap(expect, g) => {
                 let result = match write {
                     _ if down => SwapResult::NotApplied,
-                    WriteResult::Success if self.swap(expect, &g) => SwapResult::Applied,
-                    WriteResult::ResponseLost if self.swap(expect, &g) => SwapResult::Unknown,
+                    WriteResult::Success if self.swap(expect.number(), &g) => SwapResult::Applied,
+                    WriteResult::ResponseLost if self.swap(expect.number(), &g) => {
+                        SwapResult::Unknown
+                    }
                     WriteResult::RequestLost => SwapResult::Unknown,
                     WriteResult::Delayed => {
-                        self.delayed.push((expect, g.clone()));
+                        self.delayed.push((expect.number(), g.clone()));
                         SwapResult::Unknown
                     }
                     _ => SwapResult::NotApplied,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -12,7 +12,7 @@
 use dragonflyquay::sidecar::adapter::{Adapter, TargetCall};
 use dragonflyquay::sidecar::process::rollout::order::{RolloutState, RolloutStatus};
 use dragonflyquay::sidecar::process::target::heartbeat::ReportedState;
-use dragonflyquay::store::{Store, StoreError, Swap};
+use dragonflyquay::store::{Revision, Store, StoreError, Swap};
 use http::Method;
 use site_kit::store::{Faults, KvServer};
 use site_kit::{config, SERVICE};
@@ -38,15 +38,23 @@
     let server = KvServer::start();
     let s = client(&server, WAIT_TIMEOUT);
     block_on(async {
-        let Ok(Swap::Done(r1)) = s.swap("a/1", 0, Some(b"x".to_vec()), None).await else {
+        let Ok(Swap::Done(r1)) = s
+            .swap("a/1", Revision::ABSENT, Some(b"x".to_vec()), None)
+            .await
+        else {
             panic!("the key was not created");
         };
-        let conflict = s.swap("a/1", 0, Some(b"y".to_vec()), None).await.unwrap();
+        let conflict = s
+            .swap("a/1", Revision::ABSENT, Some(b"y".to_vec()), None)
+            .await
+            .unwrap();
         assert!(matches!(conflict, Swap::Conflict(Some(e)) if e.revision == r1 && e.value == b"x"));
-        let missing = s.swap("a/2", 7, Some(b"y".to_vec()), None).await;
+        let missing = s
+            .swap("a/2", Revision::new(r1.era(), 7), Some(b"y".to_vec()), None)
+            .await;
         assert_eq!(missing, Ok(Swap::Conflict(None)));
         let r2 = s.put("a/1", b"\x00\xff".to_vec(), None).await.unwrap();
-        assert!(r2 > r1);
+        assert!(r2.is_later_than(r1));
         let e = s.get("a/1").await.unwrap().unwrap();
         assert_eq!((e.value, e.revision), (b"\x00\xff".to_vec(), r2));
         assert!(matches!(
--- a/tests/rollout_sim/mod.rs
+++ b/tests/rollout_sim/mod.rs
@@ -16,6 +16,7 @@
 use dragonflyquay::sidecar::process::rollout::samples::Report;
 use dragonflyquay::sidecar::process::rollout::table::{SampleResult, Seat, Table};
 use dragonflyquay::sidecar::process::rollout::view::Filter;
+use dragonflyquay::store::{Era, Revision};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -136,7 +137,7 @@
             to: "v2".into(),
             limit,
         };
-        let news = News::of_order(order, 10, Step::Ordered);
+        let news = News::of_order(order, revision(10), Step::Ordered);
         for i in 0..sim.nodes.len() {
             sim.send(i, Message::News(Box::new(news.clone())), 0);
         }
@@ -302,3 +303,8 @@
         }
     }
 }
+
+/// A revision of the simulated store, which stays in one era.
+fn revision(number: u64) -> Revision {
+    Revision::new(Era::default(), number)
+}
--- a/tests/rollout_sim/store.rs
+++ b/tests/rollout_sim/store.rs
@@ -26,7 +26,10 @@
         let Some(seat) = &mut e.seat else {
             return;
         };
-        let at = self.record.as_ref().map_or(0, |r| r.0);
+        let at = self
+            .record
+            .as_ref()
+            .map_or(Revision::ABSENT, |r| revision(r.0));
         if at != seat.record_at {
             e.seat = None;
         } else if let Some(step) = seat.decider.end().filter(|_| seat.recorded_at.is_none()) {
@@ -37,7 +40,7 @@
             self.revision += 1;
             let news = seat.decider.next_news(now);
             self.record = Some((self.revision, Record { news }));
-            (seat.record_at, seat.renewed_at, seat.called_at) = (self.revision, now, now);
+            (seat.record_at, seat.renewed_at, seat.called_at) = (revision(self.revision), now, now);
         }
     }
 
@@ -55,7 +58,7 @@
             elapsed_ms: now.saturating_sub(e.view.started_at()).as_millis() as u64,
             ..news.clone()
         };
-        let found = self.record.as_ref().map(|(at, r)| (*at, r));
+        let found = self.record.as_ref().map(|(at, r)| (revision(*at), r));
         let own = SmolStr::from(format!("n{i}"));
         match e.candidate.on_record(found, &known, false, &own, now) {
             Claim::Swap(_, news) if self.end.is_none() => {
@@ -68,10 +71,10 @@
                 };
                 e.seat = Some(Box::new(Seat {
                     decider: Decider::new(news, e.view.started_at(), bounds, now),
-                    record_at: self.revision,
+                    record_at: revision(self.revision),
                     renewed_at: now,
                     called_at: now,
-                    status_at: 0,
+                    status_at: Revision::ABSENT,
                     sent_at: Duration::ZERO,
                     recorded_at: None,
                     closed: false,
--- a/tests/sidecar_rollout_orders.rs
+++ b/tests/sidecar_rollout_orders.rs
@@ -8,6 +8,7 @@
 use dragonflyquay::sidecar::process::rollout::plan::{canary_share, canary_size, Bounds, Plan};
 use dragonflyquay::sidecar::process::rollout::table::Table;
 use dragonflyquay::sidecar::process::rollout::view::{Passes, View};
+use dragonflyquay::store::{Era, Revision};
 
 const ROLLBACK: Duration = Duration::from_secs(5);
 
@@ -33,7 +34,7 @@
         cap: 0.06,
         canary: vec!["c".into()],
         decider: "d".into(),
-        ..News::of_order(order("v2"), 10, step)
+        ..News::of_order(order("v2"), Revision::new(Era::default(), 10), step)
     }
 }
 
@@ -113,7 +114,7 @@
 
 /// Merges an order that was read from the store.
 fn read(t: &mut Table, to: &str, revision: u64, now: Duration) -> bool {
-    let news = t.order_news(order(to), revision, false);
+    let news = t.order_news(order(to), Revision::new(Era::default(), revision), false);
     t.merge(&news, ROLLBACK, 0.5, now)
 }
 
@@ -161,7 +162,7 @@
 #[test]
 fn an_order_that_is_found_at_the_start_blocks_no_version() {
     let mut t = Table::default();
-    let news = t.order_news(order("v2"), 10, true);
+    let news = t.order_news(order("v2"), Revision::new(Era::default(), 10), true);
     t.merge(&news, ROLLBACK, 0.5, ms(100));
     let passes = t.entries["s"].view.passes(0.0, false, &[], ms(200));
     assert!(allows(&passes, "x", "v1") && !allows(&passes, "x", "v2"));
--- /dev/null
+++ b/tests/sidecar_store_era.rs
@@ -0,0 +1,49 @@
+//! Nodes of the `sidecar` command while the store comes back from an older copy, with separate processes.
+
+mod site_kit;
+mod workdir;
+
+use std::time::Duration;
+
+use site_kit::{config, Node, Site, SERVICE};
+use workdir::wait_until;
+
+/// Time after which the links of new nodes have settled, and few nodes watch the store.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// A configuration that serves `/added-N/` for each version N from 2 on.
+fn added_config(version: u64) -> String {
+    let route = |v: u64| {
+        format!(
+            r#",{{"name":"added-{v}","prefix":"/added-{v}/","route_type":"safe","timeout_ms":5000,"priority":1,"service":"{SERVICE}","retry_attempts":2}}"#
+        )
+    };
+    config(version, &(2..=version).map(route).collect::<String>())
+}
+
+fn serves(node: &Node, version: u64) -> bool {
+    let path = format!("/added-{version}/x");
+    node.send("GET", &path).is_some_and(|r| r.status == 200)
+}
+
+fn wait_version(site: &Site, version: u64) {
+    let all = || site.nodes.iter().all(|n| serves(n, version));
+    wait_until(&format!("version {version} at all nodes"), all);
+}
+
+/// Guards against a watch that goes on from a revision of an earlier era: the store gives that revision out again, and
+/// a version that it acknowledged after the drill never comes into force.
+#[test]
+fn a_version_arrives_although_the_store_gives_its_revision_out_again() {
+    let site = Site::start(4);
+    std::thread::sleep(SETTLE_TIME);
+    let copy = site.store.store.save();
+    site.store.put_config(&added_config(2));
+    site.store.put_config(&added_config(3));
+    wait_version(&site, 3);
+    // The nodes wait for a moment before they watch on, so that no call is open in the drill.
+    site.store.drill(copy);
+    site.store.put_config(&added_config(3));
+    site.store.put_config(&added_config(4));
+    wait_version(&site, 4);
+}
--- a/tests/sim/mod.rs
+++ b/tests/sim/mod.rs
@@ -27,6 +27,7 @@
 use dragonflyquay::process::versions::watch::{
     self, Call, CallResult, Watcher, LEASE_TTL, WATCHERS_PER_AZ, WATCH_WAIT,
 };
+use dragonflyquay::store::{Era, LeaseId, Revision};
 use dragonflyquay::version::adopt::{AdoptSettings, FloorEvent, HeadAction};
 use dragonflyquay::version::manifest::{Manifest, Service};
 use dragonflyquay::version::snapshot::{canonical, Snapshot, VersionRef};
--- a/tests/sim/store.rs
+++ b/tests/sim/store.rs
@@ -17,14 +17,18 @@
             });
         }
         let result = match &call {
-            Call::WatchHead(from) if self.store.revision <= *from && until > self.now => {
+            Call::WatchHead(from) if self.store.revision <= from.number() && until > self.now => {
                 return self.push(TICK_MS, Event::Store(n, generation, call, until));
             }
-            Call::WatchHead(from) => {
-                CallResult::WatchHead(self.store.revision, self.store.revision != *from)
-            }
-            Call::ClaimSlot => CallResult::ClaimSlot(self.claim_slot(zone)),
-            Call::Renew(id) => CallResult::Renew(self.renew_lease(zone, *id)),
+            Call::WatchHead(from) => CallResult::WatchHead(
+                Revision::new(Era::default(), self.store.revision),
+                self.store.revision != from.number(),
+            ),
+            Call::ClaimSlot => CallResult::ClaimSlot(
+                self.claim_slot(zone)
+                    .map(|id| LeaseId::new(Era::default(), id)),
+            ),
+            Call::Renew(id) => CallResult::Renew(self.renew_lease(zone, id.number())),
             Call::ReadHead => return self.read_head(n, generation),
             Call::Republish => {
                 let held = self.nodes[n].token.number as usize;
@@ -85,7 +89,7 @@
             0 => None,
             i => Some(self.versions[i - 1].clone()),
         };
-        let revision = self.store.revision;
+        let revision = Revision::new(Era::default(), self.store.revision);
         self.step_node(n, generation, |p, now| {
             let v = head
                 .as_ref()
--- a/tests/site_kit/store.rs
+++ b/tests/site_kit/store.rs
@@ -9,7 +9,7 @@
 use base64::Engine;
 use bytes::Bytes;
 use dragonflyquay::store::mem::{MemStore, SavedState};
-use dragonflyquay::store::{Entry, Event, Store, StoreError, Swap};
+use dragonflyquay::store::{Entry, Era, Event, LeaseId, Revision, Store, StoreError, Swap};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -147,14 +147,14 @@
                 let service = service_fn(move |req| {
                     let (store, faults, calls) = (store.clone(), faults.clone(), calls.clone());
                     async move {
-                        let era = store.era();
+                        let era = era_of(&store);
                         let res = respond(&store, &faults, &calls, req).await;
                         // A call that gets no response never finishes, also after the fault has ended.
-                        let Some(mut res) = res.filter(|_| store.era() == era) else {
+                        let Some(mut res) = res.filter(|_| era_of(&store) == era) else {
                             return std::future::pending().await;
                         };
                         let headers = res.headers_mut();
-                        headers.insert("store-era", (FIRST_ERA + era).into());
+                        headers.insert("store-era", (FIRST_ERA + era.0).into());
                         Ok::<_, Infallible>(res)
                     }
                 });
@@ -169,6 +169,10 @@
     entrance
 }
 
+fn era_of(store: &MemStore) -> Era {
+    *store.era().borrow()
+}
+
 type KvResponse = http::Response<Full<Bytes>>;
 
 fn response(status: u16, v: &Value) -> Option<KvResponse> {
@@ -177,15 +181,17 @@
 }
 
 fn item_json(e: &Entry) -> Value {
-    json!({"key": e.key, "value": STANDARD.encode(&e.value), "revision": e.revision,
-           "created": e.revision, "lease": 0})
+    json!({"key": e.key, "value": STANDARD.encode(&e.value), "revision": e.revision.number(),
+           "created": e.revision.number(), "lease": 0})
 }
 
 fn event_json(e: &Event) -> Value {
     match &e.value {
-        Some(v) => json!({"key": e.key, "value": STANDARD.encode(v), "revision": e.revision,
-                          "created": e.revision, "lease": 0}),
-        None => json!({"key": e.key, "revision": e.revision, "deleted": true}),
+        Some(v) => {
+            json!({"key": e.key, "value": STANDARD.encode(v), "revision": e.revision.number(),
+                          "created": e.revision.number(), "lease": 0})
+        }
+        None => json!({"key": e.key, "revision": e.revision.number(), "deleted": true}),
     }
 }
 
@@ -238,10 +244,14 @@
         ("POST", "/api/kv-lease") => {
             let ttl = Duration::from_millis(body["ttl_ms"].as_u64()?);
             let lease = store.grant_lease(ttl).await.ok()?;
-            response(200, &json!({"lease": lease, "ttl_ms": body["ttl_ms"]}))
+            response(
+                200,
+                &json!({"lease": lease.number(), "ttl_ms": body["ttl_ms"]}),
+            )
         }
         ("POST", p) => {
             let id = p.strip_prefix("/api/kv-keep/")?.parse().ok()?;
+            let id = LeaseId::new(era_of(store), id);
             match store.renew_lease(id).await {
                 Ok(()) => response(200, &json!({"ttl_ms": 1})),
                 Err(_) => response(404, &json!({})),
@@ -249,6 +259,7 @@
         }
         ("DELETE", p) => {
             let id = p.strip_prefix("/api/kv-lease-end/")?.parse().ok()?;
+            let id = LeaseId::new(era_of(store), id);
             let _ = store.revoke_lease(id).await;
             response(200, &json!({}))
         }
@@ -270,20 +281,21 @@
     let has_more = following.len() > 2;
     response(
         200,
-        &json!({"items": items, "has_more": has_more, "at": list.revision}),
+        &json!({"items": items, "has_more": has_more, "at": list.revision.number()}),
     )
 }
 
 async fn watch(store: &MemStore, faults: &Mutex<Faults>, query: &str) -> Option<KvResponse> {
     let wait = Duration::from_millis(query_param(query, "wait_ms").parse().ok()?);
     let from = query_param(query, "after").parse().ok()?;
+    let from = Revision::new(era_of(store), from);
     if std::mem::take(&mut faults.lock().unwrap().compacted) {
         return response(410, &json!({}));
     }
     match store.watch(&query_param(query, "prefix"), from, wait).await {
         Ok(c) => {
             let events: Vec<_> = c.events.iter().map(event_json).collect();
-            response(200, &json!({"events": events, "at": c.revision}))
+            response(200, &json!({"events": events, "at": c.revision.number()}))
         }
         Err(_) => response(410, &json!({})),
     }
@@ -303,11 +315,19 @@
         None => None,
     };
     let lease = write["lease"].as_u64().filter(|l| *l > 0);
+    let lease = lease.map(|l| LeaseId::new(era_of(store), l));
     let condition = &body["precondition"][0];
     let out = match (condition["revision"].as_u64(), value) {
-        (Some(expect), value) => store.swap(key, expect, value, lease).await,
+        (Some(0), value) => store.swap(key, Revision::ABSENT, value, lease).await,
+        (Some(expect), value) => {
+            let expect = Revision::new(era_of(store), expect);
+            store.swap(key, expect, value, lease).await
+        }
         (None, Some(value)) => store.put(key, value, lease).await.map(Swap::Done),
-        (None, None) => store.remove(key).await.map(|()| Swap::Done(0)),
+        (None, None) => store
+            .remove(key)
+            .await
+            .map(|()| Swap::Done(Revision::ABSENT)),
     };
     let mut f = faults.lock().unwrap();
     if f.lost_write_responses > 0 {
@@ -315,7 +335,7 @@
         return None;
     }
     match out {
-        Ok(Swap::Done(r)) => response(200, &json!({"revision": r})),
+        Ok(Swap::Done(r)) => response(200, &json!({"revision": r.number()})),
         Ok(Swap::Conflict(Some(e))) => response(412, &json!({"items": [item_json(&e)]})),
         Ok(Swap::Conflict(None)) => response(412, &json!({"items": [{"key": key, "revision": 0}]})),
         Err(StoreError::NoLease) => response(404, &json!({})),
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -14,7 +14,7 @@
 use dragonflyquay::store::http::{decode_response, HttpStore};
 use dragonflyquay::store::mem::MemStore;
 use dragonflyquay::store::server::{self, Call, CallResponse, StandInStore};
-use dragonflyquay::store::{Store, StoreError, Swap, MAX_VALUE_BYTES};
+use dragonflyquay::store::{Era, Revision, Store, StoreError, Swap, MAX_VALUE_BYTES};
 use property::run;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -23,6 +23,8 @@
 /// Wait of a watch, time to live of a lease and timeout of the HTTP client; only a failing test waits this long.
 const LONG: Duration = WAIT_TIMEOUT;
 
+const ABSENT: Revision = Revision::ABSENT;
+
 /// One kind of store under test.
 struct Fixture {
     name: &'static str,
@@ -63,14 +65,14 @@
 }
 
 /// Revision of a compare-and-swap that succeeded.
-fn done(s: Result<Swap, StoreError>) -> u64 {
+fn done(s: Result<Swap, StoreError>) -> Revision {
     match s {
         Ok(Swap::Done(r)) => r,
         s => panic!("{s:?}"),
     }
 }
 
-async fn put(s: &dyn Store, key: &str, expect: u64, value: &str) -> Result<Swap, StoreError> {
+async fn put(s: &dyn Store, key: &str, expect: Revision, value: &str) -> Result<Swap, StoreError> {
     s.swap(key, expect, Some(value.into()), None).await
 }
 
@@ -84,25 +86,27 @@
 async fn swap_checks_the_revision() {
     for_each_store(LONG, |t| async move {
         let s = t.store.as_ref();
-        let r1 = done(put(s, "a/1", 0, "x").await);
-        let conflict = put(s, "a/1", 0, "y").await.unwrap();
+        let r1 = done(put(s, "a/1", ABSENT, "x").await);
+        let conflict = put(s, "a/1", ABSENT, "y").await.unwrap();
         assert!(matches!(conflict, Swap::Conflict(Some(e)) if e.revision == r1 && e.value == b"x"));
-        let missing = put(s, "a/2", 7, "y").await.unwrap();
+        let missing = put(s, "a/2", Revision::new(Era::default(), 7), "y")
+            .await
+            .unwrap();
         assert_eq!(missing, Swap::Conflict(None));
         let r2 = done(put(s, "a/1", r1, "y").await);
-        assert!(r2 > r1);
-        done(put(s, "a/2", 0, "z").await);
-        done(put(s, "b/1", 0, "z").await);
+        assert!(r2.is_later_than(r1));
+        done(put(s, "a/2", ABSENT, "z").await);
+        done(put(s, "b/1", ABSENT, "z").await);
         let list = s.list("a/").await.unwrap();
         let keys: Vec<_> = list.entries.iter().map(|e| e.key.as_str()).collect();
         assert_eq!(keys, ["a/1", "a/2"], "{}", t.name);
-        assert!(list.revision > list.entries[1].revision);
+        assert!(list.revision.is_later_than(list.entries[1].revision));
         done(s.swap("a/1", r2, None, None).await);
         assert_eq!(s.get("a/1").await, Ok(None));
         let full = vec![255; MAX_VALUE_BYTES];
-        done(s.swap("full", 0, Some(full.clone()), None).await);
+        done(s.swap("full", ABSENT, Some(full.clone()), None).await);
         assert_eq!(s.get("full").await.unwrap().unwrap().value, full);
-        let over = s.swap("over", 0, Some(vec![0; MAX_VALUE_BYTES + 1]), None);
+        let over = s.swap("over", ABSENT, Some(vec![0; MAX_VALUE_BYTES + 1]), None);
         assert!(matches!(over.await, Err(StoreError::Invalid(_))));
     })
     .await;
@@ -115,17 +119,17 @@
         let s = t.store.as_ref();
         let lease = s.grant_lease(LONG).await.unwrap();
         let value = Some(b"x".to_vec());
-        done(s.swap("l/1", 0, value.clone(), Some(lease)).await);
+        done(s.swap("l/1", ABSENT, value.clone(), Some(lease)).await);
         assert_eq!(s.renew_lease(lease).await, Ok(()));
         t.faulty.inner().expire_leases();
         assert_eq!(s.get("l/1").await, Ok(None), "{}", t.name);
         assert_eq!(s.renew_lease(lease).await, Err(StoreError::NoLease));
-        let late = s.swap("l/1", 0, value.clone(), Some(lease)).await;
+        let late = s.swap("l/1", ABSENT, value.clone(), Some(lease)).await;
         assert_eq!(late, Err(StoreError::NoLease));
         let second = s.grant_lease(LONG).await.unwrap();
         assert_ne!(second, lease);
-        let r = done(s.swap("l/1", 0, value.clone(), Some(second)).await);
-        let other = put(s, "l/1", 0, "y").await;
+        let r = done(s.swap("l/1", ABSENT, value.clone(), Some(second)).await);
+        let other = put(s, "l/1", ABSENT, "y").await;
         assert!(matches!(other, Ok(Swap::Conflict(Some(_)))));
         done(s.swap("l/1", r, value.clone(), None).await);
         s.revoke_lease(second).await.unwrap();
@@ -146,12 +150,12 @@
 async fn watch_sees_changes() {
     for_each_store(LONG, |t| async move {
         let s = t.store.as_ref();
-        let from = done(put(s, "w/1", 0, "x").await);
+        let from = done(put(s, "w/1", ABSENT, "x").await);
         let none = s.watch("w/", from, Duration::ZERO).await.unwrap();
         assert!(none.events.is_empty() && none.revision == from);
         let write = async {
-            done(put(s, "other", 0, "x").await);
-            done(put(s, "w/2", 0, "y").await);
+            done(put(s, "other", ABSENT, "x").await);
+            done(put(s, "w/2", ABSENT, "y").await);
         };
         let (seen, ()) = tokio::join!(s.watch("w/", from, LONG), write);
         let seen = seen.unwrap();
@@ -159,7 +163,7 @@
         assert_eq!(seen.events[0].key, "w/2");
         t.faulty.save();
         for i in 0..3 {
-            done(put(s, &format!("w/more{i}"), 0, "z").await);
+            done(put(s, &format!("w/more{i}"), ABSENT, "z").await);
         }
         let newest = s.list("").await.unwrap().revision;
         t.faulty.restore();
@@ -172,7 +176,7 @@
         for i in 0..5000 {
             let lease = t.faulty.inner().grant_lease(LONG).await.unwrap();
             let key = format!("fill{i}");
-            done(t.faulty.inner().swap(&key, 0, None, Some(lease)).await);
+            done(t.faulty.inner().swap(&key, ABSENT, None, Some(lease)).await);
         }
         assert_eq!(s.watch("w/", from, LONG).await, Err(StoreError::Compacted));
     })
@@ -200,7 +204,7 @@
             for (i, (faults, result, written)) in cases.into_iter().enumerate() {
                 let key = format!("k{i}");
                 *t.faulty.faults() = faults.clone();
-                let out = put(s, &key, 0, "x").await;
+                let out = put(s, &key, ABSENT, "x").await;
                 let got = out.as_ref().map_or_else(|e| e.as_str(), |_| "ok");
                 assert_eq!(got, result, "{} {faults:?} {out:?}", t.name);
                 *t.faulty.faults() = Faults::default();
@@ -227,11 +231,11 @@
     for_each_store(LONG, |t| async move {
         let s = t.store.as_ref();
         for key in ["e/1", "e/2", "e/3"] {
-            done(put(s, key, 0, "x").await);
+            done(put(s, key, ABSENT, "x").await);
         }
         t.faulty.faults().drop_events = 1;
         t.faulty.faults().reorder_events = true;
-        let seen = s.watch("e/", 0, LONG).await.unwrap();
+        let seen = s.watch("e/", ABSENT, LONG).await.unwrap();
         let keys: Vec<_> = seen.events.iter().map(|e| e.key.as_str()).collect();
         assert_eq!(keys, ["e/3", "e/2"], "{}", t.name);
         assert_eq!(t.faulty.faults().drop_events, 0);
@@ -253,7 +257,7 @@
                 slow_answer_ms: faults.1,
                 ..Faults::default()
             };
-            let out = put(t.store.as_ref(), &key, 0, "x").await;
+            let out = put(t.store.as_ref(), &key, ABSENT, "x").await;
             assert!(matches!(out, Err(StoreError::Unknown(_))), "{out:?}");
             let end = Instant::now() + WAIT_TIMEOUT;
             while t.faulty.inner().get(&key).await.unwrap().is_none() {
@@ -272,7 +276,7 @@
     let socket = tokio::net::TcpSocket::new_v4().unwrap();
     socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
     let address = socket.local_addr().unwrap();
-    let out = put(&HttpStore::new(address, LONG), "k", 0, "x").await;
+    let out = put(&HttpStore::new(address, LONG), "k", ABSENT, "x").await;
     assert!(matches!(out, Err(StoreError::Unavailable(_))), "{out:?}");
 }
 
@@ -286,7 +290,7 @@
     assert_eq!(set.unwrap().status, 200);
     let call = Call::Swap {
         key: "k".into(),
-        expect: 0,
+        expect: ABSENT,
         value: Some(b"x".to_vec()),
         lease: None,
     };
@@ -331,15 +335,18 @@
         &metrics.store_calls,
         &metrics.store_waiting,
     ));
-    done(put(s.as_ref(), "k", 0, "x").await);
-    put(s.as_ref(), "k", 0, "x").await.unwrap();
+    done(put(s.as_ref(), "k", ABSENT, "x").await);
+    put(s.as_ref(), "k", ABSENT, "x").await.unwrap();
     let lease = s.grant_lease(LONG).await.unwrap();
     s.revoke_lease(lease).await.unwrap();
     let _ = s.renew_lease(lease).await;
     s.list("").await.unwrap();
     let waiting = tokio::spawn({
         let s = s.clone();
-        async move { s.watch("none", 1, LONG).await }
+        async move {
+            s.watch("none", Revision::new(Era::default(), 1), LONG)
+                .await
+        }
     });
     while metrics.store_waiting.get() == 0 {
         tokio::task::yield_now().await;
