End leases of an earlier era of the store

What was seen: after a drill, a renewal of a lease that the copy had lost got 200, since the store had granted its id to another holder. A node took its record for kept and kept that of another in its place; a watcher took the renewal for a confirmation of its version; a write with the lease was attached to the other's.

Change: a lease id of an earlier era counts as ended, without a call. If only the response shows the new era, a renewal counts as one of an ended lease and a write as unknown, so both are made again with a new lease. Holders already ask for a new lease then, so nothing else changes; without a drill no call is added.

Measured: `platform_era: a_lease_of_an_earlier_era_has_ended` failed before (Ok in place of NoLease), as did `a_write_with_a_lease_of_an_earlier_era_has_an_unknown_outcome` (Done in place of Unknown); both pass now, with the tests platform, sidecar_store_era, sidecar and sidecar_departure.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,7 +14,7 @@
 
 use crate::platform::store_messages::{
     decode, encode_query, new_write, unknown_outcome, ConflictResponse, Item, LeaseRequest,
-    LeaseResponse, Precondition, RangeResponse, Transaction, WatchResponse, WriteResponse,
+    LeaseResponse, Precondition, RangeResponse, Transaction, WatchResponse, Write, WriteResponse,
 };
 use crate::prelude::*;
 use crate::store::era::EraTracker;
@@ -175,23 +175,53 @@
         }
     }
 
-    async fn run_transaction(&self, txn: &Transaction<'_>) -> Result<Swap, StoreError> {
+    async fn run_transaction(&self, txn: &Transaction<'_>) -> Result<(Swap, Era), StoreError> {
         let Answer { status, data, era } = self.call_post("/api/kv-txn", txn).await?;
-        match status {
+        let swap = match status {
             StatusCode::OK => {
                 let written: WriteResponse = decode(&data)?;
-                Ok(Swap::Done(Revision::new(era, written.revision)))
+                Swap::Done(Revision::new(era, written.revision))
             }
             StatusCode::PRECONDITION_FAILED => {
                 let found = decode::<ConflictResponse>(&data)?.items;
                 // The response also lists keys that do not exist, with revision 0 or as deleted.
                 let found = found.into_iter().find(|i| i.revision > 0 && !i.deleted);
-                Ok(Swap::Conflict(found.map(|i| i.entry(era)).transpose()?))
+                Swap::Conflict(found.map(|i| i.entry(era)).transpose()?)
             }
-            StatusCode::NOT_FOUND => Err(StoreError::NoLease),
-            s => Err(StoreError::Invalid(format!("status {s}"))),
+            StatusCode::NOT_FOUND => return Err(StoreError::NoLease),
+            s => return Err(StoreError::Invalid(format!("status {s}"))),
+        };
+        Ok((swap, era))
+    }
+
+    /// Number of a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::NoLease`] if the lease is of an earlier era, in which its number may stand for another lease.
+    fn lease_number(&self, lease: LeaseId) -> Result<u64, StoreError> {
+        match lease.era() == self.era.latest() {
+            true => Ok(lease.number()),
+            false => Err(StoreError::NoLease),
         }
     }
+
+    /// Creates a write of a key.
+    fn new_write<'a>(
+        &self,
+        key: &'a str,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<Write<'a>, StoreError> {
+        let lease = lease.map(|l| self.lease_number(l)).transpose()?;
+        new_write(key, value, lease)
+    }
+}
+
+/// Error of a write whose response shows that the store has begun a new era. The lease that was sent may have been another
+/// one.
+fn new_era() -> StoreError {
+    unknown_outcome("the store began a new era during the call")
 }
 
 #[async_trait]
@@ -233,12 +263,15 @@
             ..Transaction::default()
         };
         match &value {
-            Some(value) => txn
-                .writes
-                .push(new_write(key, value, lease.map(LeaseId::number))?),
+            Some(value) => txn.writes.push(self.new_write(key, value, lease)?),
             None => txn.remove.push(key),
         }
-        self.run_transaction(&txn).await
+        let (swap, era) = self.run_transaction(&txn).await?;
+        let done = matches!(swap, Swap::Done(_));
+        match done && !is_of_era(lease, era) {
+            true => Err(new_era()),
+            false => Ok(swap),
+        }
     }
 
     async fn put(
@@ -248,12 +281,13 @@
         lease: Option<LeaseId>,
     ) -> Result<Revision, StoreError> {
         let txn = Transaction {
-            writes: vec![new_write(key, &value, lease.map(LeaseId::number))?],
+            writes: vec![self.new_write(key, &value, lease)?],
             ..Transaction::default()
         };
         match self.run_transaction(&txn).await? {
-            Swap::Done(r) => Ok(r),
-            Swap::Conflict(_) => Err(unknown_outcome(
+            (Swap::Done(_), era) if !is_of_era(lease, era) => Err(new_era()),
+            (Swap::Done(r), _) => Ok(r),
+            (Swap::Conflict(_), _) => Err(unknown_outcome(
                 "unconditional write failed with a conflict",
             )),
         }
@@ -282,9 +316,11 @@
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/api/kv-keep/{}", lease.number());
+        let path = format!("/api/kv-keep/{}", self.lease_number(lease)?);
         let answer = self.call_post(&path, &serde_json::json!({})).await?;
         match answer.status {
+            // The lease that was renewed is another one with the same number.
+            _ if answer.era != lease.era() => Err(StoreError::NoLease),
             s if s.is_success() => Ok(()),
             StatusCode::NOT_FOUND => Err(StoreError::NoLease),
             _ => Err(answer.unexpected()),
@@ -292,7 +328,10 @@
     }
 
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let path = format!("/api/kv-lease-end/{}", lease.number());
+        let Ok(number) = self.lease_number(lease) else {
+            return Ok(());
+        };
+        let path = format!("/api/kv-lease-end/{number}");
         let out = self.call(Method::DELETE, &path, Bytes::new(), self.timeout);
         out.await.map(drop)
     }
@@ -331,3 +370,7 @@
         }
     }
 }
+
+fn is_of_era(lease: Option<LeaseId>, era: Era) -> bool {
+    lease.is_none_or(|l| l.era() == era)
+}
--- a/tests/platform_era.rs
+++ b/tests/platform_era.rs
@@ -4,6 +4,7 @@
 mod site_kit;
 mod workdir;
 
+use std::future::Future;
 use std::time::Duration;
 
 use dragonflyquay::platform::store::PlatformStore;
@@ -30,13 +31,20 @@
 {
     for told in [true, false] {
         let (server, client) = start();
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build();
-        runtime.unwrap().block_on(check(&server, &client, told));
+        block_on(check(&server, &client, told));
     }
 }
 
+fn block_on<F>(f: F) -> F::Output
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.unwrap().block_on(f)
+}
+
 /// Brings the store back from a copy. The connections stay open, so that the next call reaches it.
 async fn drill(server: &KvServer, client: &PlatformStore, copy: SavedState, told: bool) {
     server.store.restore(copy);
@@ -94,3 +102,52 @@
         );
     });
 }
+
+/// Guards against a lease of an earlier era that is taken for the one that the store has since granted with the same id:
+/// its holder would keep the record of another node alive while its own is gone.
+#[test]
+fn a_lease_of_an_earlier_era_has_ended() {
+    for_each_client(async |server, s, told| {
+        let copy = server.store.save();
+        let lease = s.grant_lease(WAIT_TIMEOUT).await.unwrap();
+        drill(server, s, copy, told).await;
+        let other = server.store.grant_lease(WAIT_TIMEOUT).await.unwrap();
+        assert_eq!(other.number(), lease.number());
+        assert_eq!(
+            s.renew_lease(lease).await,
+            Err(StoreError::NoLease),
+            "told {told}"
+        );
+        let value = Some(b"x".to_vec());
+        server
+            .store
+            .swap("other", Revision::ABSENT, value, Some(other))
+            .await
+            .unwrap();
+        // By now the client knows of the new era in both cases.
+        assert_eq!(
+            s.put("own", b"x".to_vec(), Some(lease)).await,
+            Err(StoreError::NoLease)
+        );
+        s.revoke_lease(lease).await.unwrap();
+        assert!(server.store.get("other").await.unwrap().is_some());
+    });
+}
+
+/// Guards against a write that counts as done although the store attached it to a lease of another holder, because the
+/// drill was not known yet.
+#[test]
+fn a_write_with_a_lease_of_an_earlier_era_has_an_unknown_outcome() {
+    let (server, s) = start();
+    let check = async {
+        let copy = server.store.save();
+        let lease = s.grant_lease(WAIT_TIMEOUT).await.unwrap();
+        drill(&server, &s, copy, false).await;
+        server.store.grant_lease(WAIT_TIMEOUT).await.unwrap();
+        let put = s.put("own", b"x".to_vec(), Some(lease)).await;
+        assert!(matches!(put, Err(StoreError::Unknown(_))), "{put:?}");
+        let again = s.put("own", b"x".to_vec(), Some(lease)).await;
+        assert_eq!(again, Err(StoreError::NoLease));
+    };
+    block_on(check);
+}
