End swaps with a revision of an earlier era as conflicts

What was seen: a swap whose expected revision was read before a drill replaced the value of another writer, because the store had given the revision out again. The record of the decider of a rollout and its status are written by swaps.

Change: such a swap is not sent; the key is read, and the swap ends as a conflict with the entry found, which callers handle already. If only the response shows the new era, the outcome is unknown. `ABSENT` holds in all eras. Without a drill no call is added.

Measured: `platform_era: a_swap_of_an_earlier_era_is_a_conflict` and `a_swap_that_meets_a_new_era_has_an_unknown_outcome` failed before (Done in both) and pass, with platform, sidecar_rollout, sidecar_rollout_site and sidecar_departure.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -218,8 +218,8 @@
     }
 }
 
-/// Error of a write whose response shows that the store has begun a new era. The lease that was sent may have been another
-/// one.
+/// Error of a write whose response shows that the store has begun a new era. The numbers that were sent may have stood for
+/// something else.
 fn new_era() -> StoreError {
     unknown_outcome("the store began a new era during the call")
 }
@@ -255,6 +255,9 @@
         value: Option<Vec<u8>>,
         lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError> {
+        if !expect.is_valid_in(self.era.latest()) {
+            return self.get(key).await.map(Swap::Conflict);
+        }
         let mut txn = Transaction {
             precondition: vec![Precondition {
                 key,
@@ -268,7 +271,7 @@
         }
         let (swap, era) = self.run_transaction(&txn).await?;
         let done = matches!(swap, Swap::Done(_));
-        match done && !is_of_era(lease, era) {
+        match done && !(expect.is_valid_in(era) && is_of_era(lease, era)) {
             true => Err(new_era()),
             false => Ok(swap),
         }
--- a/tests/platform_era.rs
+++ b/tests/platform_era.rs
@@ -10,7 +10,7 @@
 use dragonflyquay::platform::store::PlatformStore;
 use dragonflyquay::store::era::EraTracker;
 use dragonflyquay::store::mem::SavedState;
-use dragonflyquay::store::{Era, Revision, Store, StoreError};
+use dragonflyquay::store::{Era, Revision, Store, StoreError, Swap};
 use site_kit::store::KvServer;
 use workdir::WAIT_TIMEOUT;
 
@@ -151,3 +151,50 @@
     };
     block_on(check);
 }
+
+/// Guards against a swap that passes by a revision of an earlier era, which the store has since given to another value.
+#[test]
+fn a_swap_of_an_earlier_era_is_a_conflict() {
+    let (server, s) = start();
+    let check = async {
+        let copy = server.store.save();
+        let expect = put(&s, "k", "old").await;
+        drill(&server, &s, copy, true).await;
+        let other = put(server.store.as_ref(), "k", "other").await;
+        assert_eq!(other.number(), expect.number());
+        let swap = s.swap("k", expect, Some(b"new".to_vec()), None).await;
+        let found = match swap {
+            Ok(Swap::Conflict(Some(e))) => e,
+            swap => panic!("{swap:?}"),
+        };
+        assert_eq!(
+            (found.value, found.revision.number()),
+            (b"other".to_vec(), other.number()),
+            "the conflict carries the current entry"
+        );
+        let swap = s.swap("k", found.revision, None, None).await;
+        assert!(matches!(swap, Ok(Swap::Done(_))), "{swap:?}");
+        // That a key does not exist means the same in all eras.
+        let swap = s
+            .swap("k", Revision::ABSENT, Some(b"new".to_vec()), None)
+            .await;
+        assert!(matches!(swap, Ok(Swap::Done(_))), "{swap:?}");
+    };
+    block_on(check);
+}
+
+/// Guards against a swap that counts as done although the store compared a revision of an earlier era, because the drill
+/// was not known yet.
+#[test]
+fn a_swap_that_meets_a_new_era_has_an_unknown_outcome() {
+    let (server, s) = start();
+    let check = async {
+        let copy = server.store.save();
+        let expect = put(&s, "k", "old").await;
+        drill(&server, &s, copy, false).await;
+        put(server.store.as_ref(), "k", "other").await;
+        let swap = s.swap("k", expect, Some(b"new".to_vec()), None).await;
+        assert!(matches!(swap, Err(StoreError::Unknown(_))), "{swap:?}");
+    };
+    block_on(check);
+}
