Write announced stops again that a drill of the store lost

What was seen: a node acknowledges the stop of its target because the store has it; a drill loses the entry, and it is not written again (after 60 s). A process that starts then knows of the stop only by the links of other nodes, and not at all when all processes end at the same time.

Change: a stop is noted with the era of the store that has it. When the era rises, the stops of the last ten minutes, as long as the store would have kept them, are written again after a random delay of up to 1 s; a write under way goes on until the store of the latest era has it. Without a drill no call is added.

--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -9,7 +9,7 @@
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
 use crate::sidecar::process::target::state::TargetId;
-use crate::store::{LeaseId, Revision, StoreError, Swap};
+use crate::store::{Era, LeaseId, Revision, StoreError, Swap};
 
 /// Prefix of all keys of this program.
 const ROOT_PREFIX: &str = "dq/";
@@ -22,7 +22,7 @@
 const LEASE_TTL: Duration = Duration::from_secs(60);
 const RENEW_INTERVAL: Duration = Duration::from_secs(20);
 /// Time for which the departure of a target is remembered; longer than targets run after they announce their stop.
-const DEPARTED_TTL: Duration = Duration::from_secs(600);
+pub(crate) const DEPARTED_TTL: Duration = Duration::from_secs(600);
 /// Ages of the process at which it lists the nodes again: listings may be some seconds old, so nodes that start at the
 /// same time may miss each other in the first ones.
 const EARLY_LIST_AGES: [Duration; 3] = [
@@ -205,16 +205,22 @@
     }
 }
 
-/// Records in the store that a target announced its stop, for the next process of this node.
+/// Records in the store that a target announced its stop, for the next process of this node. Returns the era of the store
+/// that has it.
 ///
 /// # Errors
 ///
 /// See [`crate::store::Store`].
-pub async fn record_departure(n: &Node, id: &TargetId, incarnation: u64) -> Result<(), StoreError> {
+pub async fn record_departure(
+    n: &Node,
+    id: &TargetId,
+    incarnation: u64,
+) -> Result<Era, StoreError> {
     let lease = n.store.grant_lease(DEPARTED_TTL).await?;
     let key = format!("{DEPARTED_PREFIX}{id}");
     let value = incarnation.to_string().into_bytes();
-    n.store.put(&key, value, Some(lease)).await.map(drop)
+    let written = n.store.put(&key, value, Some(lease)).await?;
+    Ok(written.era())
 }
 
 async fn list_nodes(n: &Arc<Node>, registration: &mut Registration) -> Result<(), StoreError> {
--- a/src/sidecar/process/store_era.rs
+++ b/src/sidecar/process/store_era.rs
@@ -1,10 +1,15 @@
-//! Follows the eras of the store: it begins a new one when it comes back from an older copy of itself.
+//! Follows the eras of the store: it begins a new one when it comes back from an older copy of itself. What this node wrote
+//! since then is gone.
 
 use crate::prelude::*;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::target::departure;
 use crate::store::Era;
 
-/// Logs each new era. Never returns.
+/// Longest random delay before a node writes again what the store has lost, so that not all nodes write at once.
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(1);
+
+/// Logs each new era and writes again what the store has lost. Never returns.
 pub(super) async fn run(n: Arc<Node>) {
     let mut eras = n.store.era();
     let mut current = Era::default();
@@ -18,6 +23,8 @@
                 "store_era_changed",
                 &[("from", &current.to_string()), ("to", &era.to_string())],
             );
+            tokio::time::sleep(MAX_WRITE_DELAY.mul_f64(rand::random())).await;
+            departure::write_again(&n, era);
         }
         current = era;
     }
--- a/src/sidecar/process/target/departure.rs
+++ b/src/sidecar/process/target/departure.rs
@@ -1,17 +1,19 @@
 //! Keeps the announced stop of the target, so that the next process of this node knows of it too.
 //!
 //! It is written to the store, however long that takes. While the store does not take it, other nodes keep it: they tell
-//! the next process when their links to it open. Only what is kept is acknowledged to the target. Other nodes also keep the
+//! the next process when their links to it open. Only what is kept is acknowledged to the target. When the store comes back
+//! from an older copy, what it had is written again. Other nodes also keep the
 //! stop of a target that was not heard of, since the state of the current target does not tell them of it.
 
 use tokio::sync::watch;
 
 use crate::prelude::*;
 use crate::sidecar::connection::frame::{Head, Message};
-use crate::sidecar::process::fleet::discovery;
+use crate::sidecar::process::fleet::discovery::{self, DEPARTED_TTL};
 use crate::sidecar::process::fleet::target_history::KnownTarget;
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::target::state::TargetId;
+use crate::store::Era;
 
 /// Time for the store to take a stop before other nodes are asked to keep it. Together with [`PEER_TIMEOUT`] well below
 /// the one second for which the target waits for the acknowledgement.
@@ -32,7 +34,9 @@
 struct OwnDeparture {
     id: TargetId,
     incarnation: u64,
-    stored: bool,
+    announced_at: Now,
+    /// Era of the store that has it.
+    stored: Option<Era>,
     keepers: Vec<NodeId>,
 }
 
@@ -57,27 +61,42 @@
     }
 
     /// Adds a stop in the place of that of an earlier incarnation. Returns whether it is new.
-    fn add(&mut self, id: &TargetId, incarnation: u64) -> bool {
+    fn add(&mut self, id: &TargetId, incarnation: u64, now: Now) -> bool {
         if self.find(id, incarnation).is_some() {
             return false;
         }
         self.0.retain(|d| d.id != *id);
         if self.0.len() == MAX_DEPARTURES {
-            let stored = self.0.iter().position(|d| d.stored);
+            let stored = self.0.iter().position(|d| d.stored.is_some());
             self.0.remove(stored.unwrap_or(0));
         }
         self.0.push(OwnDeparture {
             id: id.clone(),
             incarnation,
+            announced_at: now,
             ..OwnDeparture::default()
         });
         true
     }
 
-    /// Whether the write of a stop goes on: it is not in the store, and no later one has taken its place.
-    fn is_unwritten(&self, id: &TargetId, incarnation: u64) -> bool {
+    /// Whether the write of a stop goes on: it is not in the store, which is in this era, and no later one has taken its
+    /// place.
+    fn is_unwritten(&self, id: &TargetId, incarnation: u64, era: Era) -> bool {
+        let stored = |d: &OwnDeparture| d.stored.is_some_and(|s| s >= era);
         let d = self.find(id, incarnation);
-        d.is_some_and(|d| d.incarnation == incarnation && !d.stored)
+        d.is_some_and(|d| d.incarnation == incarnation && !stored(d))
+    }
+
+    /// Records that the store has begun an era. Returns the stops that it had before and that still matter.
+    fn take_lost(&mut self, era: Era, now: Now) -> Vec<(TargetId, u64)> {
+        let had = |d: &&mut OwnDeparture| d.stored.is_some_and(|s| s < era);
+        let lost = self.0.iter_mut().filter(had);
+        let lost = lost.filter(|d| now < d.announced_at + DEPARTED_TTL);
+        lost.map(|d| {
+            d.stored = None;
+            (d.id.clone(), d.incarnation)
+        })
+        .collect()
     }
 }
 
@@ -91,7 +110,7 @@
         tell_all(n, id, incarnation);
     }
     let mut departures = n.departures.subscribe();
-    let is_stored = |d: &OwnDepartures| d.find(id, incarnation).is_some_and(|d| d.stored);
+    let is_stored = |d: &OwnDepartures| d.find(id, incarnation).is_some_and(|d| d.stored.is_some());
     let stored = departures.wait_for(is_stored);
     if let Ok(Ok(_)) = tokio::time::timeout(STORE_TIMEOUT, stored).await {
         return true;
@@ -100,7 +119,7 @@
     let needed = KEEPERS.min(linked);
     let is_kept = |d: &OwnDepartures| {
         let d = d.find(id, incarnation);
-        d.is_some_and(|d| d.stored || needed > 0 && d.keepers.len() >= needed)
+        d.is_some_and(|d| d.stored.is_some() || needed > 0 && d.keepers.len() >= needed)
     };
     let kept = departures.wait_for(is_kept);
     let kept = matches!(tokio::time::timeout(PEER_TIMEOUT, kept).await, Ok(Ok(_)));
@@ -129,7 +148,10 @@
 
 /// Begins to write the stop to the store. Returns false if that has begun.
 pub(crate) fn begin(n: &Arc<Node>, id: &TargetId, incarnation: u64) -> bool {
-    let new = n.departures.send_if_modified(|d| d.add(id, incarnation));
+    let now = n.clock.now();
+    let new = n
+        .departures
+        .send_if_modified(|d| d.add(id, incarnation, now));
     if new {
         n.log.event("target_leaving", &[("target", id)]);
         tokio::spawn(write(n.clone(), id.clone(), incarnation));
@@ -137,15 +159,31 @@
     new
 }
 
+/// Writes the stops again that the store had before it began an era.
+pub(crate) fn write_again(n: &Arc<Node>, era: Era) {
+    let now = n.clock.now();
+    let mut lost = Vec::new();
+    n.departures.send_modify(|d| lost = d.take_lost(era, now));
+    for (id, incarnation) in lost {
+        n.log.event("departure_lost", &[("target", &id)]);
+        tokio::spawn(write(n.clone(), id, incarnation));
+    }
+}
+
 /// Writes the stop to the store until it is in, or until a later one of the same id takes its place.
 async fn write(n: Arc<Node>, id: TargetId, incarnation: u64) {
     let mut back_off = WRITE_BACK_OFF.0;
-    while n.departures.borrow().is_unwritten(&id, incarnation) {
+    let era = n.store.era();
+    let unwritten = || {
+        let latest = *era.borrow();
+        n.departures.borrow().is_unwritten(&id, incarnation, latest)
+    };
+    while unwritten() {
         match discovery::record_departure(&n, &id, incarnation).await {
-            Ok(()) => n.departures.send_modify(|d| {
+            Ok(era) => n.departures.send_modify(|d| {
                 let written = d.find_mut(&id, incarnation);
                 if let Some(d) = written.filter(|d| d.incarnation == incarnation) {
-                    d.stored = true;
+                    d.stored = Some(era);
                 }
             }),
             Err(e) => {
--- a/tests/sidecar_store_era.rs
+++ b/tests/sidecar_store_era.rs
@@ -47,3 +47,28 @@
     site.store.put_config(&added_config(4));
     wait_version(&site, 4);
 }
+
+/// Key prefix of announced stops in the store.
+const STOPS: &str = "dq/left/";
+
+/// Makes the target of a node announce its stop, and waits until the store has it.
+fn announce_stop(site: &Site, node: usize) {
+    site.nodes[node].target.state.lock().unwrap().reported = "draining";
+    wait_until("the stop is in the store", || {
+        !site.store.keys(STOPS).is_empty()
+    });
+}
+
+/// Guards against an announced stop that was acknowledged because the store had it, and that is gone with a drill: the next
+/// process of the node would not know of it.
+#[test]
+fn a_stop_that_a_drill_lost_is_written_again() {
+    let site = Site::start(3);
+    let copy = site.store.store.save();
+    announce_stop(&site, 0);
+    site.store.drill(copy);
+    assert!(site.store.keys(STOPS).is_empty());
+    wait_until("the stop is in the store again", || {
+        !site.store.keys(STOPS).is_empty()
+    });
+}
