Remember stops that the store has listed after a drill

What was seen: a process that has started again knows the stops which its predecessor acknowledged from the listing of the store. A drill that loses one took it from the process too with the next listing, and a late heartbeat made the target ready (DRAIN).

Change: a listed stop is remembered, with its greatest incarnation, for the ten minutes for which the store keeps one, counted from when it was last listed. An earlier listing does not take it away either.

Measured: `sidecar_target: a_listed_stop_binds_although_the_store_lost_it` failed before (the target was ready) and passes, with the other 13 tests of that file, sidecar_departure, sidecar_target_random and sidecar_entries.

--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -8,6 +8,7 @@
 use crate::sidecar::process::fleet::members::NodeRecord;
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::process::target::records::DEPARTED_TTL;
 use crate::sidecar::process::target::state::TargetId;
 use crate::store::{Era, LeaseId, Revision, StoreError, Swap};
 
@@ -21,8 +22,6 @@
 /// dead nodes sooner.
 const LEASE_TTL: Duration = Duration::from_secs(60);
 const RENEW_INTERVAL: Duration = Duration::from_secs(20);
-/// Time for which the departure of a target is remembered; longer than targets run after they announce their stop.
-pub(crate) const DEPARTED_TTL: Duration = Duration::from_secs(600);
 /// Ages of the process at which it lists the nodes again: listings may be some seconds old, so nodes that start at the
 /// same time may miss each other in the first ones.
 const EARLY_LIST_AGES: [Duration; 3] = [
--- a/src/sidecar/process/target/departure.rs
+++ b/src/sidecar/process/target/departure.rs
@@ -9,9 +9,10 @@
 
 use crate::prelude::*;
 use crate::sidecar::connection::frame::{Head, Message};
-use crate::sidecar::process::fleet::discovery::{self, DEPARTED_TTL};
+use crate::sidecar::process::fleet::discovery;
 use crate::sidecar::process::fleet::target_history::KnownTarget;
 use crate::sidecar::process::node::Node;
+use crate::sidecar::process::target::records::DEPARTED_TTL;
 use crate::sidecar::process::target::state::TargetId;
 use crate::store::Era;
 
--- a/src/sidecar/process/target/mod.rs
+++ b/src/sidecar/process/target/mod.rs
@@ -13,7 +13,7 @@
 pub mod pace;
 pub mod queue;
 pub mod rate_limit;
-mod records;
+pub(crate) mod records;
 pub mod silence;
 pub mod slots;
 pub mod state;
--- a/src/sidecar/process/target/records.rs
+++ b/src/sidecar/process/target/records.rs
@@ -5,6 +5,16 @@
 
 /// Maximum number of departed targets to remember, so that delayed heartbeats do not make them ready again.
 const MAX_DEPARTED: usize = 64;
+/// Time for which the departure of a target is kept in the store, and remembered after the store last listed it; longer than
+/// targets run after they announce their stop.
+pub(crate) const DEPARTED_TTL: Duration = Duration::from_secs(600);
+
+/// A departed target that the store has listed.
+#[derive(Debug, Clone, Copy)]
+struct ListedDeparture {
+    incarnation: u64,
+    listed_at: Now,
+}
 
 /// Records of the targets of this node.
 #[derive(Debug)]
@@ -20,9 +30,9 @@
     restarted: bool,
     /// Departed targets with their last incarnation.
     departed: Vec<(TargetId, u64)>,
-    /// Departed targets of all nodes with their last incarnation, as the store last listed them. They are apart from those
-    /// that this node knows otherwise, which must not make room for them.
-    listed: HashMap<TargetId, u64>,
+    /// Departed targets of all nodes that the store has listed; it may come back from an older copy without them. They are apart from those that this node knows otherwise,
+    /// which must not make room for them.
+    listed: HashMap<TargetId, ListedDeparture>,
 }
 
 impl Default for TargetRecords {
@@ -90,16 +100,24 @@
         self.departed.push((id, incarnation));
     }
 
-    /// Replaces the departed targets that the store lists.
-    pub(super) fn set_listed(&mut self, listed: HashMap<TargetId, u64>) {
-        self.listed = listed;
+    /// Records the departed targets that the store lists, with their last incarnation.
+    pub(super) fn record_listed(&mut self, listed: HashMap<TargetId, u64>, now: Now) {
+        self.listed.retain(|_, d| now < d.listed_at + DEPARTED_TTL);
+        for (id, incarnation) in listed {
+            let before = self.listed.get(&id).map_or(0, |d| d.incarnation);
+            let departure = ListedDeparture {
+                incarnation: incarnation.max(before),
+                listed_at: now,
+            };
+            self.listed.insert(id, departure);
+        }
     }
 
     /// Last incarnation of a target that has departed.
     pub(super) fn last_departed(&self, id: &str) -> Option<u64> {
         let known = self.departed.iter().find(|(i, _)| i == id);
-        let listed = self.listed.get(id);
-        known.map(|(_, last)| *last).max(listed.copied())
+        let listed = self.listed.get(id).map(|d| d.incarnation);
+        known.map(|(_, last)| *last).max(listed)
     }
 
     /// Whether an incarnation of a target has departed.
--- a/src/sidecar/process/target/state.rs
+++ b/src/sidecar/process/target/state.rs
@@ -116,7 +116,7 @@
 
     /// Replaces the departed targets of all nodes, with their last incarnations, that the store lists.
     pub fn on_departures_listed(&mut self, listed: HashMap<TargetId, u64>, now: Now) {
-        self.records.set_listed(listed);
+        self.records.record_listed(listed, now);
         self.end_departed(now);
     }
 
--- a/tests/sidecar_target.rs
+++ b/tests/sidecar_target.rs
@@ -429,3 +429,20 @@
     t.on_connect_refused(ms(6100));
     assert!(t.usable(ms(6150)).is_none());
 }
+
+/// Guards against a stop that a process knows only from the listing of the store, and forgets when the store comes back from
+/// an older copy without it.
+#[test]
+fn a_listed_stop_binds_although_the_store_lost_it() {
+    let mut t = own_target();
+    t.on_departures_listed([("i".into(), 10)].into_iter().collect(), ms(0));
+    t.on_departures_listed([("i".into(), 9)].into_iter().collect(), ms(1000));
+    t.on_departures_listed([].into_iter().collect(), ms(2000));
+    t.on_heartbeat(&heartbeat("i", 10, 7, ReportedState::Ready), ms(3000))
+        .unwrap();
+    assert!(!t.state(ms(3000)).unwrap().ready && t.usable(ms(3000)).is_none());
+    // A later target with the id is used.
+    t.on_heartbeat(&heartbeat("i", 11, 1, ReportedState::Ready), ms(4000))
+        .unwrap();
+    assert!(t.usable(ms(4000)).is_some());
+}
