Tell other nodes when the store begins a new era

What was seen: after a drill that lost the records of all nodes, those that do not watch the store wrote theirs again only with their next renewal, 10.9 s after it in the trace and up to 20 s. Nodes that start meanwhile do not find them, and stops that were lost are missing for as long.

Cause: only the responses of the store tell of an era, and most nodes call it rarely.

Change: a node that learns of a new era from the store tells those that it is linked to, unless it heard of it from one of them. They renew their leases after a random delay of up to 1 s, which shows whether the store is in that era.

--- a/src/sidecar/connection/accepted_link.rs
+++ b/src/sidecar/connection/accepted_link.rs
@@ -86,6 +86,7 @@
             Head::Crash(crashed) => self.n.on_crash(crashed),
             Head::NoSuspect(fingerprint) => self.n.on_no_suspect(*fingerprint),
             Head::Suspects(reports) => self.n.on_suspects(reports),
+            Head::StoreEra(era) => self.n.on_peer_era(*era),
             Head::Departure(known) => self.on_departure(known),
             Head::QuotaAsk(process, asks) => {
                 let peer = self.peer.get();
--- a/src/sidecar/connection/frame.rs
+++ b/src/sidecar/connection/frame.rs
@@ -19,6 +19,7 @@
 };
 use crate::sidecar::process::target::queue::Load;
 use crate::sidecar::process::target::state::TargetState;
+use crate::store::Era;
 
 /// Number of a request within its link.
 pub type Seq = u64;
@@ -201,6 +202,9 @@
     /// been cut off. The node that accepted the link sends it also if that is nothing.
     #[serde(rename = "s")]
     Suspects(Vec<SuspectReport>),
+    /// The sender has heard of this era of the store, which came back from an older copy.
+    #[serde(rename = "er")]
+    StoreEra(Era),
     /// Requests a [`Head::Pong`]; carries the version of the sender.
     #[serde(rename = "p")]
     Ping(VersionNumber),
@@ -261,6 +265,7 @@
             | Self::Rollout(_)
             | Self::RolloutReport(_)
             | Self::NoSuspect(_)
+            | Self::StoreEra(_)
             | Self::Suspects(_) => "state",
             Self::QuotaAsk(..) | Self::QuotaGrant(..) => "quota",
             Self::Ping(_) | Self::Pong(_) | Self::GetFreshness | Self::Freshness(..) => "ping",
--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -8,6 +8,7 @@
 use crate::sidecar::process::fleet::members::NodeRecord;
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::sample::Confirmation;
+use crate::sidecar::process::store_era;
 use crate::sidecar::process::target::records::DEPARTED_TTL;
 use crate::sidecar::process::target::state::TargetId;
 use crate::store::{Era, LeaseId, Revision, StoreError, Swap};
@@ -48,6 +49,10 @@
     /// Whether an attempt has been made to create the record.
     created: bool,
     renewed_at: Now,
+    /// Latest era of the store for which the lease has been checked, or is about to be.
+    checked_era: Era,
+    /// Time of that check.
+    check_at: Option<Now>,
     list_count: usize,
     next_list_at: Now,
 }
@@ -68,8 +73,13 @@
                     n.restart_watch.send_modify(|n| *n += 1);
                 }
                 let wait = registration.next_step(&n).saturating_sub(n.clock.now());
-                // The node may begin to watch the store, and then confirms at once that it reaches the store.
-                let _ = tokio::time::timeout(wait, state_changed.changed()).await;
+                tokio::select! {
+                    // The node may begin to watch the store, and then confirms at once that it reaches the store.
+                    _ = tokio::time::timeout(wait, state_changed.changed()) => {}
+                    era = store_era::wait_for_later(&n, registration.checked_era) => {
+                        registration.check_lease(era, n.clock.now());
+                    }
+                }
             }
             Err(StoreError::NoLease) => {
                 n.log.event("lease_lost", &[]);
@@ -92,13 +102,27 @@
 }
 
 impl Registration {
+    /// Records that the lease was granted in an era or renewed.
+    fn on_renewed(&mut self, lease: LeaseId, now: Now) {
+        self.renewed_at = now;
+        self.checked_era = self.checked_era.max(lease.era());
+        self.check_at = None;
+    }
+
+    /// Renews the lease soon, because the store may be in a later era, which has not granted it.
+    fn check_lease(&mut self, era: Era, now: Now) {
+        self.checked_era = era;
+        self.check_at = Some(now + store_era::random_delay());
+    }
+
     fn next_renewal(&self, n: &Node) -> Now {
-        self.renewed_at
-            + match n.reaches_store() {
-                // A renewal confirms that the store is reached, which a watch that waits does not.
-                true => n.freshness_limits().interval,
-                false => RENEW_INTERVAL,
-            }
+        let interval = match n.reaches_store() {
+            // A renewal confirms that the store is reached, which a watch that waits does not.
+            true => n.freshness_limits().interval,
+            false => RENEW_INTERVAL,
+        };
+        let next = self.renewed_at + interval;
+        self.check_at.map_or(next, |at| next.min(at))
     }
 
     /// Time of the next call of [`register_and_list`].
@@ -156,12 +180,12 @@
         let value = serde_json::to_vec(&record).unwrap_or_default();
         write_record(n, registration, value, lease).await?;
         registration.written = true;
-        registration.renewed_at = now;
+        registration.on_renewed(lease, now);
         n.last_confirmed.record(Confirmation::Lease, now);
     }
     if now >= registration.next_renewal(n) {
         renew_lease(n, lease).await?;
-        registration.renewed_at = now;
+        registration.on_renewed(lease, now);
         n.last_confirmed.record(Confirmation::Lease, now);
     }
     if now >= registration.next_list_at {
--- a/src/sidecar/process/mod.rs
+++ b/src/sidecar/process/mod.rs
@@ -16,5 +16,5 @@
 mod settings_file;
 pub mod start;
 mod stop;
-mod store_era;
+pub(crate) mod store_era;
 pub mod target;
--- a/src/sidecar/process/node.rs
+++ b/src/sidecar/process/node.rs
@@ -40,7 +40,7 @@
 use crate::sidecar::version::config_server::ConfigRequest;
 use crate::sidecar::version::in_force::{ConfigUpdate, PatchCache};
 use crate::sidecar::version::routes::RouteTable;
-use crate::store::Store;
+use crate::store::{Era, Store};
 
 /// Phase of the process on its way to a graceful stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,6 +101,8 @@
     pub version_confirmed: watch::Sender<u64>,
     /// Notifies the task that watches the store that it must read the configuration again and restart its watch.
     pub restart_watch: watch::Sender<u64>,
+    /// Latest era of the store that another node has heard of.
+    pub(crate) reported_era: watch::Sender<Era>,
     /// Sends what other nodes report about the configuration to the task that adopts it.
     pub config_updates: mpsc::UnboundedSender<ConfigUpdate>,
     /// Sends requests of other nodes for the configuration to the task that serves them.
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -48,7 +48,7 @@
 use crate::sidecar::version::confirm;
 use crate::sidecar::version::in_force::ConfigUpdate;
 use crate::store::counted::CountedStore;
-use crate::store::Store;
+use crate::store::{Era, Store};
 
 /// Receivers of the queues between the links of a node and its tasks.
 pub struct Queues {
@@ -135,6 +135,7 @@
         role_check: Notify::new(),
         version_confirmed: watch::channel(0).0,
         restart_watch: watch::channel(0).0,
+        reported_era: watch::channel(Era::default()).0,
         config_updates: updates,
         config_requests: requests,
         version_adopted: watch::channel(0).0,
--- a/src/sidecar/process/store_era.rs
+++ b/src/sidecar/process/store_era.rs
@@ -1,15 +1,21 @@
 //! Follows the eras of the store: it begins a new one when it comes back from an older copy of itself. What this node wrote
 //! since then is gone.
+//!
+//! Most nodes call the store rarely. One that learns of a new era from the store tells the others, which then check their
+//! leases after random delays. What they hear is only a hint: an era counts once the store itself has named it.
+
+use tokio::sync::watch;
 
 use crate::prelude::*;
+use crate::sidecar::connection::frame::{Head, Message};
 use crate::sidecar::process::node::Node;
 use crate::sidecar::process::target::departure;
 use crate::store::Era;
 
-/// Longest random delay before a node writes again what the store has lost, so that not all nodes write at once.
-const MAX_WRITE_DELAY: Duration = Duration::from_secs(1);
+/// Longest random delay before a node calls the store because of a new era, so that not all nodes call it at once.
+const MAX_DELAY: Duration = Duration::from_secs(1);
 
-/// Logs each new era and writes again what the store has lost. Never returns.
+/// Follows the era of the store, and writes again what it has lost. Never returns.
 pub(super) async fn run(n: Arc<Node>) {
     let mut eras = n.store.era();
     let mut current = Era::default();
@@ -19,13 +25,54 @@
         n.metrics.store_era.set(era.0 as i64);
         // The first era that a process hears of is no change.
         if current != Era::default() {
-            n.log.event(
-                "store_era_changed",
-                &[("from", &current.to_string()), ("to", &era.to_string())],
-            );
-            tokio::time::sleep(MAX_WRITE_DELAY.mul_f64(rand::random())).await;
-            departure::write_again(&n, era);
+            on_new_era(&n, current, era).await;
         }
         current = era;
     }
 }
+
+async fn on_new_era(n: &Arc<Node>, from: Era, to: Era) {
+    n.log.event(
+        "store_era_changed",
+        &[("from", &from.to_string()), ("to", &to.to_string())],
+    );
+    // The others have heard of it if one of them has told this node.
+    if *n.reported_era.borrow() < to {
+        let message = Message::without_payload(Head::StoreEra(to));
+        n.links.send_to_all(&message);
+    }
+    tokio::time::sleep(random_delay()).await;
+    departure::write_again(n, to);
+}
+
+/// Delay before a call to the store because of a new era.
+pub(super) fn random_delay() -> Duration {
+    MAX_DELAY.mul_f64(rand::random())
+}
+
+/// Waits until the store has begun a later era than `checked`, or another node says so. Returns that era.
+pub(super) async fn wait_for_later(n: &Node, checked: Era) -> Era {
+    async fn later(mut eras: watch::Receiver<Era>, checked: Era) -> Era {
+        let era = eras.wait_for(|era| *era > checked).await.map(|era| *era);
+        match era {
+            Ok(era) => era,
+            // The senders live as long as the node.
+            Err(_) => std::future::pending().await,
+        }
+    }
+    tokio::select! {
+        era = later(n.store.era(), checked) => era,
+        era = later(n.reported_era.subscribe(), checked) => era,
+    }
+}
+
+impl Node {
+    /// Records that another node has heard of an era of the store.
+    pub(crate) fn on_peer_era(&self, era: Era) {
+        self.reported_era.send_if_modified(|reported| {
+            let rises = era > *reported;
+            *reported = era.max(*reported);
+            rises
+        });
+    }
+}
--- a/src/store/era.rs
+++ b/src/store/era.rs
@@ -15,7 +15,9 @@
 use super::StoreError;
 
 /// Number of an era, which the store raises by one each time that it comes back from a copy. 0 if it names none.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Era(pub u64);
 
 impl fmt::Display for Era {
--- a/tests/sidecar_store_era.rs
+++ b/tests/sidecar_store_era.rs
@@ -3,7 +3,7 @@
 mod site_kit;
 mod workdir;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use site_kit::{config, Node, Site, SERVICE};
 use workdir::wait_until;
@@ -72,3 +72,29 @@
         !site.store.keys(STOPS).is_empty()
     });
 }
+
+/// Time for all nodes to write again what a drill lost; less than the interval at which most nodes renew their leases.
+const REWRITE_TIME: Duration = Duration::from_secs(8);
+
+/// Guards against nodes that hear of a drill only when they renew their leases the next time: nodes that start meanwhile
+/// do not find them.
+#[test]
+fn all_nodes_register_again_soon_after_a_drill() {
+    let mut site = Site::empty();
+    site.store.put_config(&config(1, ""));
+    let copy = site.store.store.save();
+    for i in 0..5 {
+        site.add_node(i);
+    }
+    site.nodes.iter().for_each(Node::wait_ready);
+    site.wait_linked();
+    // By then three nodes watch the store, and the others call it rarely.
+    std::thread::sleep(Duration::from_secs(9));
+    // The connections stay open, so that no other nodes begin to watch.
+    site.store.store.restore(copy);
+    let start = Instant::now();
+    wait_until("all nodes are registered", || {
+        site.store.keys("dq/node/").len() == 5
+    });
+    assert!(start.elapsed() < REWRITE_TIME, "{:?}", start.elapsed());
+}
