Compare orders of rollouts within an era only

What was seen, in the policy without processes: after a drill an order with a lower revision is passed over for ever, a repeated one too, and a node that has not heard of the drill replaces the record of a decider of the new era.

Change: across eras the same order is the same rollout, so that what the operator writes again begins nothing anew; another order of a later era is followed unless this node saw it replaced at the same revision number, since the copy still has it then; an earlier era replaces nothing of a later one. The table remembers up to 16 replaced orders.

Measured: the four tests of `sidecar_rollout_era` failed before and pass, with sidecar_rollout (simulated fleet), sidecar_rollout_orders and sidecar_rollout_site.

--- a/src/sidecar/process/rollout/election.rs
+++ b/src/sidecar/process/rollout/election.rs
@@ -99,10 +99,16 @@
             term: known.term.max(last.term) + 1,
             ..first
         };
-        let same = match last.order == known.order {
-            true => !repeated || last.revision == known.revision,
-            false if last.revision.is_later_than(known.revision) => return Claim::Wait,
-            false => false,
+        let same = match (
+            last.order == known.order,
+            last.revision.compare(known.revision),
+        ) {
+            (true, Some(order)) => !repeated || order.is_eq(),
+            (true, None) => true,
+            (false, Some(order)) if order.is_gt() => return Claim::Wait,
+            // This node has not heard of the era in which the other order was written.
+            (false, None) if last.revision.era() > known.revision.era() => return Claim::Wait,
+            (false, _) => false,
         };
         if !same {
             return Claim::Swap(at, Box::new(next));
--- a/src/sidecar/process/rollout/table.rs
+++ b/src/sidecar/process/rollout/table.rs
@@ -1,5 +1,6 @@
 //! Rollouts that a node knows, with its part in each. No I/O.
 
+use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Mutex;
 
@@ -23,6 +24,8 @@
 const ENDED_TIME: Duration = Duration::from_secs(9);
 /// Time after the end for which the decider repeats it.
 const REPEAT_TIME: Duration = Duration::from_secs(12);
+/// Maximum number of replaced orders to remember.
+const MAX_REPLACED: usize = 16;
 /// Time for which a target is slow that does not say so.
 const ASSUMED_WARM_UP: Duration = Duration::from_secs(2);
 /// Time after which a target is as fast as the others, beyond the one that it names.
@@ -136,6 +139,40 @@
     /// Versions in use.
     pub versions: NewVersions,
     own: OwnVersion,
+    replaced: ReplacedOrders,
+}
+
+/// Orders that others have replaced, with their revisions, the latest last. A store that comes back from an older copy may
+/// still have one of them as the latest of its service.
+#[derive(Debug, Default)]
+struct ReplacedOrders(VecDeque<(Order, Revision)>);
+
+impl ReplacedOrders {
+    fn add(&mut self, old: &News) {
+        if self.0.len() == MAX_REPLACED {
+            self.0.pop_front();
+        }
+        self.0.push_back((old.order.clone(), old.revision));
+    }
+
+    /// Whether the order of some news is a replaced one that the store has kept since an earlier era.
+    fn includes(&self, news: &News) -> bool {
+        let (era, number) = (news.revision.era(), news.revision.number());
+        let is_kept = |r: &Revision| r.era() < era && r.number() == number;
+        self.0
+            .iter()
+            .any(|(order, revision)| *order == news.order && is_kept(revision))
+    }
+
+    /// Whether news are of a later write than the current order of their service. The same order in a later era is what the
+    /// operator wrote again.
+    fn is_later(&self, news: &News, current: &News) -> bool {
+        match news.revision.compare(current.revision) {
+            Some(order) => order.is_gt(),
+            None if news.order == current.order => false,
+            None => news.revision.era() > current.revision.era() && !self.includes(news),
+        }
+    }
 }
 
 impl Table {
@@ -164,9 +201,10 @@
         let over = current.step.is_final()
             && now >= started_at + current.order.limit + REPEAT_MARGIN
             && news.step != Step::Listed;
-        let newer = news.revision.is_later_than(current.revision);
+        let newer = self.replaced.is_later(news, current);
         let same = news.order == current.order;
         if newer && (!same || over) {
+            self.replaced.add(current);
             *entry = Entry::new(news.clone(), bound, random, same, now);
             entry.note_end(now);
             return true;
@@ -175,6 +213,7 @@
             return false;
         }
         let applied = entry.view.on_news(news.clone(), now);
+        entry.view.raise_era(news.revision);
         if applied {
             entry.candidate.on_news();
             entry.note_end(now);
--- a/src/sidecar/process/rollout/view.rs
+++ b/src/sidecar/process/rollout/view.rs
@@ -6,6 +6,7 @@
 use crate::prelude::*;
 use crate::sidecar::process::rollout::order::{News, Step};
 use crate::sidecar::process::routing::placement::Choice;
+use crate::store::Revision;
 
 /// Time without news after which a step beyond the canary no longer holds. A lost decider must not keep all requests at
 /// a version that is not judged any more.
@@ -149,6 +150,13 @@
         self.started_at = self.started_at.min(now.saturating_sub(elapsed));
     }
 
+    /// Records the revision of the order in a later era of the store, with which those of its later orders are compared.
+    pub fn raise_era(&mut self, revision: Revision) {
+        if revision.era() > self.news.revision.era() {
+            self.news.revision = revision;
+        }
+    }
+
     /// Applies news of the same order, unless they are older than the latest. Returns whether they were applied.
     pub fn on_news(&mut self, news: News, now: Now) -> bool {
         let newer = news.replace(&self.news);
@@ -175,7 +183,12 @@
         if news.canary[..] != self.canary[..] {
             self.canary = news.canary.clone().into();
         }
+        let revision = match self.news.revision.era() > news.revision.era() {
+            true => self.news.revision,
+            false => news.revision,
+        };
         self.news = News {
+            revision,
             from: news.from.or(self.news.from.take()),
             avoid: news.avoid.or(self.news.avoid.take()),
             ..news
