Write crashing requests again that a drill of the store lost

What was seen: a drill loses the entry of a request that crashes targets, and nobody writes it again (after 60 s). After an end of all processes such a request would be retried again (BUDGET).

Change: the task that wrote the entry waits for a later era of the store, for as long as the entry would have been kept, and writes it again unless the request was served since. Without such requests there is no task, and without a drill no further call.

--- a/src/sidecar/process/fleet/culprits.rs
+++ b/src/sidecar/process/fleet/culprits.rs
@@ -5,7 +5,8 @@
 use crate::prelude::*;
 use crate::sidecar::process::node::{lock, Node};
 use crate::sidecar::process::routing::crash_suspects::Fingerprint;
-use crate::store::StoreError;
+use crate::sidecar::process::store_era;
+use crate::store::{Era, StoreError};
 
 /// Key prefix of requests that crash targets.
 const PREFIX: &str = "dq/crash/";
@@ -24,7 +25,7 @@
     Fingerprint::from_str_radix(text, 16).ok()
 }
 
-/// Writes a request to the store in the background, unless it is served first.
+/// Writes a request to the store in the background, and again if the store loses it, unless it is served first.
 pub(crate) fn keep(n: &Arc<Node>, fingerprint: Fingerprint) {
     let n = n.clone();
     tokio::spawn(async move {
@@ -32,7 +33,14 @@
         let mut back_off = WRITE_BACK_OFF.0;
         while n.clock.now() < end && lock(&n.crash_suspects).is_culprit(fingerprint) {
             match write(&n, fingerprint).await {
-                Ok(()) => return,
+                Ok(era) => {
+                    let rest = end.saturating_sub(n.clock.now());
+                    let lost = store_era::wait_for_later(n.store.era(), era);
+                    if tokio::time::timeout(rest, lost).await.is_err() {
+                        return;
+                    }
+                    back_off = WRITE_BACK_OFF.0;
+                }
                 Err(e) => n.log.event("note_failed", &[("error", &e.to_string())]),
             }
             tokio::time::sleep(back_off.mul_f64(0.7 + 0.5 * rand::random::<f64>())).await;
@@ -41,13 +49,12 @@
     });
 }
 
-async fn write(n: &Node, fingerprint: Fingerprint) -> Result<(), StoreError> {
+/// Writes a request. Returns the era of the store that has it.
+async fn write(n: &Node, fingerprint: Fingerprint) -> Result<Era, StoreError> {
     let lease = n.store.grant_lease(TTL).await?;
     let value = Vec::new();
-    n.store
-        .put(&key(fingerprint), value, Some(lease))
-        .await
-        .map(drop)
+    let written = n.store.put(&key(fingerprint), value, Some(lease)).await?;
+    Ok(written.era())
 }
 
 /// Removes a request from the store in the background, because it was served. Without an answer it ends with its lease.
--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -76,7 +76,7 @@
                 tokio::select! {
                     // The node may begin to watch the store, and then confirms at once that it reaches the store.
                     _ = tokio::time::timeout(wait, state_changed.changed()) => {}
-                    era = store_era::wait_for_later(&n, registration.checked_era) => {
+                    era = store_era::wait_for_hint(&n, registration.checked_era) => {
                         registration.check_lease(era, n.clock.now());
                     }
                 }
--- a/src/sidecar/process/store_era.rs
+++ b/src/sidecar/process/store_era.rs
@@ -50,19 +50,21 @@
     MAX_DELAY.mul_f64(rand::random())
 }
 
-/// Waits until the store has begun a later era than `checked`, or another node says so. Returns that era.
-pub(super) async fn wait_for_later(n: &Node, checked: Era) -> Era {
-    async fn later(mut eras: watch::Receiver<Era>, checked: Era) -> Era {
-        let era = eras.wait_for(|era| *era > checked).await.map(|era| *era);
-        match era {
-            Ok(era) => era,
-            // The senders live as long as the node.
-            Err(_) => std::future::pending().await,
-        }
+/// Waits for an era after `era`. Returns it.
+pub(super) async fn wait_for_later(mut eras: watch::Receiver<Era>, era: Era) -> Era {
+    let later = eras.wait_for(|e| *e > era).await.map(|e| *e);
+    match later {
+        Ok(later) => later,
+        // The senders live as long as the node.
+        Err(_) => std::future::pending().await,
     }
+}
+
+/// Waits until the store has begun an era after `era`, or another node says so. Returns the later one.
+pub(super) async fn wait_for_hint(n: &Node, era: Era) -> Era {
     tokio::select! {
-        era = later(n.store.era(), checked) => era,
-        era = later(n.reported_era.subscribe(), checked) => era,
+        later = wait_for_later(n.store.era(), era) => later,
+        later = wait_for_later(n.reported_era.subscribe(), era) => later,
     }
 }
 
--- a/tests/sidecar_crash.rs
+++ b/tests/sidecar_crash.rs
@@ -201,6 +201,20 @@
     wait_until("the request is not in the store", || !stored(&site));
 }
 
+/// Guards against a crashing request that the store loses when it comes back from an older copy: after all nodes have ended
+/// nobody would know it.
+#[test]
+fn a_crashing_request_that_a_drill_lost_is_written_again() {
+    let site = Site::start(2);
+    let copy = site.store.store.save();
+    crash_until_known(&site);
+    let stored = || !site.store.keys("dq/crash/").is_empty();
+    wait_until("the request in the store", stored);
+    site.store.drill(copy);
+    assert!(!stored());
+    wait_until("the request in the store again", stored);
+}
+
 /// Guards against a node that has just started, and sends a request that was lost at one target to another before it knows
 /// whether it is one that crashes targets.
 #[test]
