--- a/tests/site_kit/store.rs
+++ b/tests/site_kit/store.rs
@@ -100,6 +100,13 @@
         list.entries.into_iter().map(|e| e.key).collect()
     }
 
+    /// Keys with a prefix, and their values.
+    pub fn entries(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let list = self.runtime.block_on(self.store.list(prefix)).unwrap();
+        let entries = list.entries.into_iter();
+        entries.map(|e| (e.key, e.value)).collect()
+    }
+
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let found = self.runtime.block_on(self.store.get(key)).unwrap();
         found.map(|e| e.value)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 //! guarantees on the requests that callers sent and targets ran.
 //!
 //! `DQ_SOAK_SEEDS=1-50 DQ_SOAK_SECONDS=10 cargo test --release --test soak` runs other seeds; a seed that violates a
-//! guarantee leaves the output of its processes in `target/soak`.
+//! guarantee leaves the output of its processes in `target/soak`. With `DQ_SOAK_DRILLS=1` the store also comes back from
+//! older copies.
 
 mod site_kit;
 mod soak_kit;
@@ -45,7 +46,11 @@
     }
     let start = Instant::now();
     let mut last_tick = start;
-    for (at, event, duration) in plan::schedule(seed, NODES + 1, length) {
+    let events = match std::env::var_os("DQ_SOAK_DRILLS") {
+        Some(_) => plan::schedule_with_drills(seed, NODES + 1, length),
+        None => plan::schedule(seed, NODES + 1, length),
+    };
+    for (at, event, duration) in events {
         while start.elapsed() < at {
             std::thread::sleep(Duration::from_millis(10));
             if last_tick.elapsed() >= TICK_INTERVAL {
--- a/tests/soak_kit/mod.rs
+++ b/tests/soak_kit/mod.rs
@@ -15,6 +15,7 @@
 
 use super::site_kit::store::{Faults, KvServer};
 use super::workdir::{http, http_json, ChildProcess, Workdir};
+use dragonflyquay::store::mem::SavedState;
 use history::{History, Leave, STORE};
 use plan::{Connection, Event};
 use proxy::{Mode, Proxy};
@@ -81,6 +82,8 @@
     pub history: Arc<History>,
     pub version: u64,
     pub rollout: Rollout,
+    /// Copy from which the store comes back in the next drill.
+    copy: Option<SavedState>,
     /// Time of the last change of the configuration or of the store's faults.
     pub changed: Instant,
 }
@@ -132,6 +135,7 @@
             history: Arc::default(),
             version: 0,
             rollout: Rollout::new(seed),
+            copy: None,
             changed: Instant::now(),
         };
         site.commit();
@@ -240,7 +244,7 @@
         }
         if matches!(
             event,
-            Event::Store(_) | Event::Proxy(_, Connection::Store, _)
+            Event::Store(_) | Event::Drill | Event::Proxy(_, Connection::Store, _)
         ) {
             self.history
                 .add_disturbance(STORE, now, now + duration + SETTLE_TIME);
@@ -287,6 +291,8 @@
                 self.changed = now;
             }
             Event::ExpireLeases => self.kv.store.expire_leases(),
+            Event::Copy => self.copy = Some(self.kv.store.save()),
+            Event::Drill => self.drill(),
             Event::Commit(count) => (0..*count).for_each(|_| self.commit()),
             Event::Drain(i) => self.nodes[*i].target.incarnation.lock().unwrap().draining = true,
             Event::Replace(i) => self.nodes[*i].target.replace(),
@@ -294,6 +300,19 @@
         }
     }
 
+    /// Brings the store back from its copy. The operator writes again what it lacks.
+    fn drill(&mut self) {
+        let Some(copy) = self.copy.take() else { return };
+        let written = self.kv.entries("op/");
+        self.kv.drill(copy);
+        self.changed = Instant::now();
+        for (key, value) in written {
+            if self.kv.value(&key).as_ref() != Some(&value) {
+                self.kv.put(&key, &value);
+            }
+        }
+    }
+
     /// Sends the heartbeats of all targets, and checks and restarts processes that have exited.
     pub fn tick(&mut self) {
         let now = Instant::now();
--- a/tests/soak_kit/plan.rs
+++ b/tests/soak_kit/plan.rs
@@ -33,6 +33,10 @@
     Store(Faults),
     /// Expires all leases of the store.
     ExpireLeases,
+    /// Takes the copy from which the store comes back in the next drill.
+    Copy,
+    /// The store comes back from its copy, and the operator writes again what that lacks.
+    Drill,
     /// Commits this number of versions without a pause.
     Commit(u32),
     /// The target of a node starts to leave.
@@ -55,6 +59,8 @@
             | Self::Replace(i) => Some(*i),
             Self::Store(_)
             | Self::ExpireLeases
+            | Self::Copy
+            | Self::Drill
             | Self::Commit(_)
             | Self::Drain(_)
             | Self::Order => None,
@@ -65,6 +71,26 @@
 /// Time of an event since the start, the event, and its duration.
 pub type Step = (Duration, Event, Duration);
 
+/// Returns the events of a run of `length` with drills of the store among its faults, ordered by time.
+pub fn schedule_with_drills(seed: u64, nodes: usize, length: Duration) -> Vec<Step> {
+    // The constant makes the sequence differ from that of the other faults, which stay the same.
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xd711);
+    let mut out = schedule(seed, nodes, length);
+    let mut at = Duration::ZERO;
+    loop {
+        let copied_at = at + Duration::from_millis(rng.random_range(100..2500));
+        // A copy is some seconds old, and drills may come soon after one another.
+        at = copied_at + Duration::from_millis(rng.random_range(200..3000));
+        if at >= length {
+            break;
+        }
+        out.push((copied_at, Event::Copy, Duration::ZERO));
+        out.push((at, Event::Drill, Duration::ZERO));
+    }
+    out.sort_by_key(|(at, ..)| *at);
+    out
+}
+
 /// Returns the events of a run of `length`, ordered by time.
 pub fn schedule(seed: u64, nodes: usize, length: Duration) -> Vec<Step> {
     let mut rng = SmallRng::seed_from_u64(seed);
