Follow a stand-in store that begins its eras anew

Cause: the client of the stand-in store took responses of a lower era for late ones. A stand-in that had been restored and was then started again counts its eras from zero, and `node` would have used none of its responses any more.

Change: that client follows the era as named. It needs no more, because each revision and lease carries its own era and the stand-in checks them itself. The client of the platform's store keeps to rising eras, as the users' page says.

--- a/src/store/era.rs
+++ b/src/store/era.rs
@@ -186,6 +186,15 @@
         self.latest.subscribe()
     }
 
+    /// Records the era of a response of a store that may begin anew with its first era.
+    pub fn follow(&self, era: Era) {
+        self.latest.send_if_modified(|latest| {
+            let changes = era != *latest;
+            *latest = era;
+            changes
+        });
+    }
+
     /// Records the era of a response.
     ///
     /// # Errors
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -73,8 +73,9 @@
         let status = res.status();
         let era = res.headers().get(ERA_HEADER);
         let era = era.and_then(|h| h.to_str().ok()?.parse().ok());
+        // The stand-in checks the era of each revision and lease itself, and begins anew when it is started again.
         if let Some(era) = era {
-            self.era.observe(Era(era))?;
+            self.era.follow(Era(era));
         }
         let data = Limited::new(res.into_body(), MAX_RESPONSE_BYTES)
             .collect()
--- a/tests/platform_era.rs
+++ b/tests/platform_era.rs
@@ -83,6 +83,17 @@
     assert_eq!(tracker.latest(), Era(2));
 }
 
+/// Guards against a client of the stand-in that uses no response any more when the stand-in, which was restored before, was
+/// started again without its state.
+#[test]
+fn a_store_that_begins_anew_is_followed() {
+    let tracker = EraTracker::default();
+    tracker.follow(Era(1));
+    tracker.follow(Era(0));
+    assert_eq!(tracker.latest(), Era(0));
+    assert_eq!(tracker.observe(Era(0)), Ok(()));
+}
+
 /// Guards against a watch that goes on from a revision of an earlier era, which the store has given out again: the
 /// changes of the new era up to there would never be delivered.
 #[test]
