Write lost stops again after the first drill of a store that counts from zero

What was seen: with a store that names era 0 first, a stop that its first drill lost was not written again (60 s).

Cause: the task that follows the era took the first era above zero for the first response of the store.

Change: the task begins with the first successful registration and takes each later change for a new era. It looks at stops once when it begins, in case the era has risen meanwhile.

Measured: `sidecar_store_era: a_stop_is_written_again_after_the_first_drill_of_a_store` failed before and passes, with the other three tests of that file.

--- a/src/sidecar/process/fleet/discovery.rs
+++ b/src/sidecar/process/fleet/discovery.rs
@@ -57,15 +57,20 @@
     next_list_at: Now,
 }
 
-/// Maintains the record of this node in the store and lists the other nodes. Never returns.
+/// Maintains the record of this node in the store and lists the other nodes, and follows the era of the store from its first
+/// response. Never returns.
 pub async fn run(n: Arc<Node>) {
     let mut registration = Registration::default();
+    let mut follow_era = Some(store_era::run(n.clone()));
     let mut back_off = RETRY_BACK_OFF.0;
     let mut failing = false;
     let mut state_changed = n.state_changed.subscribe();
     loop {
         match register_and_list(&n, &mut registration).await {
             Ok(()) => {
+                if let Some(task) = follow_era.take() {
+                    tokio::spawn(task);
+                }
                 back_off = RETRY_BACK_OFF.0;
                 if std::mem::take(&mut failing) {
                     n.log.event("store_regained", &[]);
--- a/src/sidecar/process/start.rs
+++ b/src/sidecar/process/start.rs
@@ -36,7 +36,6 @@
 use crate::sidecar::process::sample::{self, LastConfirmed};
 use crate::sidecar::process::settings_file::{wait_for_stop_signal, watch_settings_file};
 use crate::sidecar::process::stop;
-use crate::sidecar::process::store_era;
 use crate::sidecar::process::target::control;
 use crate::sidecar::process::target::departure::OwnDepartures;
 use crate::sidecar::process::target::slots::Slots;
@@ -202,7 +201,6 @@
     tokio::spawn(discovery::run(n.clone()));
     tokio::spawn(config::watch_store(n.clone()));
     tokio::spawn(confirm::run(n.clone()));
-    tokio::spawn(store_era::run(n.clone()));
     tokio::spawn(config::process_updates(n.clone(), queues.config_updates));
     tokio::spawn(config_server::serve(n.clone(), queues.config_requests));
     tokio::spawn(control::monitor_target(n.clone()));
--- a/src/sidecar/process/store_era.rs
+++ b/src/sidecar/process/store_era.rs
@@ -15,18 +15,18 @@
 /// Longest random delay before a node calls the store because of a new era, so that not all nodes call it at once.
 const MAX_DELAY: Duration = Duration::from_secs(1);
 
-/// Follows the era of the store, and writes again what it has lost. Never returns.
+/// Follows the era of the store once it has responded, and writes again what it has lost. Never returns.
 pub(super) async fn run(n: Arc<Node>) {
     let mut eras = n.store.era();
-    let mut current = Era::default();
+    let mut current = *eras.borrow_and_update();
+    n.metrics.store_era.set(current.0 as i64);
+    // It may have begun another era since the first stop of the target was written.
+    departure::write_again(&n, current);
     // The sender lives as long as the store.
     while eras.changed().await.is_ok() {
         let era = *eras.borrow_and_update();
         n.metrics.store_era.set(era.0 as i64);
-        // The first era that a process hears of is no change.
-        if current != Era::default() {
-            on_new_era(&n, current, era).await;
-        }
+        on_new_era(&n, current, era).await;
         current = era;
     }
 }
--- a/tests/sidecar_store_era.rs
+++ b/tests/sidecar_store_era.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use site_kit::store::{FirstEra, KvServer};
 use site_kit::{config, Node, Site, SERVICE};
 use workdir::wait_until;
 
@@ -63,7 +64,25 @@
 /// process of the node would not know of it.
 #[test]
 fn a_stop_that_a_drill_lost_is_written_again() {
-    let site = Site::start(3);
+    lose_stop(FirstEra::default());
+}
+
+/// Guards against a first drill that is taken for the first response of the store, because the store counts its eras from
+/// zero.
+#[test]
+fn a_stop_is_written_again_after_the_first_drill_of_a_store() {
+    lose_stop(FirstEra(0));
+}
+
+fn lose_stop(first_era: FirstEra) {
+    let mut site = Site::empty();
+    site.store = KvServer::start_in(first_era);
+    site.store.put_config(&config(1, ""));
+    for i in 0..3 {
+        site.add_node(i);
+    }
+    site.nodes.iter().for_each(Node::wait_ready);
+    site.wait_linked();
     let copy = site.store.store.save();
     announce_stop(&site, 0);
     site.store.drill(copy);
--- a/tests/site_kit/store.rs
+++ b/tests/site_kit/store.rs
@@ -17,9 +17,6 @@
 use serde_json::{json, Value};
 use tokio::sync::watch;
 
-/// Era that the stand-in names in its responses before its first drill.
-const FIRST_ERA: u64 = 1;
-
 /// Faults of the store.
 #[derive(Debug, Clone, Default)]
 pub struct Faults {
@@ -33,6 +30,16 @@
     pub compacted: bool,
 }
 
+/// Era that the stand-in names in its responses before its first drill.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstEra(pub u64);
+
+impl Default for FirstEra {
+    fn default() -> Self {
+        Self(1)
+    }
+}
+
 /// An address of the stand-in with faults of its own, for the nodes that a test cuts off from the store.
 #[derive(Clone)]
 pub struct Entrance {
@@ -54,11 +61,16 @@
     calls: Arc<Mutex<Vec<String>>>,
     /// Closes all connections when it changes.
     cut: watch::Sender<()>,
+    first_era: FirstEra,
     runtime: tokio::runtime::Runtime,
 }
 
 impl KvServer {
     pub fn start() -> Self {
+        Self::start_in(FirstEra::default())
+    }
+
+    pub fn start_in(first_era: FirstEra) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -66,20 +78,22 @@
             .unwrap();
         let (store, calls) = (Arc::default(), Arc::default());
         let cut = watch::channel(()).0;
-        let entrance = open_entrance(&runtime, &store, &calls, &cut);
+        let entrance = open_entrance(&runtime, &store, &calls, &cut, first_era);
         Self {
             address: entrance.address,
             store,
             faults: entrance.faults,
             calls,
             cut,
+            first_era,
             runtime,
         }
     }
 
     /// Opens another address of the same store.
     pub fn add_entrance(&self) -> Entrance {
-        open_entrance(&self.runtime, &self.store, &self.calls, &self.cut)
+        let Self { store, calls, .. } = self;
+        open_entrance(&self.runtime, store, calls, &self.cut, self.first_era)
     }
 
     /// Comes back from an older copy, as in a drill: the connections are closed, the era rises, and revisions and lease
@@ -136,6 +150,7 @@
     store: &Arc<MemStore>,
     calls: &Arc<Mutex<Vec<String>>>,
     cut: &watch::Sender<()>,
+    FirstEra(first_era): FirstEra,
 ) -> Entrance {
     let listener = runtime
         .block_on(tokio::net::TcpListener::bind("127.0.0.1:0"))
@@ -161,7 +176,7 @@
                             return std::future::pending().await;
                         };
                         let headers = res.headers_mut();
-                        headers.insert("store-era", (FIRST_ERA + era.0).into());
+                        headers.insert("store-era", (first_era + era.0).into());
                         Ok::<_, Infallible>(res)
                     }
                 });
